--- /dev/null
+++ b/measure/capacity.rs
@@ -0,0 +1,11 @@
+//! Slopes behind docs/CAPACITY.md.
+
+use std::process;
+
+/// Runs the measurement and prints its table.
+pub fn run(_args: &[String]) -> process::ExitCode {
+    eprintln!(
+        "The measurement 'capacity' is not built yet; see docs/MEASUREMENTS.md for those that are."
+    );
+    process::ExitCode::from(2)
+}
--- /dev/null
+++ b/src/agree/mod.rs
@@ -0,0 +1,1 @@
+//! Agreement through the platform: configuration, membership, leases, claims.
--- /dev/null
+++ b/src/bin/knapweedford.rs
@@ -0,0 +1,3 @@
+//! The operators' tool.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/knapweedfordd.rs
@@ -0,0 +1,3 @@
+//! The daemon.
+
+fn main() {}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! The entry: owns a request from accept to answer.
--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,79 @@
+//! Every error of the crate, each with a message that names the remedy.
+
+use std::io;
+
+/// A typed failure; the message is a full sentence that says what to do.
+#[derive(Debug, thiserror::Error)]
+#[non_exhaustive]
+pub enum Error {
+    /// A file could not be read or written.
+    #[error("Could not use the file {path}: {source}. Check that it exists and is readable.")]
+    File {
+        /// The file, as the user named it.
+        path: String,
+        /// What the operating system said.
+        source: io::Error,
+    },
+    /// A YAML file does not have the expected shape.
+    #[error("{path}:{line}:{column}: {problem}.")]
+    Yaml {
+        /// The file, as the user named it.
+        path: String,
+        /// Line, from 1.
+        line: u64,
+        /// Column, from 1.
+        column: u64,
+        /// What is wrong and what to write instead.
+        problem: String,
+    },
+    /// A frame on a peer connection was larger than allowed.
+    #[error("A peer sent a frame of {size} bytes, over the limit of {limit}; upgrade both ends.")]
+    FrameTooLarge {
+        /// Size that the peer announced, in bytes.
+        size: usize,
+        /// Largest size taken, in bytes.
+        limit: usize,
+    },
+    /// A frame on a peer connection could not be decoded.
+    #[error("A peer sent a frame that does not decode ({problem}); run one version everywhere.")]
+    Frame {
+        /// What the decoder said.
+        problem: String,
+    },
+    /// A connection to a peer or a caller broke.
+    #[error("The connection to {peer} broke: {problem}. Check that the process is running.")]
+    Connection {
+        /// The other end.
+        peer: String,
+        /// What the transport said.
+        problem: String,
+    },
+    /// A port could not be opened.
+    #[error("Could not listen on {address}: {source}. Choose a free address in the settings.")]
+    Listen {
+        /// The address from the settings.
+        address: String,
+        /// What the operating system said.
+        source: io::Error,
+    },
+    /// The platform's service did not answer in time or was unreachable.
+    #[error("The platform's {service} is not available: {problem}. Try again when it is back.")]
+    PlatformDown {
+        /// Which service: table, object store, host list or weight store.
+        service: &'static str,
+        /// What the client saw.
+        problem: String,
+    },
+    /// A conditional write lost against another writer.
+    #[error("The row {key} was changed by another writer; read it again and reapply the change.")]
+    Conflict {
+        /// The row's key.
+        key: String,
+    },
+    /// The command line could not be understood.
+    #[error("{problem}. See --help for usage.")]
+    Usage {
+        /// What is wrong with the arguments.
+        problem: String,
+    },
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,21 @@
+//! A load balancer for expert-parallel model groups.
+//!
+//! One daemon, `knapweedfordd`, runs as an entry or as a sidecar; one tool,
+//! `knapweedford`, is for operators. `docs/DESIGN.md` gives the shape.
+
+pub mod agree;
+pub mod config;
+pub mod entry;
+pub mod error;
+pub mod group;
+pub mod name;
+pub mod platform;
+pub mod policy;
+pub mod settings;
+pub mod sidecar;
+pub mod wire;
+
+pub use error::Error;
+
+/// What every fallible function of this crate returns.
+pub type Result<T = (), E = Error> = std::result::Result<T, E>;
--- /dev/null
+++ b/src/policy/mod.rs
@@ -0,0 +1,1 @@
+//! Decisions: pure functions of a borrowed view and the time.
--- /dev/null
+++ b/src/sidecar/mod.rs
@@ -0,0 +1,1 @@
+//! The sidecar: the only way in to its backend server.
--- /dev/null
+++ b/src/wire/frame.rs
@@ -0,0 +1,49 @@
+//! Length-prefixed bincode frames with a bound on their size.
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use serde::{Serialize, de};
+
+use crate::{Error, Result};
+
+/// Largest frame taken from a peer, in bytes.
+pub const LIMIT: usize = 4 << 20;
+
+const PREFIX: usize = 4;
+
+fn codec() -> impl bincode::config::Config {
+    bincode::config::standard().with_limit::<LIMIT>()
+}
+
+/// Encodes `msg` with its length in front.
+pub fn encode<T: Serialize>(msg: &T) -> Result<Bytes> {
+    let body = bincode::serde::encode_to_vec(msg, codec())
+        .map_err(|err| Error::Frame { problem: err.to_string() })?;
+    if body.len() > LIMIT {
+        return Err(Error::FrameTooLarge { size: body.len(), limit: LIMIT });
+    }
+    let mut buf = BytesMut::with_capacity(PREFIX + body.len());
+    buf.put_u32(body.len() as u32);
+    buf.put_slice(&body);
+    Ok(buf.freeze())
+}
+
+/// Takes the next whole frame off the front of `buf`; `None` if more bytes are needed.
+pub fn decode<T: de::DeserializeOwned>(buf: &mut BytesMut) -> Result<Option<T>> {
+    if buf.len() < PREFIX {
+        return Ok(None);
+    }
+    let size = u32::from_be_bytes([buf[0], buf[1], buf[2], buf[3]]) as usize;
+    if size > LIMIT {
+        return Err(Error::FrameTooLarge { size, limit: LIMIT });
+    }
+    if buf.len() < PREFIX + size {
+        return Ok(None);
+    }
+    buf.advance(PREFIX);
+    let body = buf.split_to(size);
+    match bincode::serde::decode_from_slice(&body, codec()) {
+        Ok((msg, used)) if used == size => Ok(Some(msg)),
+        Ok(_) => Err(Error::Frame { problem: "bytes left over in the frame".into() }),
+        Err(err) => Err(Error::Frame { problem: err.to_string() }),
+    }
+}
--- /dev/null
+++ b/stand-ins/platform.rs
@@ -0,0 +1,3 @@
+//! A stand-in for tests and the demo.
+
+fn main() {}
--- /dev/null
+++ b/tests/lib.rs
@@ -0,0 +1,3 @@
+//! Integration tests: one module a feature.
+
+mod frames;
