--- /dev/null
+++ b/src/policy/candidate.rs
@@ -0,0 +1,124 @@
+//! One backend server as an entry sees it.
+
+use std::time;
+
+use crate::{name, policy::gate, wire};
+
+/// Age at which a load report says little.
+pub const STALE: time::Duration = time::Duration::from_millis(250);
+
+/// One backend server: last load report, corrected by what this entry did since.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// Its name.
+    pub server: name::Server,
+    /// Availability zone.
+    pub zone: name::Zone,
+    /// Whether operators and the platform let it have new work.
+    pub allowed: bool,
+    /// Ejected as failing until then.
+    pub ejected: Option<time::Duration>,
+    /// Seed of its rendezvous hash.
+    pub seed: u64,
+    /// Requests of this entry in flight there.
+    pub own: u32,
+    load: Option<wire::Load>,
+    heard: time::Duration,
+    since: i64,
+    tokens_since: i64,
+}
+
+impl Candidate {
+    /// A server of which nothing was heard yet: taken for cold.
+    pub fn new(server: &name::Server, zone: &name::Zone) -> Self {
+        Self {
+            server: server.clone(),
+            zone: zone.clone(),
+            allowed: true,
+            ejected: None,
+            seed: xxhash_rust::xxh3::xxh3_64(server.as_str().as_bytes()),
+            own: 0,
+            load: None,
+            heard: time::Duration::ZERO,
+            since: 0,
+            tokens_since: 0,
+        }
+    }
+
+    /// Takes a load report that rode on a reply.
+    pub fn report(&mut self, load: &wire::Load, now: time::Duration) {
+        self.load = Some(*load);
+        self.heard = now;
+        self.since = 0;
+        self.tokens_since = 0;
+    }
+
+    /// Notes a request of about `tokens` sent there.
+    pub fn sent(&mut self, tokens: u64) {
+        self.own += 1;
+        self.since += 1;
+        self.tokens_since += tokens as i64;
+    }
+
+    /// Notes that a request of about `tokens` sent there has ended.
+    pub fn ended(&mut self, tokens: u64) {
+        self.own = self.own.saturating_sub(1);
+        self.since -= 1;
+        self.tokens_since -= tokens as i64;
+    }
+
+    /// Requests thought to be in flight there now.
+    pub fn in_flight(&self) -> u32 {
+        let reported = self.load.map_or(0, |load| load.in_flight);
+        let estimate = (i64::from(reported) + self.since).max(0) as u32;
+        estimate.max(self.own)
+    }
+
+    /// Tokens thought to be in flight there now.
+    pub fn tokens(&self) -> u64 {
+        let reported = self.load.map_or(0, |load| load.tokens);
+        (reported as i64 + self.tokens_since).max(0) as u64
+    }
+
+    /// Requests it takes at most, as last heard.
+    pub fn limit(&self) -> u32 {
+        self.load.map_or(gate::COLD_LIMIT, |load| load.limit)
+    }
+
+    /// Whether it is past its cold start, as last heard.
+    pub fn warm(&self) -> bool {
+        self.load.is_some_and(|load| load.warm)
+    }
+
+    /// Whether it said that it is leaving or out.
+    pub fn leaving(&self) -> bool {
+        self.load.is_some_and(|load| load.leaving)
+    }
+
+    /// Age of the last report; `None` if there was none.
+    pub fn age(&self, now: time::Duration) -> Option<time::Duration> {
+        self.load.map(|_| now.saturating_sub(self.heard))
+    }
+
+    /// Last report; `None` if there was none.
+    pub fn load(&self) -> Option<&wire::Load> {
+        self.load.as_ref()
+    }
+
+    /// Whether it may be given new work at all.
+    pub fn eligible(&self, now: time::Duration) -> bool {
+        let ejected = self.ejected.is_some_and(|until| until > now);
+        let leaving = self.leaving() && self.age(now).is_some_and(|age| age < STALE);
+        self.allowed && !ejected && !leaving
+    }
+
+    /// Whether it is thought to have a free slot.
+    pub fn free(&self) -> bool {
+        self.in_flight() < self.limit()
+    }
+
+    /// Share of its limit in use once one more request is there.
+    pub fn fill(&self) -> f64 {
+        f64::from(self.in_flight() + 1) / f64::from(self.limit().max(1))
+    }
+}
--- /dev/null
+++ b/src/policy/decision.rs
@@ -0,0 +1,72 @@
+//! What routing decided for one request, and why.
+
+use std::time;
+
+use serde::Serialize;
+
+use crate::name;
+
+/// Why a server was chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Why {
+    /// It is thought to hold the prompt's prefix and is not overfull.
+    Prefix,
+    /// It has the least load for its limit.
+    LeastLoad,
+    /// Its report is old and nothing else is free; it is asked again.
+    Probe,
+}
+
+/// Why no server was chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Blocked {
+    /// Every server is out, leaving, ejected or already tried.
+    NoServer,
+    /// Every server is at its limit.
+    AllFull,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// To this server.
+    Send {
+        /// The server.
+        server: name::Server,
+        /// Why this one.
+        why: Why,
+    },
+    /// To none now.
+    Wait {
+        /// Why none.
+        why: Blocked,
+        /// When asking again makes sense.
+        retry_after: time::Duration,
+    },
+}
+
+/// One decision, as the dump shows it.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Decision {
+    /// When it was made.
+    pub at: time::Duration,
+    /// Where the request goes.
+    pub outcome: Outcome,
+    /// Servers that may have new work.
+    pub eligible: u32,
+    /// Servers among them with a free slot.
+    pub free: u32,
+}
+
+impl Decision {
+    /// The server chosen, if any.
+    pub fn server(&self) -> Option<&name::Server> {
+        match &self.outcome {
+            Outcome::Send { server, .. } => Some(server),
+            Outcome::Wait { .. } => None,
+        }
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,1 +1,12 @@
 //! Decisions: pure functions of a borrowed view and the time.
+//!
+//! Nothing here does I/O, reads a clock or starts a thread. `now` is the time
+//! since the process started; randomness comes from a seeded generator that
+//! the caller passes in.
+
+pub mod candidate;
+pub mod collect;
+pub mod decision;
+pub mod gate;
+pub mod roster;
+pub mod route;
