Add fair queue, estimate, budget, retry, eject, prefix affinity and subset

Change: one module each; Roster::new takes the entry's host (its subset follows from it) and route::Request takes a prefix::Chain.

--- a/src/policy/candidate.rs
+++ b/src/policy/candidate.rs
@@ -2,7 +2,11 @@
 
 use std::time;
 
-use crate::{name, policy::gate, wire};
+use crate::{
+    name,
+    policy::{cache, gate},
+    wire,
+};
 
 /// Age at which a load report says little.
 pub const STALE: time::Duration = time::Duration::from_millis(250);
@@ -20,8 +24,13 @@
     pub ejected: Option<time::Duration>,
     /// Seed of its rendezvous hash.
     pub seed: u64,
+    /// Whether it is one of the servers that this entry keeps in touch with.
+    pub member: bool,
     /// Requests of this entry in flight there.
     pub own: u32,
+    /// What its prefix cache is thought to hold.
+    pub cache: cache::Cache,
+    asked_again: time::Duration,
     load: Option<wire::Load>,
     heard: time::Duration,
     since: i64,
@@ -37,7 +46,10 @@
             allowed: true,
             ejected: None,
             seed: xxhash_rust::xxh3::xxh3_64(server.as_str().as_bytes()),
+            member: true,
             own: 0,
+            cache: cache::Cache::default(),
+            asked_again: time::Duration::ZERO,
             load: None,
             heard: time::Duration::ZERO,
             since: 0,
@@ -47,12 +59,27 @@
 
     /// Takes a load report that rode on a reply.
     pub fn report(&mut self, load: &wire::Load, now: time::Duration) {
+        if self.load.is_some_and(|old| old.incarnation != load.incarnation) {
+            self.cache.clear();
+        }
+        self.asked_again = now + STALE;
         self.load = Some(*load);
         self.heard = now;
         self.since = 0;
         self.tokens_since = 0;
     }
 
+    /// Notes that it refused and named a time to come back.
+    pub fn refused(&mut self, load: &wire::Load, retry_after: time::Duration, now: time::Duration) {
+        self.report(load, now);
+        self.asked_again = now + retry_after.min(STALE);
+    }
+
+    /// Whether its last report is so old that it may be asked although it seemed full.
+    pub fn worth_asking(&self, now: time::Duration) -> bool {
+        now >= self.asked_again && self.since <= 0
+    }
+
     /// Notes a request of about `tokens` sent there.
     pub fn sent(&mut self, tokens: u64) {
         self.own += 1;
--- a/src/policy/decision.rs
+++ b/src/policy/decision.rs
@@ -12,8 +12,12 @@
 pub enum Why {
     /// It is thought to hold the prompt's prefix and is not overfull.
     Prefix,
+    /// It is first in the prefix's own order of servers and is not overfull.
+    Home,
     /// It has the least load for its limit.
     LeastLoad,
+    /// Nothing that this entry keeps in touch with was free; this one was.
+    Widened,
     /// Its report is old and nothing else is free; it is asked again.
     Probe,
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -4,9 +4,18 @@
 //! since the process started; randomness comes from a seeded generator that
 //! the caller passes in.
 
+pub mod budget;
+pub mod cache;
 pub mod candidate;
 pub mod collect;
 pub mod decision;
+pub mod eject;
+pub mod estimate;
+pub mod fair;
 pub mod gate;
+pub mod prefix;
+pub mod recent;
+pub mod retry;
 pub mod roster;
 pub mod route;
+pub mod subset;
--- a/src/policy/roster.rs
+++ b/src/policy/roster.rs
@@ -2,18 +2,27 @@
 
 use std::{collections::BTreeMap, time};
 
-use crate::{name, policy::candidate, wire};
+use xxhash_rust::xxh3;
+
+use crate::{
+    name,
+    policy::{cache, candidate, prefix, subset},
+    wire,
+};
 
 /// Candidates of one service, by server name.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Roster {
+    entry: u64,
+    subset: usize,
     candidates: BTreeMap<name::Server, candidate::Candidate>,
 }
 
 impl Roster {
-    /// A roster without servers.
-    pub fn new() -> Self {
-        Self::default()
+    /// A roster without servers, of the entry on `host`.
+    pub fn new(host: &name::Host) -> Self {
+        let entry = xxh3::xxh3_64(host.as_str().as_bytes());
+        Self { entry, subset: subset::SIZE, candidates: BTreeMap::new() }
     }
 
     /// Adds a server, or moves it to another zone; what is known of it stays.
@@ -22,11 +31,13 @@
             .entry(server.clone())
             .or_insert_with(|| candidate::Candidate::new(server, zone))
             .zone = zone.clone();
+        self.resubset();
     }
 
     /// Removes a server.
     pub fn leave(&mut self, server: &name::Server) {
         self.candidates.remove(server);
+        self.resubset();
     }
 
     /// Sets whether a server may get new work, as the configuration in force says.
@@ -39,6 +50,33 @@
         self.change(server, |candidate| candidate.report(load, now));
     }
 
+    /// Takes a refusal for want of room, with the time it named.
+    pub fn refused(
+        &mut self,
+        server: &name::Server,
+        load: &wire::Load,
+        retry_after: time::Duration,
+        now: time::Duration,
+    ) {
+        self.change(server, |candidate| candidate.refused(load, retry_after, now));
+    }
+
+    /// Notes that a prompt with these prefixes was sent to `server`.
+    pub fn cached(&mut self, server: &name::Server, chain: &prefix::Chain, now: time::Duration) {
+        self.change(server, |candidate| candidate.cache.sent(chain, now));
+    }
+
+    /// Takes a cache event of `server`'s engine, numbered `seq`.
+    pub fn event(
+        &mut self,
+        server: &name::Server,
+        seq: u64,
+        event: cache::Event,
+        now: time::Duration,
+    ) {
+        self.change(server, |candidate| candidate.cache.event(seq, event, now));
+    }
+
     /// Notes a request of about `tokens` sent to `server`.
     pub fn sent(&mut self, server: &name::Server, tokens: u64) {
         self.change(server, |candidate| candidate.sent(tokens));
@@ -74,6 +112,17 @@
         self.candidates.is_empty()
     }
 
+    fn resubset(&mut self) {
+        let members = match self.candidates.len() {
+            all if all <= self.subset => None,
+            _ => Some(subset::choose(self.entry, self.subset, self.candidates.values())),
+        };
+        for candidate in self.candidates.values_mut() {
+            candidate.member =
+                members.as_ref().is_none_or(|members| members.contains(&candidate.server));
+        }
+    }
+
     fn change(&mut self, server: &name::Server, f: impl FnOnce(&mut candidate::Candidate)) {
         if let Some(candidate) = self.candidates.get_mut(server) {
             f(candidate);
--- a/src/policy/route.rs
+++ b/src/policy/route.rs
@@ -1,4 +1,10 @@
 //! Which backend server gets a request.
+//!
+//! The cost of a server is its fill (requests thought in flight over its
+//! limit) plus small penalties for another zone and a cold server, minus what
+//! a held prefix saves. A prefix draws requests only to servers whose fill is
+//! below [`BOUND`] times the mean, so a popular prefix spreads over as many
+//! servers as it needs.
 
 use std::time;
 
@@ -6,7 +12,7 @@
 
 use crate::{
     config, name,
-    policy::{candidate, decision, roster},
+    policy::{candidate, decision, prefix, roster, subset},
 };
 
 /// Wait named when every server is full.
@@ -17,6 +23,14 @@
 const FAR: f64 = 0.02;
 /// Extra fill that a cold server counts.
 const COLD: f64 = 0.1;
+/// Fill that a wholly held prefix saves.
+const HELD: f64 = 0.4;
+/// Fill that the first server of the prefix's own order saves.
+const HOME: f64 = 0.15;
+/// Fill over the mean beyond which a prefix draws no more requests.
+const BOUND: f64 = 1.25;
+/// Fill below which a prefix always draws requests.
+const QUIET: f64 = 0.25;
 /// Spread of the random part that keeps entries from herding.
 const JITTER: f64 = 0.02;
 
@@ -25,10 +39,8 @@
 pub struct Request<'a> {
     /// Zone of the entry.
     pub zone: &'a name::Zone,
-    /// Hash of the prompt's prefix; `None` if there is none to reuse.
-    pub prefix: Option<u64>,
-    /// Tokens the request is thought to cost.
-    pub tokens: u64,
+    /// Prefixes of the prompt.
+    pub prefix: &'a prefix::Chain,
     /// Interactive or batch.
     pub priority: config::Priority,
     /// Servers that this request has been to and must not go to again.
@@ -46,11 +58,19 @@
         .iter()
         .filter(|candidate| candidate.eligible(now) && !req.tried.contains(&candidate.server))
         .collect();
+    let home = home(&eligible, req.prefix);
+    let known = |candidate: &&candidate::Candidate| candidate.member || is(home, candidate);
     let free: Vec<_> = eligible.iter().copied().filter(|candidate| candidate.free()).collect();
+    let near: Vec<_> = free.iter().copied().filter(known).collect();
+    let asked = || eligible.iter().copied().filter(known).filter(|c| c.worth_asking(now));
     let outcome = match () {
         () if eligible.is_empty() => wait(decision::Blocked::NoServer, NONE_RETRY),
-        () if free.is_empty() => wait(decision::Blocked::AllFull, FULL_RETRY),
-        () => least(&free, req, rng),
+        () if !near.is_empty() => best(&near, home, req, now, rng),
+        () if !free.is_empty() => send(any(&free, rng), decision::Why::Widened),
+        () => match asked().min_by_key(|candidate| candidate.in_flight()) {
+            Some(candidate) => send(candidate, decision::Why::Probe),
+            None => wait(decision::Blocked::AllFull, FULL_RETRY),
+        },
     };
     decision::Decision {
         at: now,
@@ -60,26 +80,43 @@
     }
 }
 
-fn wait(why: decision::Blocked, retry_after: time::Duration) -> decision::Outcome {
-    decision::Outcome::Wait { why, retry_after }
+/// The first server in the prefix's own order, the same at every entry.
+fn home<'a>(
+    eligible: &[&'a candidate::Candidate],
+    prefix: &prefix::Chain,
+) -> Option<&'a candidate::Candidate> {
+    let root = prefix.root()?;
+    eligible.iter().copied().max_by_key(|candidate| subset::weight(root, candidate.seed))
+}
+
+fn is(home: Option<&candidate::Candidate>, candidate: &candidate::Candidate) -> bool {
+    home.is_some_and(|home| home.server == candidate.server)
 }
 
-fn least(
-    free: &[&candidate::Candidate],
+fn best(
+    near: &[&candidate::Candidate],
+    home: Option<&candidate::Candidate>,
     req: &Request<'_>,
+    now: time::Duration,
     rng: &mut impl rand::Rng,
 ) -> decision::Outcome {
-    let best = free
-        .iter()
-        .map(|candidate| (cost(candidate, req) + rng.random_range(0.0..JITTER), candidate))
-        .min_by(|a, b| a.0.total_cmp(&b.0));
-    match best {
-        Some((_, candidate)) => decision::Outcome::Send {
-            server: candidate.server.clone(),
-            why: decision::Why::LeastLoad,
-        },
-        None => wait(decision::Blocked::AllFull, FULL_RETRY),
+    let mean = near.iter().map(|candidate| candidate.fill()).sum::<f64>() / near.len() as f64;
+    let bound = (mean * BOUND).max(QUIET);
+    let mut least = (f64::INFINITY, near[0], decision::Why::LeastLoad);
+    for candidate in near.iter().copied() {
+        let draws = candidate.fill() <= bound;
+        let held = if draws { candidate.cache.share(req.prefix, now) } else { 0.0 };
+        let (saves, why) = match () {
+            () if held > 0.0 => (HELD * held, decision::Why::Prefix),
+            () if draws && is(home, candidate) => (HOME, decision::Why::Home),
+            () => (0.0, decision::Why::LeastLoad),
+        };
+        let cost = cost(candidate, req) - saves + rng.random_range(0.0..JITTER);
+        if cost < least.0 {
+            least = (cost, candidate, why);
+        }
     }
+    send(least.1, least.2)
 }
 
 fn cost(candidate: &candidate::Candidate, req: &Request<'_>) -> f64 {
@@ -87,3 +124,18 @@
     let cold = if candidate.warm() { 0.0 } else { COLD };
     candidate.fill() + far + cold
 }
+
+fn any<'a>(
+    free: &[&'a candidate::Candidate],
+    rng: &mut impl rand::Rng,
+) -> &'a candidate::Candidate {
+    free[rng.random_range(0..free.len())]
+}
+
+fn send(candidate: &candidate::Candidate, why: decision::Why) -> decision::Outcome {
+    decision::Outcome::Send { server: candidate.server.clone(), why }
+}
+
+fn wait(why: decision::Blocked, retry_after: time::Duration) -> decision::Outcome {
+    decision::Outcome::Wait { why, retry_after }
+}
