--- a/src/policy/gate.rs
+++ b/src/policy/gate.rs
@@ -1,12 +1,13 @@
 //! The sidecar's admission gate: exact, whoever sends and however many entries there are.
 //!
 //! The limit starts at [`COLD_LIMIT`] and grows only by what the server showed
-//! at the present limit: whole answers at a healthy pace. Time alone never
-//! raises it. A change of incarnation, a run of failures or a collapse of the
-//! pace drops it to [`COLD_LIMIT`] at once; it is never zero, so that a server
-//! can always show that it recovered.
+//! at the present limit: as many whole answers as the limit, most of them
+//! in flight while the gate was full, at a healthy pace. Time alone never
+//! raises it. A change of incarnation, a run of failures, a stall or a collapse
+//! of the pace drops it to [`COLD_LIMIT`] at once; it is never zero, so that a
+//! server can always show that it recovered.
 
-use std::time;
+use std::{mem, time};
 
 use crate::wire;
 
@@ -20,6 +21,10 @@
 const COLLAPSE_SAMPLES: u32 = 4;
 /// Failures in a row that drop the limit to [`COLD_LIMIT`].
 const FAILURES: u32 = 3;
+/// Windows without growth after the server was too slow at a limit.
+const HOLD: u32 = 8;
+/// Least time without any progress that counts as a stall.
+const STALL: time::Duration = time::Duration::from_secs(5);
 /// Weight of a new sample in a moving average.
 const ALPHA: f64 = 0.2;
 /// Service time assumed before the first answer.
@@ -44,6 +49,7 @@
 #[must_use]
 pub struct Permit {
     incarnation: u64,
+    filled: u64,
     at: time::Duration,
     last: time::Duration,
     events: u64,
@@ -62,7 +68,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Window {
     whole: u32,
-    full: bool,
+    full: u32,
     pace: Option<f64>,
 }
 
@@ -72,10 +78,16 @@
     ceiling: u32,
     limit: u32,
     in_flight: u32,
+    /// Times that the gate became full.
+    filled: u64,
     incarnation: u64,
     tokens: u64,
     leaving: bool,
     settled: bool,
+    /// Windows left without growth.
+    hold: u32,
+    /// When the server last showed progress, or was last idle.
+    progress: time::Duration,
     /// Best pace seen, in seconds an event.
     reference: Option<f64>,
     window: Window,
@@ -93,10 +105,13 @@
             ceiling,
             limit: COLD_LIMIT.min(ceiling),
             in_flight: 0,
+            filled: 0,
             incarnation: 0,
             tokens: 0,
             leaving: false,
             settled: false,
+            hold: 0,
+            progress: time::Duration::ZERO,
             reference: None,
             window: Window::default(),
             collapsed: 0,
@@ -115,9 +130,13 @@
                 Err(Refusal { why: wire::Refusal::Full, retry_after: self.next_free() })
             }
             () => {
+                if self.in_flight == 0 {
+                    self.progress = now;
+                }
                 self.in_flight += 1;
-                self.window.full |= self.in_flight >= self.limit;
-                Ok(Permit { incarnation: self.incarnation, at: now, last: now, events: 0 })
+                let filled = self.filled;
+                self.filled += u64::from(self.in_flight >= self.limit);
+                Ok(Permit { incarnation: self.incarnation, filled, at: now, last: now, events: 0 })
             }
         }
     }
@@ -128,6 +147,7 @@
         let gap = now.saturating_sub(permit.last);
         permit.last = now;
         permit.events += events;
+        self.progress = self.progress.max(now);
         if !first && events > 0 && permit.incarnation == self.incarnation {
             self.sample(gap.as_secs_f64() / events as f64);
         }
@@ -136,6 +156,7 @@
     /// Gives a permit back. Each permit is given back exactly once.
     pub fn release(&mut self, permit: Permit, ending: Ending, now: time::Duration) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.progress = self.progress.max(now);
         if permit.incarnation != self.incarnation {
             return;
         }
@@ -155,6 +176,16 @@
         }
     }
 
+    /// Looks for a stall: requests in flight and no progress of any of them.
+    pub fn tick(&mut self, now: time::Duration) {
+        let patience = STALL.max(self.service * 4);
+        let quiet = now.saturating_sub(self.progress);
+        if self.in_flight > 0 && quiet > patience {
+            self.progress = now;
+            self.chill();
+        }
+    }
+
     /// Takes the tokens in flight as the engine reported them.
     pub fn tokens(&mut self, tokens: u64) {
         self.tokens = tokens;
@@ -211,6 +242,7 @@
             self.sample(took.as_secs_f64());
         }
         self.window.whole += 1;
+        self.window.full += u32::from(permit.filled < self.filled);
         if self.window.whole >= self.limit {
             self.turn();
         }
@@ -235,7 +267,7 @@
 
     /// Closes a window: grows, holds or shrinks the limit by what was shown in it.
     fn turn(&mut self) {
-        let window = std::mem::take(&mut self.window);
+        let window = mem::take(&mut self.window);
         let Some(pace) = window.pace else { return };
         let relearn = self.limit <= COLD_LIMIT;
         let reference = match self.reference {
@@ -243,12 +275,17 @@
             _ => pace,
         };
         self.reference = Some(reference);
+        self.hold = self.hold.saturating_sub(1);
         match () {
             () if pace > SLOW * reference => {
                 self.settled = true;
+                self.hold = HOLD;
                 self.shrink();
             }
-            () if window.full => self.limit = (self.limit + self.step()).min(self.ceiling),
+            () if self.hold > 0 => {}
+            () if window.full * 2 >= window.whole => {
+                self.limit = (self.limit + self.step()).min(self.ceiling)
+            }
             () => {}
         }
     }
@@ -265,6 +302,7 @@
     fn chill(&mut self) {
         self.limit = COLD_LIMIT.min(self.ceiling);
         self.settled = false;
+        self.hold = 0;
         self.window = Window::default();
         self.collapsed = 0;
         self.failures = 0;
--- /dev/null
+++ b/tests/fairness.rs
@@ -0,0 +1,206 @@
+//! The queue that is fair by workspace.
+
+use std::time;
+
+use knapweedford::{config, name, policy::fair};
+use proptest::{prelude::*, test_runner};
+
+type Queue = fair::Fair<u32>;
+
+fn item(workspace: &str, cost: u64, value: u32) -> fair::Item<u32> {
+    fair::Item {
+        workspace: workspace.into(),
+        priority: config::Priority::Interactive,
+        cost,
+        deadline: time::Duration::from_secs(10),
+        value,
+    }
+}
+
+fn batch(workspace: &str, cost: u64) -> fair::Item<u32> {
+    fair::Item { priority: config::Priority::Batch, ..item(workspace, cost, 0) }
+}
+
+fn served(queue: &mut Queue, pops: usize, workspace: &str) -> usize {
+    let popped = (0..pops).filter_map(|_| queue.pop());
+    popped.filter(|item| item.workspace.as_str() == workspace).count()
+}
+
+#[test]
+fn small_first() {
+    let mut queue = Queue::new(1000, 10);
+    for value in 0..500 {
+        queue.push(item("large", 10, value), 1);
+    }
+    queue.push(item("small", 10, 0), 1);
+    assert_eq!(served(&mut queue, 2, "small"), 1);
+}
+
+#[test]
+fn weights_count() {
+    let mut queue = Queue::new(1000, 10);
+    for value in 0..200 {
+        queue.push(item("a", 10, value), 3);
+        queue.push(item("b", 10, value), 1);
+    }
+    assert_eq!(served(&mut queue, 100, "a"), 75);
+}
+
+#[test]
+fn costs_count() {
+    let mut queue = Queue::new(1000, 10);
+    for value in 0..200 {
+        queue.push(item("long", 30, value), 1);
+        queue.push(item("short", 10, value), 1);
+    }
+    assert_eq!(served(&mut queue, 100, "short"), 75);
+}
+
+#[test]
+fn order_kept() {
+    let mut queue = Queue::new(10, 10);
+    (0..5).for_each(|value| drop(queue.push(item("a", 10, value), 1)));
+    let values: Vec<_> = std::iter::from_fn(|| queue.pop()).map(|item| item.value).collect();
+    assert_eq!(values, [0, 1, 2, 3, 4]);
+}
+
+#[test]
+fn batch_floor() {
+    let mut queue = Queue::new(1000, 10);
+    for value in 0..400 {
+        queue.push(item("people", 10, value), 1);
+        queue.push(batch("night", 10), 1);
+    }
+    let got = served(&mut queue, 220, "night");
+    assert!((18..=22).contains(&got), "{got} of 220 at a floor of 10 for each 100 interactive");
+}
+
+#[test]
+fn batch_alone() {
+    let mut queue = Queue::new(10, 0);
+    queue.push(batch("night", 10), 1);
+    assert_eq!(served(&mut queue, 1, "night"), 1);
+}
+
+#[test]
+fn full_displaces() {
+    let mut queue = Queue::new(4, 10);
+    (0..4).for_each(|value| drop(queue.push(item("large", 10, value), 1)));
+    let fair::Pushed::Displaced(old) = queue.push(item("small", 10, 9), 1) else {
+        panic!("the small workspace was not let in");
+    };
+    assert_eq!((old.workspace.as_str(), old.value), ("large", 3));
+    assert!(matches!(queue.push(item("large", 10, 9), 1), fair::Pushed::Full(_)));
+    assert_eq!(queue.len(), 4);
+}
+
+#[test]
+fn batch_yields() {
+    let mut queue = Queue::new(1, 10);
+    queue.push(batch("night", 10), 1);
+    assert!(matches!(queue.push(item("a", 10, 1), 1), fair::Pushed::Displaced(_)));
+    assert!(matches!(queue.push(batch("night", 10), 1), fair::Pushed::Full(_)));
+}
+
+#[test]
+fn idle_forgotten() {
+    let mut queue = Queue::new(100_000, 10);
+    for value in 0..35_000 {
+        queue.push(item(&format!("w{value}"), 10, value), 1);
+    }
+    assert_eq!(queue.active(), 35_000);
+    while queue.pop().is_some() {}
+    queue.push(item("w1", 10, 0), 1);
+    queue.pop();
+    assert!(queue.active() <= 1, "{} workspaces remembered", queue.active());
+}
+
+#[test]
+fn sweep_expired() {
+    let mut queue = Queue::new(10, 10);
+    queue.push(item("a", 10, 1), 1);
+    queue.push(fair::Item { deadline: time::Duration::ZERO, ..item("a", 10, 2) }, 1);
+    let swept = queue.sweep(|item| item.deadline < time::Duration::from_secs(1));
+    assert_eq!(swept.iter().map(|item| item.value).collect::<Vec<_>>(), [2]);
+    assert_eq!((queue.len(), queue.cost()), (1, 10));
+}
+
+#[test]
+fn ahead_fair() {
+    let mut queue = Queue::new(1000, 10);
+    (0..100).for_each(|value| drop(queue.push(item("large", 10, value), 1)));
+    let priority = config::Priority::Interactive;
+    assert!(queue.ahead(&name::Workspace::from("small"), 1, priority) <= 20);
+    assert!(queue.ahead(&name::Workspace::from("large"), 1, priority) >= 1000);
+}
+
+fn config() -> test_runner::Config {
+    test_runner::Config {
+        cases: 200,
+        rng_seed: test_runner::RngSeed::Fixed(6),
+        failure_persistence: None,
+        ..test_runner::Config::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Oracle: while all stay backlogged, cost served over weight differs between
+    /// any two workspaces by no more than one request of each.
+    #[test]
+    fn shares_hold(
+        flows in proptest::collection::vec((1..5u32, 1..50u64), 2..6),
+        pops in 10..200usize,
+    ) {
+        let mut queue = Queue::new(100_000, 0);
+        let name = |at: usize| format!("w{at}");
+        for _ in 0..pops {
+            for (at, (weight, cost)) in flows.iter().enumerate() {
+                queue.push(item(&name(at), *cost, 0), *weight);
+            }
+        }
+        let mut got = vec![0u64; flows.len()];
+        for _ in 0..pops {
+            let popped = queue.pop().unwrap();
+            let at = (0..flows.len()).find(|at| popped.workspace.as_str() == name(*at)).unwrap();
+            got[at] += popped.cost;
+        }
+        let share = |at: usize| got[at] as f64 / f64::from(flows[at].0);
+        let slack = |at: usize| flows[at].1 as f64 / f64::from(flows[at].0);
+        for a in 0..flows.len() {
+            for b in 0..flows.len() {
+                prop_assert!(share(a) - share(b) <= slack(a) + slack(b) + 0.01);
+            }
+        }
+    }
+
+    /// Oracle: nothing queued is lost or doubled, and the counts agree.
+    #[test]
+    fn nothing_lost(ops in proptest::collection::vec((0..4usize, any::<bool>(), 1..9u64), 1..200)) {
+        let mut queue = Queue::new(16, 20);
+        let (mut queued, mut next) = (std::collections::BTreeSet::new(), 0);
+        for (at, push, cost) in ops {
+            next += 1;
+            let workspace = format!("w{at}");
+            let new = if at % 2 == 0 { item(&workspace, cost, next) } else {
+                fair::Item { value: next, ..batch(&workspace, cost) }
+            };
+            match push {
+                true => match queue.push(new, 1) {
+                    fair::Pushed::Queued => prop_assert!(queued.insert(next)),
+                    fair::Pushed::Displaced(old) => {
+                        prop_assert!(queued.remove(&old.value));
+                        queued.insert(next);
+                    }
+                    fair::Pushed::Full(same) => prop_assert_eq!(same.value, next),
+                },
+                false => match queue.pop() {
+                    Some(item) => prop_assert!(queued.remove(&item.value)),
+                    None => prop_assert!(queued.is_empty()),
+                },
+            }
+            prop_assert_eq!(queue.len(), queued.len());
+        }
+    }
+}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -1,3 +1,8 @@
 //! Integration tests: one module a feature.
 
+mod collecting;
+mod fairness;
 mod frames;
+mod gate;
+mod retries;
+mod routes;
--- /dev/null
+++ b/tests/retries.rs
@@ -0,0 +1,189 @@
+//! Retries, their budget, ejection and the estimate of the deadline.
+
+use std::time;
+
+use knapweedford::{
+    name,
+    policy::{budget, collect, eject, estimate, retry, roster},
+    wire,
+};
+
+const NOW: time::Duration = time::Duration::from_secs(10);
+const LEFT: time::Duration = time::Duration::from_secs(5);
+const LOST: retry::Failure = retry::Failure::Lost;
+
+struct Bench {
+    retry: retry::Retry,
+    collect: collect::Collect,
+    budget: budget::Budget,
+}
+
+impl Bench {
+    fn new(repeatable: bool) -> Self {
+        Self {
+            retry: retry::Retry::new(repeatable),
+            collect: collect::Collect::new(wire::RequestId(1), 1),
+            budget: budget::Budget::new(NOW),
+        }
+    }
+
+    fn got(&mut self, events: u64, data: &[u8]) {
+        let id = wire::RequestId(1);
+        let data = data.to_vec();
+        self.collect.take(1, wire::Reply::Piece { id, offset: 0, events, data });
+    }
+
+    fn judge(&mut self, failure: retry::Failure) -> retry::Verdict {
+        self.retry.judge(failure, &self.collect, LEFT, &mut self.budget, NOW)
+    }
+}
+
+fn refused(why: wire::Refusal) -> retry::Failure {
+    retry::Failure::Refused(why)
+}
+
+#[test]
+fn lost_unrepeatable() {
+    let mut bench = Bench::new(false);
+    assert_eq!(bench.judge(LOST), retry::Verdict::Stop(wire::Ran::Unknown));
+}
+
+#[test]
+fn refused_unrepeatable() {
+    let mut bench = Bench::new(false);
+    assert_eq!(bench.judge(refused(wire::Refusal::Leaving)), retry::Verdict::Elsewhere);
+    assert_eq!(bench.judge(refused(wire::Refusal::Unreachable)), retry::Verdict::Elsewhere);
+    assert_eq!(bench.judge(refused(wire::Refusal::Full)), retry::Verdict::Requeue);
+    assert_eq!(bench.judge(retry::Failure::Unsent), retry::Verdict::Elsewhere);
+    assert_eq!(bench.retry.ran(), wire::Ran::No);
+}
+
+#[test]
+fn ran_kept() {
+    let mut bench = Bench::new(true);
+    bench.judge(retry::Failure::Broken(wire::Ran::Yes));
+    let verdict = bench.judge(refused(wire::Refusal::TooLate));
+    assert_eq!(verdict, retry::Verdict::Stop(wire::Ran::Yes), "one attempt ran, so it ran");
+}
+
+#[test]
+fn resumes_stream() {
+    let mut bench = Bench::new(true);
+    bench.got(2, b"data: a\n\ndata: b\n\n");
+    let resume = wire::Resume { events: 2, bytes: 18 };
+    assert_eq!(bench.judge(LOST), retry::Verdict::Resume(resume));
+}
+
+#[test]
+fn restarts_plain() {
+    let mut bench = Bench::new(true);
+    bench.got(0, b"half a body");
+    assert_eq!(bench.judge(LOST), retry::Verdict::Restart);
+}
+
+#[test]
+fn spoilt_stops() {
+    let mut bench = Bench::new(true);
+    let failure = retry::Failure::Spoilt(collect::Problem::Checksum);
+    assert_eq!(bench.judge(failure), retry::Verdict::Stop(wire::Ran::Yes));
+}
+
+#[test]
+fn late_stops() {
+    let mut bench = Bench::new(true);
+    let left = time::Duration::from_millis(1);
+    let verdict = bench.retry.judge(LOST, &bench.collect, left, &mut bench.budget, NOW);
+    assert_eq!(verdict, retry::Verdict::Stop(wire::Ran::Unknown));
+}
+
+#[test]
+fn attempts_bounded() {
+    let mut bench = Bench::new(true);
+    let verdicts = (0..20).map(|_| bench.judge(refused(wire::Refusal::Unreachable)));
+    assert_eq!(verdicts.filter(|verdict| *verdict == retry::Verdict::Elsewhere).count(), 7);
+}
+
+#[test]
+fn no_storm() {
+    let mut budget = budget::Budget::new(NOW);
+    let mut retries = 0;
+    for at in 0..1000 {
+        let now = NOW + time::Duration::from_millis(at);
+        budget.first(now);
+        while budget.retry(now) {
+            retries += 1;
+        }
+    }
+    assert!((100..=125).contains(&retries), "{retries} retries of 1000 requests that all fail");
+}
+
+fn roster(servers: u32) -> roster::Roster {
+    let mut roster = roster::Roster::new(&"entry-1".into());
+    (0..servers).for_each(|at| roster.join(&server(at), &"z".into()));
+    roster
+}
+
+fn server(at: u32) -> name::Server {
+    name::Server::new(format!("s{at}"))
+}
+
+fn eligible(roster: &roster::Roster, now: time::Duration) -> usize {
+    roster.iter().filter(|candidate| candidate.eligible(now)).count()
+}
+
+#[test]
+fn failing_ejected() {
+    let (mut roster, mut eject) = (roster(12), eject::Eject::new());
+    (0..5).for_each(|_| eject.failed(&mut roster, &server(3), NOW));
+    assert!(!roster.get(&server(3)).unwrap().eligible(NOW));
+    assert_eq!(eligible(&roster, NOW + time::Duration::from_secs(3)), 12, "it is tried again");
+}
+
+#[test]
+fn answers_clear() {
+    let (mut roster, mut eject) = (roster(12), eject::Eject::new());
+    for _ in 0..20 {
+        eject.failed(&mut roster, &server(3), NOW);
+        eject.answered(&server(3));
+    }
+    assert_eq!(eligible(&roster, NOW), 12);
+}
+
+#[test]
+fn floor_kept() {
+    let (mut roster, mut eject) = (roster(12), eject::Eject::new());
+    for _ in 0..10 {
+        (0..12).for_each(|at| eject.failed(&mut roster, &server(at), NOW));
+    }
+    assert_eq!(eligible(&roster, NOW), 8, "all fail: most are kept all the same");
+}
+
+fn busy() -> estimate::Estimate {
+    let mut estimate = estimate::Estimate::new();
+    for at in 0..200 {
+        let now = time::Duration::from_millis(at * 50);
+        estimate.done(100, time::Duration::from_secs(2), now);
+    }
+    estimate
+}
+
+#[test]
+fn unknown_fits() {
+    let estimate = estimate::Estimate::new();
+    assert_eq!(estimate.fits(100, 1_000_000, time::Duration::from_millis(1), NOW), Ok(()));
+}
+
+#[test]
+fn early_refusal() {
+    let estimate = busy();
+    assert_eq!(estimate.fits(100, 2000, LEFT, NOW), Ok(()));
+    let late = estimate.fits(100, 20_000, LEFT, NOW).unwrap_err();
+    let honest = estimate.fits(100, 20_000, LEFT + late.retry_after, NOW);
+    assert_eq!(honest, Ok(()), "after Retry-After the same request would fit");
+    assert!(late.retry_after < time::Duration::from_secs(12), "{late:?}");
+}
+
+#[test]
+fn too_short() {
+    assert!(busy().fits(100, 0, time::Duration::from_secs(1), NOW).is_err());
+}
--- /dev/null
+++ b/tests/routes.rs
@@ -0,0 +1,260 @@
+//! Which backend server gets a request.
+
+use std::{collections::BTreeMap, time};
+
+use knapweedford::{
+    config, name,
+    policy::{cache, decision, gate, prefix, recent, roster, route, subset},
+    wire,
+};
+use rand::SeedableRng as _;
+
+const NOW: time::Duration = time::Duration::from_secs(100);
+
+/// A roster of servers `s0`, `s1`, ... spread over three zones.
+struct Bench {
+    roster: roster::Roster,
+    rng: rand_pcg::Pcg64Mcg,
+    zone: name::Zone,
+    tried: Vec<name::Server>,
+}
+
+impl Bench {
+    fn new(servers: u32) -> Self {
+        let mut roster = roster::Roster::new(&"entry-1".into());
+        for at in 0..servers {
+            roster.join(&server(at), &name::Zone::new(format!("z{}", at % 3)));
+            roster.report(&server(at), &load(0, 16), NOW);
+        }
+        let rng = rand_pcg::Pcg64Mcg::seed_from_u64(4);
+        Self { roster, rng, zone: "z0".into(), tried: Vec::new() }
+    }
+
+    fn pick(&mut self, chain: &prefix::Chain) -> decision::Decision {
+        self.pick_at(chain, NOW)
+    }
+
+    fn pick_at(&mut self, chain: &prefix::Chain, now: time::Duration) -> decision::Decision {
+        let req = route::Request {
+            zone: &self.zone,
+            prefix: chain,
+            priority: config::Priority::Interactive,
+            tried: &self.tried,
+        };
+        route::pick(&self.roster, &req, now, &mut self.rng)
+    }
+
+    /// Sends `count` requests and counts them by server.
+    fn spread(&mut self, chain: &prefix::Chain, count: u32) -> BTreeMap<name::Server, u32> {
+        let mut got = BTreeMap::new();
+        for _ in 0..count {
+            if let Some(server) = self.pick(chain).server().cloned() {
+                self.roster.sent(&server, 100);
+                self.roster.cached(&server, chain, NOW);
+                *got.entry(server).or_default() += 1;
+            }
+        }
+        got
+    }
+}
+
+fn server(at: u32) -> name::Server {
+    name::Server::new(format!("s{at}"))
+}
+
+fn load(in_flight: u32, limit: u32) -> wire::Load {
+    wire::Load { incarnation: 1, in_flight, limit, warm: true, ..wire::Load::default() }
+}
+
+fn chain(key: u64) -> prefix::Chain {
+    prefix::Chain::from_keys(vec![key, key + 1, key + 2])
+}
+
+fn none() -> prefix::Chain {
+    prefix::Chain::default()
+}
+
+#[test]
+fn least_loaded() {
+    let mut bench = Bench::new(6);
+    (0..6).for_each(|at| {
+        bench.roster.report(&server(at), &load(if at == 4 { 2 } else { 9 }, 16), NOW)
+    });
+    assert_eq!(bench.pick(&none()).server(), Some(&server(4)));
+}
+
+#[test]
+fn own_counted() {
+    let mut bench = Bench::new(12);
+    let got = bench.spread(&none(), 48);
+    assert_eq!(got.len(), 12);
+    assert!(got.values().all(|count| (3..=5).contains(count)), "{got:?}");
+}
+
+#[test]
+fn cold_spared() {
+    let mut bench = Bench::new(3);
+    let cold = wire::Load { warm: false, ..load(0, gate::COLD_LIMIT) };
+    bench.roster.report(&server(0), &cold, NOW);
+    let got = bench.spread(&none(), 34);
+    assert!(got[&server(0)] <= gate::COLD_LIMIT);
+}
+
+#[test]
+fn unheard_cold() {
+    let mut bench = Bench::new(0);
+    bench.roster.join(&server(0), &"z0".into());
+    assert_eq!(bench.spread(&none(), 10)[&server(0)], gate::COLD_LIMIT);
+}
+
+#[test]
+fn out_spared() {
+    let mut bench = Bench::new(3);
+    bench.roster.allow(&server(0), false);
+    bench.roster.report(&server(1), &wire::Load { leaving: true, ..load(0, 16) }, NOW);
+    bench.roster.eject(&server(2), Some(NOW + time::Duration::from_secs(1)));
+    let decision = bench.pick(&none());
+    let why = decision::Blocked::NoServer;
+    assert!(matches!(decision.outcome, decision::Outcome::Wait { why: got, .. } if got == why));
+    assert!(bench.pick_at(&none(), NOW + time::Duration::from_secs(2)).server().is_some());
+}
+
+#[test]
+fn tried_spared() {
+    let mut bench = Bench::new(2);
+    bench.tried = vec![server(0)];
+    assert_eq!(bench.pick(&none()).server(), Some(&server(1)));
+}
+
+#[test]
+fn near_first() {
+    let mut bench = Bench::new(3);
+    assert_eq!(bench.pick(&none()).server(), Some(&server(0)));
+    bench.roster.report(&server(0), &load(8, 16), NOW);
+    assert_ne!(bench.pick(&none()).server(), Some(&server(0)), "nearness must not beat load");
+}
+
+#[test]
+fn prefix_sticks() {
+    let mut bench = Bench::new(12);
+    let first = bench.pick(&chain(7)).server().unwrap().clone();
+    bench.roster.cached(&first, &chain(7), NOW);
+    let again = bench.pick(&chain(7));
+    assert_eq!(again.server(), Some(&first));
+    let why = decision::Why::Prefix;
+    assert!(matches!(again.outcome, decision::Outcome::Send { why: got, .. } if got == why));
+}
+
+#[test]
+fn prefix_bounded() {
+    let mut bench = Bench::new(12);
+    let got = bench.spread(&chain(7), 96);
+    let most = got.values().max().unwrap();
+    assert!(*most <= 12, "a popular prefix filled one server: {got:?}");
+}
+
+#[test]
+fn home_agreed() {
+    for key in 0..20 {
+        let (mut a, mut b) = (Bench::new(12), Bench::new(12));
+        b.rng = rand_pcg::Pcg64Mcg::seed_from_u64(99);
+        assert_eq!(a.pick(&chain(key)).server(), b.pick(&chain(key)).server());
+    }
+}
+
+#[test]
+fn stale_probed() {
+    let mut bench = Bench::new(2);
+    (0..2).for_each(|at| bench.roster.report(&server(at), &load(16, 16), NOW));
+    assert_eq!(bench.pick(&none()).server(), None);
+    let later = NOW + time::Duration::from_secs(1);
+    let probe = bench.pick_at(&none(), later).server().unwrap().clone();
+    bench.roster.sent(&probe, 1);
+    let second = bench.pick_at(&none(), later).server().unwrap().clone();
+    assert_ne!(probe, second, "one probe at a time");
+    bench.roster.sent(&second, 1);
+    assert_eq!(bench.pick_at(&none(), later).server(), None);
+}
+
+#[test]
+fn restart_forgets() {
+    let mut bench = Bench::new(1);
+    bench.roster.cached(&server(0), &chain(7), NOW);
+    bench.roster.report(&server(0), &wire::Load { incarnation: 2, ..load(0, 16) }, NOW);
+    assert!(bench.roster.get(&server(0)).unwrap().cache.is_empty());
+}
+
+#[test]
+fn subset_bounded() {
+    let mut bench = Bench::new(600);
+    let got = bench.spread(&none(), 240);
+    assert!(got.len() <= subset::SIZE, "{} servers in touch", got.len());
+    assert!(got.len() >= subset::SIZE / 2);
+}
+
+#[test]
+fn subsets_cover() {
+    let mut entries = BTreeMap::<name::Server, u32>::new();
+    let candidates = Bench::new(600).roster;
+    for entry in 0..320u64 {
+        let seed = subset::weight(entry, 17);
+        for server in subset::choose(seed, subset::SIZE, candidates.iter()) {
+            *entries.entry(server).or_default() += 1;
+        }
+    }
+    assert_eq!(entries.len(), 600, "each server is known to some entry");
+    assert!(entries.values().all(|count| *count <= 40), "{:?}", entries.values().max());
+}
+
+#[test]
+fn full_widens() {
+    let mut bench = Bench::new(60);
+    for candidate in bench.roster.clone().iter().filter(|candidate| candidate.member) {
+        bench.roster.report(&candidate.server, &load(16, 16), NOW);
+    }
+    let why = decision::Why::Widened;
+    let decision = bench.pick(&none());
+    assert!(matches!(decision.outcome, decision::Outcome::Send { why: got, .. } if got == why));
+}
+
+#[test]
+fn chain_workspaces() {
+    let body = vec![b'x'; 3000];
+    let (a, b) = (prefix::Chain::of(&"a".into(), &body), prefix::Chain::of(&"b".into(), &body));
+    assert_eq!(a.keys().len(), 3);
+    assert_ne!(a, b, "workspaces share no prefix");
+    assert!(prefix::Chain::of(&"a".into(), b"short").keys().is_empty());
+}
+
+#[test]
+fn cache_events() {
+    let mut cache = cache::Cache::default();
+    cache.sent(&chain(7), time::Duration::ZERO);
+    cache.event(1, cache::Event::Evicted(8), NOW);
+    assert!((cache.share(&chain(7), NOW) - 1.0 / 3.0).abs() < 0.01);
+    cache.event(1, cache::Event::Stored(8), NOW);
+    assert_eq!(cache.len(), 2, "a number seen before is ignored");
+    cache.event(9, cache::Event::Stored(100), NOW);
+    assert_eq!(cache.len(), 1, "a gap drops what may have gone in it");
+}
+
+#[test]
+fn cache_bounded() {
+    let mut cache = cache::Cache::default();
+    for key in 0..5000 {
+        cache.sent(&chain(key * 10), NOW + time::Duration::from_millis(key));
+    }
+    assert_eq!(cache.len(), cache::KEYS);
+}
+
+#[test]
+fn recent_bounded() {
+    let mut bench = Bench::new(1);
+    let mut recent = recent::Recent::new();
+    for id in 0..200 {
+        let decision = bench.pick(&none());
+        recent.push(recent::Routed { id: id.to_string(), decision });
+    }
+    assert_eq!(recent.iter().count(), 64);
+    assert_eq!(recent.iter().last().unwrap().id, "199");
+}
