--- a/src/policy/fair.rs
+++ b/src/policy/fair.rs
@@ -141,24 +141,41 @@
         }
     }
 
+    /// The request that goes next; the same that [`Fair::pop`] takes.
+    pub fn peek(&mut self) -> Option<&Item<T>> {
+        match self.turn() {
+            config::Priority::Interactive => self.interactive.peek(),
+            config::Priority::Batch => self.batch.peek(),
+        }
+    }
+
     /// Takes the request that goes next.
     pub fn pop(&mut self) -> Option<Item<T>> {
-        let owed = self.owed / 100;
-        let item = match self.batch.head_cost() {
-            Some(cost) if self.interactive.len == 0 || cost <= owed => {
-                self.owed = self.owed.saturating_sub(cost * 100);
-                self.batch.pop()
-            }
-            _ => self.interactive.pop(),
-        }?;
-        if self.batch.len == 0 {
-            self.owed = 0;
-        } else if item.priority == config::Priority::Interactive {
-            self.owed += item.cost * self.floor_percent;
+        let turn = self.turn();
+        let item = self.class(turn).pop()?;
+        match turn {
+            _ if self.batch.len == 0 => self.owed = 0,
+            config::Priority::Batch => self.owed = self.owed.saturating_sub(item.cost * 100),
+            config::Priority::Interactive => self.owed += item.cost * self.floor_percent,
         }
         Some(item)
     }
 
+    /// Puts a request back to the front of its workspace, such as one that a
+    /// server refused; it is not charged again.
+    pub fn put_back(&mut self, item: Item<T>, weight: u32) {
+        let weight = u64::from(weight.max(1));
+        self.class(item.priority).put_back(item, weight);
+    }
+
+    fn turn(&mut self) -> config::Priority {
+        let owed = self.owed / 100;
+        match self.batch.head_cost() {
+            Some(cost) if self.interactive.len == 0 || cost <= owed => config::Priority::Batch,
+            _ => config::Priority::Interactive,
+        }
+    }
+
     /// Takes out every request for which `gone` holds, such as those whose
     /// deadline cannot be met any more or whose caller has gone.
     pub fn sweep(&mut self, mut gone: impl FnMut(&Item<T>) -> bool) -> Vec<Item<T>> {
@@ -228,6 +245,22 @@
         self.flows[&head].queue.front().map(|item| item.cost)
     }
 
+    fn peek(&mut self) -> Option<&Item<T>> {
+        let workspace = self.head()?;
+        self.flows[&workspace].queue.front()
+    }
+
+    fn put_back(&mut self, item: Item<T>, weight: u64) {
+        let (workspace, cost) = (item.workspace.clone(), item.cost);
+        self.push(item, weight);
+        if let Some(flow) = self.flows.get_mut(&workspace) {
+            flow.queue.rotate_right(1);
+            self.order.remove(&(flow.tag, workspace.clone()));
+            flow.tag = flow.tag.saturating_sub(cost * SCALE / flow.weight);
+            self.order.insert((flow.tag, workspace));
+        }
+    }
+
     fn pop(&mut self) -> Option<Item<T>> {
         let workspace = self.head()?;
         let flow = self.flows.get_mut(&workspace)?;
--- a/tests/fairness.rs
+++ b/tests/fairness.rs
@@ -64,6 +64,19 @@
     assert_eq!(values, [0, 1, 2, 3, 4]);
 }
 
+#[test]
+fn put_back() {
+    let mut queue = Queue::new(10, 10);
+    for value in 0..3 {
+        queue.push(item("a", 10, value), 1);
+        queue.push(item("b", 10, 10 + value), 1);
+    }
+    let first = queue.pop().unwrap();
+    queue.put_back(first.clone(), 1);
+    assert_eq!(queue.peek(), Some(&first), "neither its place nor its share is lost");
+    assert_eq!(served(&mut queue, 4, "a"), 2);
+}
+
 #[test]
 fn batch_floor() {
     let mut queue = Queue::new(1000, 10);
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -103,6 +103,17 @@
     assert_eq!(verdicts.filter(|verdict| *verdict == retry::Verdict::Elsewhere).count(), 7);
 }
 
+#[test]
+fn budget_stops() {
+    let mut bench = Bench::new(true);
+    while bench.budget.retry(NOW) {}
+    assert_eq!(bench.judge(LOST), retry::Verdict::Stop(wire::Ran::Unknown));
+    let mut bench = Bench::new(true);
+    while bench.budget.retry(NOW) {}
+    let refused = refused(wire::Refusal::Leaving);
+    assert_eq!(bench.judge(refused), retry::Verdict::Elsewhere, "a refusal costs no server work");
+}
+
 #[test]
 fn no_storm() {
     let mut budget = budget::Budget::new(NOW);
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -153,6 +153,17 @@
     assert!(*most <= 12, "a popular prefix filled one server: {got:?}");
 }
 
+#[test]
+fn overfull_spills() {
+    let mut bench = Bench::new(12);
+    (0..12).for_each(|at| bench.roster.report(&server(at), &load(6, 16), NOW));
+    bench.roster.report(&server(5), &load(12, 16), NOW);
+    bench.roster.cached(&server(5), &chain(7), NOW);
+    assert_ne!(bench.pick(&chain(7)).server(), Some(&server(5)), "over the bound");
+    bench.roster.report(&server(5), &load(7, 16), NOW);
+    assert_eq!(bench.pick(&chain(7)).server(), Some(&server(5)), "within the bound");
+}
+
 #[test]
 fn home_agreed() {
     for key in 0..20 {
