Estimate waits from waits, know each server's pace, ramp slower, resume first

Change of API: route::Request has tokens and left; fair::Item has at and ahead; Estimate::done takes no time, Estimate::sent is new; Roster::took and gave_up are new.

--- a/measure/routing/cost.rs
+++ b/measure/routing/cost.rs
@@ -44,7 +44,14 @@
         .map(|at| {
             let chain = prefix::Chain::from_keys(vec![u64::from(at % 10), u64::from(at % 500)]);
             let priority = config::Priority::Interactive;
-            let req = route::Request { zone: &zone, prefix: &chain, priority, tried: &[] };
+            let req = route::Request {
+                zone: &zone,
+                prefix: &chain,
+                tokens: 100,
+                left: now,
+                priority,
+                tried: &[],
+            };
             let start = time::Instant::now();
             hint::black_box(route::pick(&roster, &req, now, &mut rng));
             start.elapsed().as_nanos()
@@ -61,6 +68,8 @@
             workspace: name::Workspace::new(format!("workspace-{value}")),
             priority: config::Priority::Interactive,
             cost: 100,
+            at: time::Duration::ZERO,
+            ahead: 0,
             deadline: time::Duration::from_secs(10),
             value,
         };
--- a/measure/routing/entry.rs
+++ b/measure/routing/entry.rs
@@ -181,7 +181,9 @@
         match report.kind {
             server::Kind::Whole => {
                 self.eject.answered(&name);
-                self.estimate.done(cost, cx.now - self.sent[req], cx.now);
+                let took = cx.now - self.sent[req];
+                self.roster.took(&name, cost, took);
+                self.estimate.done(cost, took);
             }
             _ => self.broken(req, report.tokens, &name, cx),
         }
@@ -193,20 +195,22 @@
         self.fair.sweep(|item| item.value == req);
         if let Some(server) = server {
             self.own[server] -= 1;
-            self.roster.ended(&cx.servers[server].name, cost(&cx.trace.requests[req]));
+            let (name, cost) = (&cx.servers[server].name, cost(&cx.trace.requests[req]));
+            self.roster.ended(name, cost);
+            self.roster.gave_up(name, cost, cx.now - self.sent[req]);
         }
     }
 
     fn queue(&mut self, req: usize, cx: &mut Cx<'_>) {
         let rec = &cx.trace.requests[req];
-        let item = item(req, rec);
         let ahead = self.fair.ahead(&rec.workspace, 1, rec.priority);
+        let item = fair::Item { ahead, ..item(req, rec) };
         self.budget.first(cx.now);
-        if let Err(late) = self.estimate.fits(item.cost, ahead, rec.deadline, cx.now) {
+        if let Err(late) = self.estimate.fits(item.cost, ahead, rec.deadline) {
             let retry_after = late.retry_after;
             return cx.ended.push((req, Ended::Refused { retry_after }));
         }
-        let retry_after = self.estimate.retry_after(self.fair.cost(), cx.now);
+        let retry_after = self.estimate.retry_after(self.fair.cost());
         match self.fair.push(item, 1) {
             fair::Pushed::Queued => {}
             fair::Pushed::Displaced(old) => {
@@ -219,21 +223,30 @@
     /// Answers at once what cannot be answered in time any more.
     fn expire(&mut self, cx: &mut Cx<'_>) {
         let (estimate, now) = (&self.estimate, cx.now);
-        let swept = self.fair.sweep(|item| now + estimate.service(item.cost) > item.deadline);
+        let swept = self.fair.sweep(|item| {
+            let begun = u64::from(cx.tokens[item.value]);
+            let last = match begun {
+                1.. => item.deadline.saturating_sub(estimate.service(item.cost - begun)),
+                0 => estimate.start_by(item.cost, item.at, item.deadline),
+            };
+            now > last
+        });
         for item in swept {
-            let retry_after = estimate.retry_after(self.fair.cost(), now);
+            let retry_after = estimate.retry_after(self.fair.cost());
             cx.ended.push((item.value, Ended::Refused { retry_after }));
         }
     }
 
     fn dispatch(&mut self, cx: &mut Cx<'_>) -> bool {
         let Some(item) = self.fair.peek() else { return false };
-        let (req, cost) = (item.value, item.cost);
+        let (req, cost, ahead, came) = (item.value, item.cost, item.ahead, item.at);
         let rec = &cx.trace.requests[req];
         let chain = rec.chain();
         let ask = route::Request {
             zone: &self.zone,
             prefix: &chain,
+            tokens: cost,
+            left: item.deadline.saturating_sub(cx.now),
             priority: rec.priority,
             tried: &self.tried[req],
         };
@@ -246,6 +259,7 @@
         let sent = self.attempt(req, cx);
         match cx.servers[at].send(sent, rec, cx.now) {
             Ok(()) => {
+                self.estimate.sent(ahead, cx.now - came);
                 self.fair.pop();
                 self.own[at] += 1;
                 cx.place[req] = Some(at);
@@ -286,15 +300,15 @@
             retry::Verdict::Stop(_) => cx.ended.push((req, Ended::Failed)),
             _ => {
                 self.tried[req] = vec![server.clone()];
-                self.fair.put_back(item(req, rec), 1);
+                self.fair.resume(item(req, rec));
             }
         }
     }
 
     fn tick_baseline(&mut self, baseline: Baseline, cx: &mut Cx<'_>) {
-        for _ in 0..self.fifo.len() {
-            let Some(req) = self.fifo.pop_front() else { return };
-            let Some(at) = self.choose(baseline, cx) else {
+        let mut open: Vec<_> = (0..self.out.len()).filter(|at| !self.out[*at]).collect();
+        while let Some(req) = self.fifo.pop_front() {
+            let Some(at) = self.choose(baseline, &open, cx) else {
                 return self.fifo.push_front(req);
             };
             let sent = self.attempt(req, cx);
@@ -303,23 +317,23 @@
                     self.own[at] += 1;
                     cx.place[req] = Some(at);
                 }
-                Err(_) => return self.fifo.push_front(req),
+                Err(_) => {
+                    open.retain(|other| *other != at);
+                    self.fifo.push_front(req);
+                }
             }
         }
     }
 
-    fn choose(&mut self, baseline: Baseline, cx: &Cx<'_>) -> Option<usize> {
-        let open: Vec<_> = (0..self.out.len()).filter(|at| !self.out[*at]).collect();
+    /// Chooses among `open`, the servers that have not refused in this step.
+    fn choose(&mut self, baseline: Baseline, open: &[usize], cx: &Cx<'_>) -> Option<usize> {
+        self.turn += 1;
         match baseline {
             _ if open.is_empty() => None,
-            Baseline::RoundRobin => {
-                self.turn += 1;
-                Some(open[self.turn % open.len()])
-            }
+            Baseline::RoundRobin => Some(open[self.turn % open.len()]),
             Baseline::LeastInFlight => {
-                self.turn += 1;
                 let order = |at: &usize| (self.own[*at], (at + self.turn) % self.out.len());
-                open.into_iter().min_by_key(order)
+                open.iter().copied().min_by_key(order)
             }
             Baseline::TwoChoices => {
                 let a = open[self.rng.random_range(0..open.len())];
@@ -340,6 +354,8 @@
         workspace: rec.workspace.clone(),
         priority: rec.priority,
         cost: cost(rec),
+        at: rec.at,
+        ahead: 0,
         deadline: rec.at + rec.deadline,
         value: req,
     }
--- a/measure/routing/mod.rs
+++ b/measure/routing/mod.rs
@@ -12,6 +12,8 @@
 
 /// Seed of the entries and of the balancer before them.
 pub const SEED: u64 = 3;
+/// Times that a trace is played after itself.
+const ROUNDS: u32 = 4;
 /// Offered load over the capacity.
 const LOADS: [f64; 4] = [0.5, 0.9, 1.2, 2.0];
 
@@ -25,8 +27,9 @@
         Some("record-hsinchu") => print!("# seed 12\n{}", record::hsinchu()),
         Some("cost") => cost::print(),
         _ => {
-            table("piensaime", &piensaime());
-            table("hsinchu", &hsinchu());
+            let only = args.get(1).map_or("", String::as_str);
+            table("piensaime", &piensaime(), only);
+            table("hsinchu", &hsinchu(), only);
         }
     }
     process::ExitCode::SUCCESS
@@ -48,8 +51,8 @@
     let mut busy = trace.calm().scaled(20.0);
     let patient = time::Duration::from_secs(300);
     busy.requests.iter_mut().for_each(|req| req.deadline = patient);
-    let gated = entry::Policy::ALL.into_iter().filter(|policy| policy.gated());
-    gated.map(|policy| figures::drained(&world::run(&busy, policy, SEED))).fold(0.0, f64::max)
+    let drained = |policy| figures::drained(&world::run(&busy, policy, SEED));
+    entry::Policy::ALL.into_iter().map(drained).fold(0.0, f64::max)
 }
 
 /// The trace at `load` times the capacity.
@@ -58,14 +61,16 @@
     trace.scaled(load * capacity / native)
 }
 
-fn table(name: &str, trace: &trace::Trace) {
+fn table(name: &str, trace: &trace::Trace, only: &str) {
     let capacity = capacity(trace);
+    let trace = &trace.repeated(ROUNDS);
     println!("\n## {name}: capacity {capacity:.1} requests/s, seed {SEED}\n");
     println!("{}", figures::HEADER);
     let mut at_capacity = BTreeMap::new();
     for load in [1.0].into_iter().chain(LOADS) {
         let scaled = at_load(trace, capacity, load);
-        for policy in entry::Policy::ALL {
+        let compared = entry::Policy::ALL.into_iter().filter(|policy| policy.name().contains(only));
+        for policy in compared {
             let outcome = world::run(&scaled, policy, SEED);
             let figures = figures::Figures::of(&scaled, &outcome);
             println!("| {load} | {} | {figures} |", policy.name());
--- a/measure/routing/server.rs
+++ b/measure/routing/server.rs
@@ -76,12 +76,15 @@
     pub falls: u32,
     /// Requests taken after it was out.
     pub after_out: u32,
+    /// Requests taken after it cooled unnoticed, until it carried less than it can.
+    pub after_cool: u32,
     /// Prefix tokens wanted and found.
     pub wanted: u64,
     pub found: u64,
     gate: gate::Gate,
     gated: bool,
     out: bool,
+    shocked: bool,
     runs: Vec<Run>,
     warmth: f64,
     incarnation: u64,
@@ -101,6 +104,8 @@
             peak: 0.0,
             falls: 0,
             after_out: 0,
+            after_cool: 0,
+            shocked: false,
             out: false,
             wanted: 0,
             found: 0,
@@ -119,7 +124,7 @@
     /// Warms the gate as earlier traffic would have.
     fn exercise(&mut self) {
         let mut now = time::Duration::ZERO;
-        for _ in 0..8 {
+        while !self.gate.load().warm {
             let mut permits = Vec::new();
             while let Ok(permit) = self.gate.admit(now) {
                 permits.push(permit);
@@ -169,8 +174,12 @@
         let prefill = self.lookup(req) + f64::from(sent.resume);
         let need = f64::from(req.answer.saturating_sub(sent.resume).max(1));
         self.runs.push(Run { sent, permit, prefill, out: 0.0, need });
-        if self.warmth < 1.0 {
-            self.peak = self.peak.max(self.runs.len() as f64 / self.carry());
+        match self.shocked {
+            true => self.after_cool += 1,
+            false if self.warmth < 1.0 => {
+                self.peak = self.peak.max(self.runs.len() as f64 / self.carry());
+            }
+            false => {}
         }
         Ok(())
     }
@@ -194,6 +203,7 @@
 
     /// Turns cold with no new incarnation.
     pub fn cool(&mut self) {
+        self.shocked = true;
         self.warmth = 0.0;
     }
 
@@ -218,6 +228,7 @@
             Some(_) => self.start(),
             None => {}
         }
+        self.shocked &= self.runs.len() as f64 > self.carry();
         if self.warmth < 1.0 && self.runs.len() as f64 > self.carry() * FALL {
             self.falls += 1;
             return self.die(now, out);
--- a/measure/routing/trace.rs
+++ b/measure/routing/trace.rs
@@ -118,6 +118,19 @@
         trace
     }
 
+    /// The requests `times` times over, each time with fresh sessions; events stay once.
+    pub fn repeated(&self, times: u32) -> Self {
+        let span = self.span();
+        let again = |round: u32| {
+            self.requests.iter().cloned().map(move |mut req| {
+                req.at += span * round;
+                req.session += u64::from(round) << 32;
+                req
+            })
+        };
+        Self { requests: (0..times).flat_map(again).collect(), events: self.events.clone() }
+    }
+
     /// The trace without its events.
     pub fn calm(&self) -> Self {
         Self { requests: self.requests.clone(), events: Vec::new() }
--- a/measure/routing/world.rs
+++ b/measure/routing/world.rs
@@ -38,6 +38,8 @@
     pub found: u64,
     /// Requests a server took after its zone's order was in force everywhere.
     pub after_out: u32,
+    /// Requests a server took after it cooled and before it carried less than it can.
+    pub after_cool: u32,
 }
 
 struct World<'a> {
@@ -89,6 +91,7 @@
         wanted: servers.iter().map(|server| server.wanted).sum(),
         found: servers.iter().map(|server| server.found).sum(),
         after_out: servers.iter().map(|server| server.after_out).sum(),
+        after_cool: servers.iter().map(|server| server.after_cool).sum(),
         fates: world.fates,
     }
 }
--- a/src/policy/candidate.rs
+++ b/src/policy/candidate.rs
@@ -11,6 +11,12 @@
 /// Age at which a load report says little.
 pub const STALE: time::Duration = time::Duration::from_millis(250);
 
+/// Longest time until a full server is asked again while requests wait. Short,
+/// so that an entry with few answers to learn from gets its share of free slots.
+const ASK_AGAIN: time::Duration = time::Duration::from_millis(50);
+/// Weight of a new sample of the pace.
+const PACE_ALPHA: f64 = 0.2;
+
 /// One backend server: last load report, corrected by what this entry did since.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -30,6 +36,8 @@
     pub own: u32,
     /// What its prefix cache is thought to hold.
     pub cache: cache::Cache,
+    /// Seconds a token of cost took there lately; `None` since its start.
+    pub pace: Option<f64>,
     asked_again: time::Duration,
     load: Option<wire::Load>,
     heard: time::Duration,
@@ -49,6 +57,7 @@
             member: true,
             own: 0,
             cache: cache::Cache::default(),
+            pace: None,
             asked_again: time::Duration::ZERO,
             load: None,
             heard: time::Duration::ZERO,
@@ -61,8 +70,9 @@
     pub fn report(&mut self, load: &wire::Load, now: time::Duration) {
         if self.load.is_some_and(|old| old.incarnation != load.incarnation) {
             self.cache.clear();
+            self.pace = None;
         }
-        self.asked_again = now + STALE;
+        self.asked_again = now + ASK_AGAIN;
         self.load = Some(*load);
         self.heard = now;
         self.since = 0;
@@ -72,7 +82,20 @@
     /// Notes that it refused and named a time to come back.
     pub fn refused(&mut self, load: &wire::Load, retry_after: time::Duration, now: time::Duration) {
         self.report(load, now);
-        self.asked_again = now + retry_after.min(STALE);
+        self.asked_again = now + retry_after.min(ASK_AGAIN);
+    }
+
+    /// Notes that a request of about `tokens` was answered whole in `took`.
+    pub fn took(&mut self, tokens: u64, took: time::Duration) {
+        let sample = took.as_secs_f64() / tokens.max(1) as f64;
+        self.pace = Some(self.pace.map_or(sample, |old| old + PACE_ALPHA * (sample - old)));
+    }
+
+    /// Notes that a request of about `tokens` was given up `after` so long: it is
+    /// at least as slow as that.
+    pub fn gave_up(&mut self, tokens: u64, after: time::Duration) {
+        let least = after.as_secs_f64() / tokens.max(1) as f64;
+        self.pace = Some(self.pace.map_or(least, |pace| pace.max(least)));
     }
 
     /// Whether its last report is so old that it may be asked although it seemed full.
--- a/src/policy/decision.rs
+++ b/src/policy/decision.rs
@@ -30,6 +30,8 @@
     NoServer,
     /// Every server is at its limit.
     AllFull,
+    /// The servers with a free slot are too slow for its deadline.
+    AllSlow,
 }
 
 /// Where a request goes.
--- a/src/policy/fair.rs
+++ b/src/policy/fair.rs
@@ -24,6 +24,10 @@
     pub priority: config::Priority,
     /// What it costs, in tokens.
     pub cost: u64,
+    /// When it came.
+    pub at: time::Duration,
+    /// Cost queued before it when it came, as [`Fair::ahead`] told.
+    pub ahead: u64,
     /// When its caller stops waiting.
     pub deadline: time::Duration,
     /// The request, or a key to it.
@@ -65,6 +69,7 @@
 pub struct Fair<T> {
     limit: usize,
     floor_percent: u64,
+    resumed: VecDeque<Item<T>>,
     interactive: Class<T>,
     batch: Class<T>,
     /// Cost of batch owed by the floor, in hundredths of a token.
@@ -78,6 +83,7 @@
         Self {
             limit,
             floor_percent: u64::from(floor_percent.min(100)),
+            resumed: VecDeque::new(),
             interactive: Class::new(),
             batch: Class::new(),
             owed: 0,
@@ -86,7 +92,7 @@
 
     /// Requests queued.
     pub fn len(&self) -> usize {
-        self.interactive.len + self.batch.len
+        self.resumed.len() + self.interactive.len + self.batch.len
     }
 
     /// Whether nothing is queued.
@@ -144,6 +150,7 @@
     /// The request that goes next; the same that [`Fair::pop`] takes.
     pub fn peek(&mut self) -> Option<&Item<T>> {
         match self.turn() {
+            _ if !self.resumed.is_empty() => self.resumed.front(),
             config::Priority::Interactive => self.interactive.peek(),
             config::Priority::Batch => self.batch.peek(),
         }
@@ -151,6 +158,9 @@
 
     /// Takes the request that goes next.
     pub fn pop(&mut self) -> Option<Item<T>> {
+        if let Some(item) = self.resumed.pop_front() {
+            return Some(item);
+        }
         let turn = self.turn();
         let item = self.class(turn).pop()?;
         match turn {
@@ -168,6 +178,12 @@
         self.class(item.priority).put_back(item, weight);
     }
 
+    /// Queues a request that a server had begun and broke off before all
+    /// others: it was charged, and its caller has a part of the answer.
+    pub fn resume(&mut self, item: Item<T>) {
+        self.resumed.push_back(item);
+    }
+
     fn turn(&mut self) -> config::Priority {
         let owed = self.owed / 100;
         match self.batch.head_cost() {
@@ -179,7 +195,9 @@
     /// Takes out every request for which `gone` holds, such as those whose
     /// deadline cannot be met any more or whose caller has gone.
     pub fn sweep(&mut self, mut gone: impl FnMut(&Item<T>) -> bool) -> Vec<Item<T>> {
-        let mut swept = self.interactive.sweep(&mut gone);
+        let (mut swept, kept): (Vec<_>, Vec<_>) = self.resumed.drain(..).partition(&mut gone);
+        self.resumed = kept.into();
+        swept.extend(self.interactive.sweep(&mut gone));
         swept.extend(self.batch.sweep(&mut gone));
         swept
     }
--- a/src/policy/gate.rs
+++ b/src/policy/gate.rs
@@ -14,7 +14,9 @@
 /// Limit of a server that has shown nothing yet, in requests.
 pub const COLD_LIMIT: u32 = 2;
 /// Pace over the reference at which the limit stops growing and shrinks.
-const SLOW: f64 = 2.0;
+const SLOW: f64 = 2.5;
+/// Pace over that of the window before at which the limit does not grow yet.
+const STRAINED: f64 = 1.15;
 /// Pace over the reference that counts as a collapse.
 const COLLAPSE: f64 = 4.0;
 /// Samples in a row beyond [`COLLAPSE`] that drop the limit.
@@ -90,6 +92,8 @@
     progress: time::Duration,
     /// Best pace seen, in seconds an event.
     reference: Option<f64>,
+    /// Pace of the window before.
+    before: Option<f64>,
     window: Window,
     collapsed: u32,
     failures: u32,
@@ -113,6 +117,7 @@
             hold: 0,
             progress: time::Duration::ZERO,
             reference: None,
+            before: None,
             window: Window::default(),
             collapsed: 0,
             failures: 0,
@@ -276,13 +281,15 @@
         };
         self.reference = Some(reference);
         self.hold = self.hold.saturating_sub(1);
+        let strained = self.before.is_some_and(|before| pace > STRAINED * before);
+        self.before = Some(pace);
         match () {
             () if pace > SLOW * reference => {
                 self.settled = true;
                 self.hold = HOLD;
                 self.shrink();
             }
-            () if self.hold > 0 => {}
+            () if self.hold > 0 || strained => {}
             () if window.full * 2 >= window.whole => {
                 self.limit = (self.limit + self.step()).min(self.ceiling)
             }
@@ -291,7 +298,7 @@
     }
 
     fn step(&self) -> u32 {
-        (self.limit / 2).max(1)
+        (self.limit / 4).max(1)
     }
 
     fn shrink(&mut self) {
@@ -303,6 +310,7 @@
         self.limit = COLD_LIMIT.min(self.ceiling);
         self.settled = false;
         self.hold = 0;
+        self.before = None;
         self.window = Window::default();
         self.collapsed = 0;
         self.failures = 0;
--- a/src/policy/roster.rs
+++ b/src/policy/roster.rs
@@ -87,6 +87,16 @@
         self.change(server, |candidate| candidate.ended(tokens));
     }
 
+    /// Notes that a request of about `tokens` was answered whole by `server` in `took`.
+    pub fn took(&mut self, server: &name::Server, tokens: u64, took: time::Duration) {
+        self.change(server, |candidate| candidate.took(tokens, took));
+    }
+
+    /// Notes that a request of about `tokens` was given up `after` so long at `server`.
+    pub fn gave_up(&mut self, server: &name::Server, tokens: u64, after: time::Duration) {
+        self.change(server, |candidate| candidate.gave_up(tokens, after));
+    }
+
     /// Keeps new work from a server until `until`; `None` lifts it.
     pub fn eject(&mut self, server: &name::Server, until: Option<time::Duration>) {
         self.change(server, |candidate| candidate.ejected = until);
--- a/src/policy/route.rs
+++ b/src/policy/route.rs
@@ -31,6 +31,10 @@
 const BOUND: f64 = 1.25;
 /// Fill below which a prefix always draws requests.
 const QUIET: f64 = 0.25;
+/// Pace thought of a cold server at least, over the mean.
+const COLD_PACE: f64 = 3.0;
+/// Part over the expected time that must be left to the deadline.
+const SPARE: f64 = 1.2;
 /// Spread of the random part that keeps entries from herding.
 const JITTER: f64 = 0.02;
 
@@ -41,6 +45,10 @@
     pub zone: &'a name::Zone,
     /// Prefixes of the prompt.
     pub prefix: &'a prefix::Chain,
+    /// What it costs, in tokens.
+    pub tokens: u64,
+    /// Time left to its deadline.
+    pub left: time::Duration,
     /// Interactive or batch.
     pub priority: config::Priority,
     /// Servers that this request has been to and must not go to again.
@@ -61,12 +69,16 @@
     let home = home(&eligible, req.prefix);
     let known = |candidate: &&candidate::Candidate| candidate.member || is(home, candidate);
     let free: Vec<_> = eligible.iter().copied().filter(|candidate| candidate.free()).collect();
-    let near: Vec<_> = free.iter().copied().filter(known).collect();
+    let mean = pace(&eligible);
+    let in_time = |candidate: &&candidate::Candidate| in_time(candidate, mean, req);
+    let near: Vec<_> = free.iter().copied().filter(known).filter(in_time).collect();
+    let far: Vec<_> = free.iter().copied().filter(in_time).collect();
     let asked = || eligible.iter().copied().filter(known).filter(|c| c.worth_asking(now));
     let outcome = match () {
         () if eligible.is_empty() => wait(decision::Blocked::NoServer, NONE_RETRY),
         () if !near.is_empty() => best(&near, home, req, now, rng),
-        () if !free.is_empty() => send(any(&free, rng), decision::Why::Widened),
+        () if !far.is_empty() => send(any(&far, rng), decision::Why::Widened),
+        () if !free.is_empty() => wait(decision::Blocked::AllSlow, FULL_RETRY),
         () => match asked().min_by_key(|candidate| candidate.in_flight()) {
             Some(candidate) => send(candidate, decision::Why::Probe),
             None => wait(decision::Blocked::AllFull, FULL_RETRY),
@@ -80,6 +92,20 @@
     }
 }
 
+/// Mean pace of the servers that have answered, in seconds a token.
+fn pace(eligible: &[&candidate::Candidate]) -> Option<f64> {
+    let known = eligible.iter().filter_map(|candidate| candidate.pace);
+    let (sum, count) = known.fold((0.0, 0u32), |(sum, count), pace| (sum + pace, count + 1));
+    (count > 0).then(|| sum / f64::from(count))
+}
+
+/// Whether `candidate` is thought to answer before the deadline.
+fn in_time(candidate: &candidate::Candidate, mean: Option<f64>, req: &Request<'_>) -> bool {
+    let cold = mean.filter(|_| !candidate.warm()).map(|mean| mean * COLD_PACE);
+    let pace = candidate.pace.into_iter().chain(cold).reduce(f64::max);
+    pace.is_none_or(|pace| pace * SPARE * req.tokens as f64 <= req.left.as_secs_f64())
+}
+
 /// The first server in the prefix's own order, the same at every entry.
 fn home<'a>(
     eligible: &[&'a candidate::Candidate],
--- a/tests/fairness.rs
+++ b/tests/fairness.rs
@@ -12,6 +12,8 @@
         workspace: workspace.into(),
         priority: config::Priority::Interactive,
         cost,
+        at: time::Duration::ZERO,
+        ahead: 0,
         deadline: time::Duration::from_secs(10),
         value,
     }
@@ -77,6 +79,15 @@
     assert_eq!(served(&mut queue, 4, "a"), 2);
 }
 
+#[test]
+fn resumed_first() {
+    let mut queue = Queue::new(10, 10);
+    (0..5).for_each(|value| drop(queue.push(item("a", 10, value), 1)));
+    queue.resume(batch("night", 10));
+    assert_eq!(queue.pop().unwrap().workspace.as_str(), "night");
+    assert_eq!(queue.len(), 5);
+}
+
 #[test]
 fn batch_floor() {
     let mut queue = Queue::new(1000, 10);
--- a/tests/gate.rs
+++ b/tests/gate.rs
@@ -82,7 +82,7 @@
     while before < CEILING {
         bench.serve(STEP);
         assert!(bench.limit() > before, "no growth at {before}");
-        assert!(bench.limit() <= before + (before / 2).max(1), "{} after {before}", bench.limit());
+        assert!(bench.limit() <= before + (before / 4).max(1), "{} after {before}", bench.limit());
         before = bench.limit();
     }
     assert!(bench.gate.load().warm);
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -169,11 +169,12 @@
     assert_eq!(eligible(&roster, NOW), 8, "all fail: most are kept all the same");
 }
 
+/// Each request takes 2 s; one with 1000 tokens before it waits 0.5 s.
 fn busy() -> estimate::Estimate {
     let mut estimate = estimate::Estimate::new();
-    for at in 0..200 {
-        let now = time::Duration::from_millis(at * 50);
-        estimate.done(100, time::Duration::from_secs(2), now);
+    for _ in 0..200 {
+        estimate.done(100, time::Duration::from_secs(2));
+        estimate.sent(1000, time::Duration::from_millis(500));
     }
     estimate
 }
@@ -181,20 +182,40 @@
 #[test]
 fn unknown_fits() {
     let estimate = estimate::Estimate::new();
-    assert_eq!(estimate.fits(100, 1_000_000, time::Duration::from_millis(1), NOW), Ok(()));
+    assert_eq!(estimate.fits(100, 1_000_000, time::Duration::from_millis(1)), Ok(()));
 }
 
 #[test]
 fn early_refusal() {
     let estimate = busy();
-    assert_eq!(estimate.fits(100, 2000, LEFT, NOW), Ok(()));
-    let late = estimate.fits(100, 20_000, LEFT, NOW).unwrap_err();
-    let honest = estimate.fits(100, 20_000, LEFT + late.retry_after, NOW);
-    assert_eq!(honest, Ok(()), "after Retry-After the same request would fit");
-    assert!(late.retry_after < time::Duration::from_secs(12), "{late:?}");
+    assert_eq!(estimate.fits(100, 2000, LEFT), Ok(()));
+    let late = estimate.fits(100, 20_000, LEFT).unwrap_err();
+    let drained = (late.retry_after.as_secs_f64() * 2000.0) as u64;
+    let then = estimate.fits(100, 20_000 - drained - 1, LEFT);
+    assert_eq!(then, Ok(()), "after Retry-After the queue is short enough");
+    let sooner = estimate.fits(100, 20_000 - drained / 2, LEFT);
+    assert!(sooner.is_err(), "and not much earlier: {late:?}");
+}
+
+#[test]
+fn refusals_forgiven() {
+    let mut estimate = busy();
+    assert!((0..200).all(|_| estimate.fits(100, 1_000_000, LEFT).is_err()));
+    assert_eq!(estimate.fits(100, 1, LEFT), Ok(()), "refusing must not bring on more refusals");
+    (0..200).for_each(|_| estimate.sent(1000, time::Duration::from_millis(10)));
+    assert_eq!(estimate.fits(100, 20_000, LEFT), Ok(()), "servers that recovered are believed");
+}
+
+#[test]
+fn starts_in_time() {
+    let seconds = time::Duration::from_secs;
+    let last = busy().start_by(100, seconds(10), seconds(30));
+    assert_eq!(last, seconds(20), "half of its time");
+    let last = busy().start_by(500, seconds(10), seconds(22));
+    assert!(last <= seconds(12), "its own time is left: {last:?}");
 }
 
 #[test]
 fn too_short() {
-    assert!(busy().fits(100, 0, time::Duration::from_secs(1), NOW).is_err());
+    assert!(busy().fits(100, 0, time::Duration::from_secs(1)).is_err());
 }
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -17,6 +17,7 @@
     rng: rand_pcg::Pcg64Mcg,
     zone: name::Zone,
     tried: Vec<name::Server>,
+    left: time::Duration,
 }
 
 impl Bench {
@@ -27,7 +28,7 @@
             roster.report(&server(at), &load(0, 16), NOW);
         }
         let rng = rand_pcg::Pcg64Mcg::seed_from_u64(4);
-        Self { roster, rng, zone: "z0".into(), tried: Vec::new() }
+        Self { roster, rng, zone: "z0".into(), tried: Vec::new(), left: NOW }
     }
 
     fn pick(&mut self, chain: &prefix::Chain) -> decision::Decision {
@@ -38,6 +39,8 @@
         let req = route::Request {
             zone: &self.zone,
             prefix: chain,
+            tokens: 100,
+            left: self.left,
             priority: config::Priority::Interactive,
             tried: &self.tried,
         };
@@ -126,6 +129,31 @@
     assert_eq!(bench.pick(&none()).server(), Some(&server(1)));
 }
 
+#[test]
+fn slow_spared() {
+    let mut bench = Bench::new(3);
+    for (at, ms) in [(0, 10_000), (1, 1000), (2, 1000)] {
+        bench.roster.took(&server(at), 100, time::Duration::from_millis(ms));
+    }
+    bench.left = time::Duration::from_secs(5);
+    assert_ne!(bench.pick(&none()).server(), Some(&server(0)), "it would answer too late");
+    bench.left = time::Duration::from_secs(20);
+    assert_eq!(bench.pick(&none()).server(), Some(&server(0)));
+}
+
+#[test]
+fn cold_slow() {
+    let mut bench = Bench::new(3);
+    let cold = wire::Load { warm: false, incarnation: 2, ..load(0, gate::COLD_LIMIT) };
+    bench.roster.report(&server(0), &cold, NOW);
+    (1..3).for_each(|at| bench.roster.report(&server(at), &load(14, 16), NOW));
+    (1..3).for_each(|at| bench.roster.took(&server(at), 100, time::Duration::from_secs(2)));
+    bench.left = time::Duration::from_secs(5);
+    assert_ne!(bench.pick(&none()).server(), Some(&server(0)), "thought three times as slow");
+    bench.left = time::Duration::from_secs(9);
+    assert_eq!(bench.pick(&none()).server(), Some(&server(0)));
+}
+
 #[test]
 fn near_first() {
     let mut bench = Bench::new(3);
