--- /dev/null
+++ b/src/entry/accept.rs
@@ -0,0 +1,43 @@
+//! First filter: reads a caller's request whole, within bounds.
+
+use std::time;
+
+use http_body_util::BodyExt;
+
+use super::{Refusal, Request, request};
+use crate::{http, wire};
+
+/// Largest body that any service may take, in bytes.
+pub const BODY_LIMIT: u64 = 1 << 20;
+
+/// Longest time for a body to arrive.
+const BODY_TIME: time::Duration = time::Duration::from_secs(30);
+
+/// Reads `req` and its body.
+pub async fn run(
+    id: wire::RequestId,
+    req: http::Request,
+) -> Result<Request<request::Accepted>, Refusal> {
+    let arrived = time::Instant::now();
+    let (head, body) = req.into_parts();
+    let limited = http_body_util::Limited::new(body, BODY_LIMIT as usize);
+    let body = match tokio::time::timeout(BODY_TIME, limited.collect()).await {
+        Ok(Ok(body)) => body.to_bytes().to_vec(),
+        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
+            return Err(Refusal::TooLarge { limit: BODY_LIMIT });
+        }
+        Ok(Err(err)) => return Err(Refusal::Bad(format!("The body broke off: {err}."))),
+        Err(_) => return Err(Refusal::Bad("The body took too long; send it faster.".into())),
+    };
+    let headers = head.headers.iter().filter_map(header).collect();
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_string();
+    let method = head.method.to_string();
+    Ok(Request { id, arrived, method, path, headers, body, stage: request::Accepted })
+}
+
+fn header(
+    (name, value): (&hyper::header::HeaderName, &hyper::header::HeaderValue),
+) -> Option<wire::Header> {
+    let value = value.to_str().ok()?.to_string();
+    Some(wire::Header { name: name.as_str().to_string(), value })
+}
--- /dev/null
+++ b/src/entry/answer.rs
@@ -0,0 +1,77 @@
+//! Last filter: hands a session's result to the caller, whole or piece by piece.
+
+use bytes::{Bytes, BytesMut};
+use tokio::sync::mpsc;
+
+use super::{Refusal, refusal, session};
+use crate::{http, wire};
+
+/// Pieces that may wait for a slow caller.
+const PIECES: usize = 64;
+
+/// Drives `session` and answers the caller.
+pub async fn run(mut session: session::Session) -> http::Response {
+    match session.next().await {
+        Ok(session::Step::Head(head)) if head.streamed() => streamed(session, &head),
+        Ok(session::Step::Head(head)) => match whole(&mut session).await {
+            Ok(body) => response(&head, http::Body::whole(body)),
+            Err(refusal) => refusal.response(),
+        },
+        Ok(_) => Refusal::Broken { ran: wire::Ran::Unknown }.response(),
+        Err(refusal) => refusal.response(),
+    }
+}
+
+async fn whole(session: &mut session::Session) -> Result<Bytes, Refusal> {
+    let mut body = BytesMut::new();
+    loop {
+        match session.next().await? {
+            session::Step::Data(data) => body.extend_from_slice(&data),
+            session::Step::Restart => body.clear(),
+            session::Step::End => return Ok(body.freeze()),
+            session::Step::Head(_) => {}
+        }
+    }
+}
+
+fn streamed(session: session::Session, head: &session::Head) -> http::Response {
+    let (tx, rx) = mpsc::channel(PIECES);
+    tokio::task::spawn_local(pump(session, tx));
+    response(head, http::Body::Stream(rx))
+}
+
+async fn pump(mut session: session::Session, tx: mpsc::Sender<Result<Bytes, http::answer::Cut>>) {
+    loop {
+        let step = tokio::select! {
+            step = session.next() => step,
+            () = tx.closed() => return log::info!("caller went away req={}", session.id()),
+        };
+        let sent = match step {
+            Ok(session::Step::Data(data)) => tx.send(Ok(data)).await,
+            Ok(session::Step::End) => return,
+            Ok(_) => Ok(()),
+            Err(refusal) => {
+                log::warn!("stream cut req={} why={refusal}", session.id());
+                let _ = tx.send(Err(http::answer::Cut)).await;
+                return;
+            }
+        };
+        if sent.is_err() {
+            return log::info!("caller went away req={}", session.id());
+        }
+    }
+}
+
+fn response(head: &session::Head, body: http::Body) -> http::Response {
+    let mut res = hyper::Response::new(body);
+    *res.status_mut() = hyper::StatusCode::from_u16(head.status).unwrap_or_default();
+    for header in &head.headers {
+        let name = hyper::header::HeaderName::try_from(&header.name);
+        let value = hyper::header::HeaderValue::try_from(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            res.headers_mut().insert(name, value);
+        }
+    }
+    refusal::mark(&mut res, wire::Ran::Yes);
+    res
+}
--- /dev/null
+++ b/src/entry/front.rs
@@ -0,0 +1,54 @@
+//! The callers' port: runs each request through the pipeline.
+
+use std::{cell, rc, sync::Arc, sync::mpsc};
+
+use rand::RngExt;
+use tokio::sync::watch;
+
+use super::{Event, accept, answer, classify, session};
+use crate::{http, peer, view, wire};
+
+/// What the I/O thread of an entry shares between requests.
+pub struct Front {
+    /// The configuration in force.
+    pub view: watch::Receiver<Arc<view::View>>,
+    /// To the core on the stakker thread.
+    pub events: mpsc::Sender<Event>,
+    /// Connections to sidecars.
+    pub pool: rc::Rc<peer::Pool>,
+    /// Whether the balancer should send requests here.
+    pub ready: watch::Receiver<bool>,
+    /// Source of request identities.
+    pub ids: cell::RefCell<rand_pcg::Pcg64>,
+}
+
+/// Header with the identity that the entry gave a request.
+const ID_HEADER: &str = "x-request-id";
+
+impl http::Handler for Front {
+    async fn handle(self: rc::Rc<Self>, req: http::Request) -> http::Response {
+        match req.uri().path() {
+            "/healthz" => http::answer::text(200, "alive\n"),
+            "/readyz" if *self.ready.borrow() => http::answer::text(200, "ready\n"),
+            "/readyz" => http::answer::text(503, "not ready\n"),
+            _ => self.pipeline(req).await,
+        }
+    }
+}
+
+impl Front {
+    async fn pipeline(self: rc::Rc<Self>, req: http::Request) -> http::Response {
+        let id = wire::RequestId(self.ids.borrow_mut().random());
+        let accepted = accept::run(id, req).await;
+        let view = Arc::clone(&self.view.borrow());
+        let mut res = match accepted.and_then(|req| classify::run(req, &view)) {
+            Ok(req) => answer::run(session::Session::new(rc::Rc::clone(&self), req)).await,
+            Err(refusal) => refusal.response(),
+        };
+        log::info!("answered req={id} status={}", res.status().as_u16());
+        if let Ok(value) = hyper::header::HeaderValue::try_from(id.to_string()) {
+            res.headers_mut().insert(ID_HEADER, value);
+        }
+        res
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,1 +1,19 @@
 //! The entry: owns a request from accept to answer.
+//!
+//! The path is a pipeline: [`accept`] reads a request, [`classify`] says what it
+//! is, [`session`] routes, dispatches and collects, [`answer`] hands out the
+//! result. [`core`] owns the entry's state on the stakker thread.
+
+pub mod accept;
+pub mod answer;
+pub mod classify;
+pub mod core;
+pub mod front;
+pub mod refusal;
+pub mod request;
+pub mod session;
+
+pub use core::{Core, Event};
+pub use front::Front;
+pub use refusal::Refusal;
+pub use request::Request;
--- /dev/null
+++ b/src/entry/session.rs
@@ -0,0 +1,316 @@
+//! Middle filters: route, dispatch and collect one request, over as many attempts as it takes.
+
+use std::{rc, time};
+
+use bytes::Bytes;
+use tokio::sync::oneshot;
+
+use super::{Event, Front, Refusal, Request, core, request};
+use crate::{Result, peer, wire};
+
+/// Longest silence of a sidecar before a repeatable call goes elsewhere.
+const SILENCE: time::Duration = time::Duration::from_secs(2);
+
+/// Most attempts at one request.
+const ATTEMPTS: u32 = 5;
+
+/// Headers of an answer that belong to one connection and are not passed on.
+const HOP_HEADERS: [&str; 5] =
+    ["connection", "content-length", "keep-alive", "transfer-encoding", "upgrade"];
+
+/// Status and headers of an answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Head {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers to pass on.
+    pub headers: Vec<wire::Header>,
+}
+
+impl Head {
+    /// Whether the body is a stream of events.
+    pub fn streamed(&self) -> bool {
+        let events =
+            |h: &wire::Header| h.name == "content-type" && h.value.starts_with("text/event-stream");
+        self.headers.iter().any(events)
+    }
+}
+
+/// What a session yields next.
+#[derive(Debug)]
+pub enum Step {
+    /// The answer's head; once.
+    Head(Head),
+    /// The next bytes of the body.
+    Data(Bytes),
+    /// Bytes yielded before are void; the body starts again.
+    Restart,
+    /// The answer is whole.
+    End,
+}
+
+/// One admitted attempt.
+struct Live {
+    source: peer::Source,
+    routed: core::Routed,
+}
+
+/// How an attempt ended short of an answer.
+enum Lost {
+    /// It provably did not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// One request on its way.
+pub struct Session {
+    front: rc::Rc<Front>,
+    req: Request<request::Classified>,
+    live: Option<Live>,
+    head: Option<Head>,
+    attempt: u32,
+    tried: Vec<crate::name::Server>,
+    events: u64,
+    bytes: u64,
+    hash: xxhash_rust::xxh3::Xxh3,
+}
+
+impl Session {
+    /// A session that has not been routed yet.
+    pub fn new(front: rc::Rc<Front>, req: Request<request::Classified>) -> Self {
+        Self {
+            front,
+            req,
+            live: None,
+            head: None,
+            attempt: 0,
+            tried: Vec::new(),
+            events: 0,
+            bytes: 0,
+            hash: xxhash_rust::xxh3::Xxh3::new(),
+        }
+    }
+
+    /// The request's identity.
+    pub fn id(&self) -> wire::RequestId {
+        self.req.id
+    }
+
+    /// The next step of the answer.
+    pub async fn next(&mut self) -> Result<Step, Refusal> {
+        loop {
+            let Some(live) = self.live.as_mut() else {
+                self.start().await?;
+                continue;
+            };
+            let wait = self.req.stage.deadline.min(match self.req.stage.repeatable {
+                true => time::Instant::now() + SILENCE,
+                false => self.req.stage.deadline,
+            });
+            let reply = match tokio::time::timeout_at(wait.into(), live.source.next()).await {
+                Ok(Ok(Some(reply))) => reply,
+                Err(_) if time::Instant::now() >= self.req.stage.deadline => {
+                    return Err(Refusal::Late { ran: wire::Ran::Unknown });
+                }
+                Ok(Ok(None)) | Ok(Err(_)) | Err(_) => {
+                    self.lose(Lost::Unknown)?;
+                    continue;
+                }
+            };
+            if let Some(step) = self.take(reply)? {
+                return Ok(step);
+            }
+        }
+    }
+
+    /// Routes and dispatches until a sidecar has the call.
+    async fn start(&mut self) -> Result<(), Refusal> {
+        let routed = self.route().await?;
+        self.attempt += 1;
+        self.tried.push(routed.server.clone());
+        let call = self.call(&routed);
+        let sending = self.front.pool.exchange(routed.address, wire::CALL, &call);
+        let sent = match tokio::time::timeout_at(self.req.stage.deadline.into(), sending).await {
+            Ok(sent) => sent,
+            Err(_) => return Err(Refusal::Late { ran: wire::Ran::Unknown }),
+        };
+        match sent {
+            Ok(source) => self.live = Some(Live { source, routed }),
+            Err(peer::pool::Failure::Unsent(err)) => {
+                log::info!("not sent req={} server={}: {err}", self.req.id, routed.server);
+                routed.report(core::Outcome::Unreachable);
+                self.retry(Lost::NotRun)?;
+            }
+            Err(peer::pool::Failure::Sent(err)) => {
+                log::info!("lost req={} server={}: {err}", self.req.id, routed.server);
+                self.front.pool.forget(routed.address);
+                routed.report(core::Outcome::Broken);
+                self.retry(Lost::Unknown)?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn route(&self) -> Result<core::Routed, Refusal> {
+        let (tx, rx) = oneshot::channel();
+        let stage = &self.req.stage;
+        let ask = core::Ask {
+            id: self.req.id,
+            service: stage.service.clone(),
+            workspace: stage.workspace.clone(),
+            priority: stage.priority,
+            deadline: stage.deadline,
+            prefix: stage.prefix,
+            tokens: stage.tokens,
+            tried: self.tried.clone(),
+            tx,
+        };
+        let gone = Refusal::Unavailable { after: time::Duration::from_secs(1) };
+        self.front.events.send(Event::Route(Box::new(ask))).map_err(|_| gone.clone())?;
+        match tokio::time::timeout_at(stage.deadline.into(), rx).await {
+            Ok(Ok(Ok(to))) => Ok(core::Routed::new(to, self.front.events.clone())),
+            Ok(Ok(Err(refusal))) => Err(refusal),
+            Ok(Err(_)) => Err(gone),
+            Err(_) => Err(Refusal::Late { ran: wire::Ran::No }),
+        }
+    }
+
+    fn call(&self, routed: &core::Routed) -> wire::Call {
+        let stage = &self.req.stage;
+        let left = stage.deadline.saturating_duration_since(time::Instant::now());
+        let hop = |h: &&wire::Header| !HOP_HEADERS.contains(&h.name.as_str()) && h.name != "host";
+        wire::Call {
+            id: self.req.id,
+            attempt: self.attempt,
+            server: routed.server.clone(),
+            service: stage.service.clone(),
+            workspace: stage.workspace.clone(),
+            priority: stage.priority,
+            left_ms: left.as_millis() as u64,
+            repeatable: stage.repeatable,
+            method: self.req.method.clone(),
+            path: stage.path.clone(),
+            headers: self.req.headers.iter().filter(hop).cloned().collect(),
+            body: self.req.body.clone(),
+            resume: self.resume(),
+            version: stage.version,
+        }
+    }
+
+    fn resume(&self) -> Option<wire::Resume> {
+        let begun = self.head.as_ref().is_some_and(Head::streamed);
+        begun.then_some(wire::Resume { events: self.events, bytes: self.bytes })
+    }
+
+    /// Takes one frame of the live attempt.
+    fn take(&mut self, reply: wire::Reply) -> Result<Option<Step>, Refusal> {
+        match reply {
+            wire::Reply::Refused { why, retry_after_ms, load, version } => {
+                let after = time::Duration::from_millis(retry_after_ms);
+                self.end(core::Outcome::Refused { why, after, load, version });
+                self.retry(Lost::NotRun)?;
+                Ok(None)
+            }
+            wire::Reply::Admitted { load, version } => {
+                self.tell(core::Outcome::Admitted { load, version });
+                Ok(None)
+            }
+            wire::Reply::Alive { load } => {
+                self.tell(core::Outcome::Alive { load });
+                Ok(None)
+            }
+            wire::Reply::Head { status, headers } => Ok(self.begin(status, headers)),
+            wire::Reply::Piece { id, offset, events, data } => self.piece(id, offset, events, data),
+            wire::Reply::End { id, total, checksum, load }
+                if id == self.req.id && total == self.bytes && checksum == self.hash.digest() =>
+            {
+                self.end(core::Outcome::Finished { load });
+                Ok(Some(Step::End))
+            }
+            wire::Reply::End { .. } => {
+                log::error!("answer does not add up req={}", self.req.id);
+                self.lose(Lost::Unknown)?;
+                Ok(None)
+            }
+            wire::Reply::Broken { ran, problem, load } => {
+                log::info!("backend server broke off req={}: {problem}", self.req.id);
+                self.tell(core::Outcome::Alive { load });
+                self.lose(match ran {
+                    wire::Ran::No => Lost::NotRun,
+                    wire::Ran::Yes | wire::Ran::Unknown => Lost::Unknown,
+                })?;
+                Ok(None)
+            }
+        }
+    }
+
+    fn begin(&mut self, status: u16, mut headers: Vec<wire::Header>) -> Option<Step> {
+        headers.retain(|h| !HOP_HEADERS.contains(&h.name.as_str()));
+        self.hash.reset();
+        let head = Head { status, headers };
+        match &self.head {
+            None => {
+                self.head = Some(head.clone());
+                Some(Step::Head(head))
+            }
+            Some(first) if first.streamed() => None,
+            Some(_) => {
+                self.bytes = 0;
+                Some(Step::Restart)
+            }
+        }
+    }
+
+    fn piece(
+        &mut self,
+        id: wire::RequestId,
+        offset: u64,
+        events: u64,
+        data: Vec<u8>,
+    ) -> Result<Option<Step>, Refusal> {
+        match offset {
+            _ if id != self.req.id => Ok(None),
+            at if at == self.bytes => {
+                self.hash.update(&data);
+                self.bytes += data.len() as u64;
+                self.events = self.events.max(events);
+                Ok(Some(Step::Data(data.into())))
+            }
+            at if at < self.bytes => Ok(None),
+            _ => {
+                self.lose(Lost::Unknown)?;
+                Ok(None)
+            }
+        }
+    }
+
+    fn tell(&self, outcome: core::Outcome) {
+        if let Some(live) = &self.live {
+            live.routed.tell(outcome);
+        }
+    }
+
+    fn end(&mut self, outcome: core::Outcome) {
+        if let Some(live) = self.live.take() {
+            live.routed.report(outcome);
+        }
+    }
+
+    fn lose(&mut self, lost: Lost) -> Result<(), Refusal> {
+        self.end(core::Outcome::Broken);
+        self.retry(lost)
+    }
+
+    /// Whether another attempt may be made after one was lost.
+    fn retry(&mut self, lost: Lost) -> Result<(), Refusal> {
+        match lost {
+            Lost::Unknown if !self.req.stage.repeatable => {
+                Err(Refusal::Broken { ran: wire::Ran::Unknown })
+            }
+            Lost::NotRun | Lost::Unknown if self.attempt < ATTEMPTS => Ok(()),
+            Lost::NotRun => Err(Refusal::Unavailable { after: time::Duration::from_secs(1) }),
+            Lost::Unknown => Err(Refusal::Broken { ran: wire::Ran::Unknown }),
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,11 +8,14 @@
 pub mod entry;
 pub mod error;
 pub mod group;
+pub mod http;
 pub mod name;
+pub mod peer;
 pub mod platform;
 pub mod policy;
 pub mod settings;
 pub mod sidecar;
+pub mod view;
 pub mod wire;
 
 pub use error::Error;
--- /dev/null
+++ b/src/sidecar/backend.rs
@@ -0,0 +1,232 @@
+//! Speaks HTTP with the backend server; every method blocks.
+
+use std::{io::Read, sync::Arc, sync::atomic, time};
+
+use tokio::sync::mpsc;
+use xxhash_rust::xxh3;
+
+use super::events::Events;
+use crate::{settings, wire};
+
+/// Longest time to open a connection to the backend server.
+const CONNECT_TIME: time::Duration = time::Duration::from_secs(1);
+/// Longest time for the backend server to take a cancellation.
+const CANCEL_TIME: time::Duration = time::Duration::from_secs(2);
+/// Bytes read at once.
+const READ_BYTES: usize = 16 << 10;
+/// Largest answer that is not a stream, in bytes.
+const ANSWER_LIMIT: u64 = 8 << 20;
+
+/// Header with the request's identity.
+const ID_HEADER: &str = "x-request-id";
+/// Header that asks a stream to go on after an event.
+const RESUME_HEADER: &str = "last-event-id";
+
+/// Clients of one backend server.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    url: String,
+    pooled: ureq::Agent,
+    fresh: ureq::Agent,
+}
+
+/// How an exchange with the backend server ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Ended {
+    /// The whole answer was passed on.
+    Whole {
+        /// Body length with what an earlier attempt sent, in bytes.
+        total: u64,
+        /// xxh3 of the bytes sent by this attempt.
+        checksum: u64,
+    },
+    /// The backend server broke off.
+    Broken {
+        /// Whether the request ran.
+        ran: wire::Ran,
+        /// What was seen.
+        problem: String,
+    },
+    /// Nobody waits for the answer any more.
+    Cancelled,
+}
+
+impl Backend {
+    /// A client of the backend server of `settings`, for up to `idle` pooled connections.
+    pub fn new(settings: &settings::Backend, idle: usize) -> Self {
+        let config = |idle| {
+            ureq::Agent::config_builder()
+                .http_status_as_error(false)
+                .max_redirects(0)
+                .proxy(None)
+                .timeout_connect(Some(CONNECT_TIME))
+                .max_idle_connections_per_host(idle)
+                .max_idle_connections(idle)
+                .build()
+                .new_agent()
+        };
+        Self { url: settings.url.clone(), pooled: config(idle), fresh: config(0) }
+    }
+
+    /// Reads a small JSON document at `path`.
+    pub fn read<T: serde::de::DeserializeOwned>(
+        &self,
+        path: &str,
+        within: time::Duration,
+    ) -> Result<T, ureq::Error> {
+        let url = format!("{}{path}", self.url);
+        let req = self.pooled.get(url).config().timeout_global(Some(within)).build();
+        let mut res = req.call()?;
+        match res.status().as_u16() {
+            200 => res.body_mut().read_json(),
+            status => Err(ureq::Error::StatusCode(status)),
+        }
+    }
+
+    /// Tells the backend server to drop the request `id`.
+    pub fn cancel(&self, id: wire::RequestId) {
+        let url = format!("{}/v1/requests/{id}", self.url);
+        let req = self.pooled.delete(url).config().timeout_global(Some(CANCEL_TIME)).build();
+        if let Err(err) = req.call() {
+            log::debug!("cancel failed req={id}: {err}");
+        }
+    }
+
+    /// Sends `call` and passes the answer on as frames, until its end or until `cancelled`.
+    pub fn run(
+        &self,
+        call: &wire::Call,
+        deadline: time::Instant,
+        cancelled: &Arc<atomic::AtomicBool>,
+        tx: &mpsc::Sender<wire::Reply>,
+    ) -> Ended {
+        if cancelled.load(atomic::Ordering::Acquire) {
+            return Ended::Cancelled;
+        }
+        let left = deadline.saturating_duration_since(time::Instant::now());
+        let res = match self.send(call, left) {
+            Ok(res) => res,
+            Err(err) => return broken(ran(&err), &err),
+        };
+        let head = wire::Reply::Head { status: res.status().as_u16(), headers: headers(&res) };
+        match tx.blocking_send(head) {
+            Ok(()) if streamed(&res) => stream(call, res, tx),
+            Ok(()) => plain(call, res, tx),
+            Err(_) => Ended::Cancelled,
+        }
+    }
+
+    fn send(
+        &self,
+        call: &wire::Call,
+        left: time::Duration,
+    ) -> Result<http::Response<ureq::Body>, ureq::Error> {
+        let agent = if call.repeatable { &self.pooled } else { &self.fresh };
+        let mut req = http::Request::builder()
+            .method(call.method.as_str())
+            .uri(format!("{}{}", self.url, call.path))
+            .header(ID_HEADER, call.id.to_string());
+        for header in call.headers.iter().filter(|h| h.name != ID_HEADER) {
+            req = req.header(&header.name, &header.value);
+        }
+        if let Some(resume) = &call.resume {
+            req = req.header(RESUME_HEADER, resume.events.to_string());
+        }
+        let req = agent
+            .configure_request(req.body(call.body.clone())?)
+            .timeout_global(Some(left))
+            .allow_non_standard_methods(true)
+            .build();
+        agent.run(req)
+    }
+}
+
+fn ran(err: &ureq::Error) -> wire::Ran {
+    match err {
+        ureq::Error::ConnectionFailed
+        | ureq::Error::HostNotFound
+        | ureq::Error::BadUri(_)
+        | ureq::Error::Http(_)
+        | ureq::Error::Timeout(ureq::Timeout::Connect) => wire::Ran::No,
+        ureq::Error::Io(err) if err.kind() == std::io::ErrorKind::ConnectionRefused => {
+            wire::Ran::No
+        }
+        _ => wire::Ran::Unknown,
+    }
+}
+
+fn broken(ran: wire::Ran, problem: &impl ToString) -> Ended {
+    Ended::Broken { ran, problem: problem.to_string() }
+}
+
+fn headers(res: &http::Response<ureq::Body>) -> Vec<wire::Header> {
+    let header = |(name, value): (&http::HeaderName, &http::HeaderValue)| {
+        let value = value.to_str().ok()?.to_string();
+        Some(wire::Header { name: name.as_str().to_string(), value })
+    };
+    res.headers().iter().filter_map(header).collect()
+}
+
+fn streamed(res: &http::Response<ureq::Body>) -> bool {
+    let kind = res.headers().get(http::header::CONTENT_TYPE);
+    kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
+}
+
+/// Passes on whole events only, so that a stream can go on elsewhere after any piece.
+fn stream(
+    call: &wire::Call,
+    res: http::Response<ureq::Body>,
+    tx: &mpsc::Sender<wire::Reply>,
+) -> Ended {
+    let resume = call.resume.unwrap_or(wire::Resume { events: 0, bytes: 0 });
+    let mut events = Events::new(resume.events);
+    let mut offset = resume.bytes;
+    let mut hash = xxh3::Xxh3::new();
+    let mut reader = res.into_body().into_reader();
+    let mut buf = vec![0; READ_BYTES];
+    loop {
+        let found = match reader.read(&mut buf) {
+            Ok(0) if events.whole() => return Ended::Whole { total: offset, checksum: hash.digest() },
+            Ok(0) => return broken(wire::Ran::Yes, &"the stream ended within an event"),
+            Ok(len) => events.push(&buf[..len]),
+            Err(err) => return broken(wire::Ran::Yes, &err),
+        };
+        let (data, count) = match found {
+            Ok(Some(found)) => found,
+            Ok(None) => continue,
+            Err(err) => return broken(wire::Ran::Yes, &err),
+        };
+        hash.update(&data);
+        let at = offset;
+        offset += data.len() as u64;
+        let piece = wire::Reply::Piece { id: call.id, offset: at, events: count, data };
+        if tx.blocking_send(piece).is_err() {
+            return Ended::Cancelled;
+        }
+    }
+}
+
+fn plain(
+    call: &wire::Call,
+    res: http::Response<ureq::Body>,
+    tx: &mpsc::Sender<wire::Reply>,
+) -> Ended {
+    let body = res.into_body().into_with_config().limit(ANSWER_LIMIT).read_to_vec();
+    let data = match body {
+        Ok(data) => data,
+        Err(err) => return broken(wire::Ran::Unknown, &err),
+    };
+    let total = data.len() as u64;
+    let checksum = xxh3::xxh3_64(&data);
+    for (at, part) in data.chunks(PART_BYTES).enumerate() {
+        let offset = (at * PART_BYTES) as u64;
+        let piece = wire::Reply::Piece { id: call.id, offset, events: 0, data: part.to_vec() };
+        if tx.blocking_send(piece).is_err() {
+            return Ended::Cancelled;
+        }
+    }
+    Ended::Whole { total, checksum }
+}
+
+/// Largest piece of an answer that is not a stream, in bytes.
+const PART_BYTES: usize = 256 << 10;
--- /dev/null
+++ b/src/sidecar/core.rs
@@ -0,0 +1,210 @@
+//! The sidecar's state, owned by the stakker thread: the gate of its backend server.
+
+use std::{sync::Arc, time};
+
+use tokio::sync::oneshot;
+
+use super::health;
+use crate::{
+    name,
+    policy::gate::{self, Gate},
+    view, wire,
+};
+
+/// What reaches the core.
+pub enum Event {
+    /// Another configuration or other places.
+    View(Arc<view::View>),
+    /// A call wants to be admitted.
+    Admit(Box<Ask>),
+    /// An admitted call got events from the backend server.
+    Progress {
+        /// The call's place in the core, as [`Verdict::Admitted`] gave it.
+        slot: u64,
+        /// Events since the last report.
+        events: u64,
+    },
+    /// An admitted call is over; nothing of it is at the backend server any more.
+    Over {
+        /// The call's place in the core.
+        slot: u64,
+        /// How it ended.
+        ending: gate::Ending,
+    },
+    /// The backend server's health; `None` if it did not answer.
+    Health(Option<health::Health>),
+    /// The load is asked for.
+    Load(oneshot::Sender<wire::Load>),
+    /// The state is asked for, as JSON.
+    Dump(oneshot::Sender<serde_json::Value>),
+    /// The process was told to end.
+    Terminate,
+}
+
+/// A call that wants to be admitted.
+#[derive(Debug)]
+pub struct Ask {
+    /// Backend server that the entry means.
+    pub server: name::Server,
+    /// Time left to the caller's deadline.
+    pub left: time::Duration,
+    /// Where the decision goes.
+    pub tx: oneshot::Sender<Verdict>,
+}
+
+/// Decision about a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// Goes to the backend server.
+    Admitted {
+        /// The call's place in the core.
+        slot: u64,
+        /// Load now.
+        load: wire::Load,
+        /// Configuration version in force here.
+        version: u64,
+    },
+    /// Did not run.
+    Refused {
+        /// Why.
+        why: wire::Refusal,
+        /// When trying again makes sense.
+        after: time::Duration,
+        /// Load now.
+        load: wire::Load,
+        /// Configuration version in force here.
+        version: u64,
+    },
+}
+
+/// Wait named where the gate knows no better.
+const AFTER: time::Duration = time::Duration::from_millis(500);
+
+/// The sidecar's state.
+pub struct Core {
+    server: name::Server,
+    view: Arc<view::View>,
+    gate: Gate,
+    permits: std::collections::BTreeMap<u64, gate::Permit>,
+    next: u64,
+    reachable: bool,
+    leaving: bool,
+    out: bool,
+}
+
+impl Core {
+    /// The core of the sidecar beside `server`; takes no work before its first health.
+    pub fn new(server: name::Server) -> Self {
+        Self {
+            server,
+            view: Arc::default(),
+            gate: Gate::new(1),
+            permits: Default::default(),
+            next: 0,
+            reachable: false,
+            leaving: false,
+            out: false,
+        }
+    }
+
+    /// Takes another view into force.
+    pub fn view(&mut self, view: Arc<view::View>) {
+        let known = view.config.servers.get(&self.server);
+        let service = known.and_then(|known| view.config.services.get(&known.service));
+        if let Some(service) = service {
+            self.gate.ceiling(service.limits.in_flight_per_server);
+        }
+        let out = !view.allows(&self.server);
+        match (out, self.out) {
+            (true, false) => self.gate.drain(),
+            (false, true) if !self.leaving => self.gate.reopen(),
+            _ => {}
+        }
+        self.out = out;
+        self.view = view;
+    }
+
+    /// Decides about `ask` and answers it.
+    pub fn admit(&mut self, ask: Ask, now: time::Duration) {
+        let verdict = self.verdict(&ask, now);
+        if let Err(Verdict::Admitted { slot, .. }) = ask.tx.send(verdict) {
+            self.over(slot, gate::Ending::Cancelled, now);
+        }
+    }
+
+    fn verdict(&mut self, ask: &Ask, now: time::Duration) -> Verdict {
+        match () {
+            () if ask.server != self.server => self.refuse(wire::Refusal::WrongServer, AFTER),
+            () if self.leaving || self.out => self.refuse(wire::Refusal::Leaving, AFTER),
+            () if !self.reachable => self.refuse(wire::Refusal::Unreachable, AFTER),
+            () if ask.left.is_zero() => self.refuse(wire::Refusal::TooLate, AFTER),
+            () => match self.gate.admit(now) {
+                Ok(permit) => self.admitted(permit),
+                Err(refusal) => self.refuse(refusal.why, refusal.retry_after),
+            },
+        }
+    }
+
+    fn admitted(&mut self, permit: gate::Permit) -> Verdict {
+        let slot = self.next;
+        self.next += 1;
+        self.permits.insert(slot, permit);
+        Verdict::Admitted { slot, load: self.load(), version: self.view.version }
+    }
+
+    fn refuse(&self, why: wire::Refusal, after: time::Duration) -> Verdict {
+        Verdict::Refused { why, after, load: self.load(), version: self.view.version }
+    }
+
+    /// Notes events that the backend server sent for the call at `slot`.
+    pub fn progress(&mut self, slot: u64, events: u64, now: time::Duration) {
+        if let Some(permit) = self.permits.get_mut(&slot) {
+            self.gate.observe(permit, events, now);
+        }
+    }
+
+    /// Frees the place of a call that is over.
+    pub fn over(&mut self, slot: u64, ending: gate::Ending, now: time::Duration) {
+        if let Some(permit) = self.permits.remove(&slot) {
+            self.gate.release(permit, ending, now);
+        }
+    }
+
+    /// Takes the backend server's health.
+    pub fn health(&mut self, health: Option<health::Health>) {
+        self.reachable = health.is_some();
+        if let Some(health) = health {
+            self.gate.incarnation(health.incarnation);
+        }
+    }
+
+    /// Refuses new work from now on.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+        self.gate.drain();
+    }
+
+    /// Whether this sidecar takes no new work and has none in flight.
+    pub fn left(&self) -> bool {
+        self.leaving && self.gate.idle()
+    }
+
+    /// Load now.
+    pub fn load(&self) -> wire::Load {
+        let load = self.gate.load();
+        let limit = if self.reachable { load.limit } else { 0 };
+        wire::Load { limit, leaving: self.leaving || self.out, ..load }
+    }
+
+    /// The state as JSON, for the dump.
+    pub fn dump(&self) -> serde_json::Value {
+        serde_json::json!({
+            "role": "sidecar",
+            "server": self.server,
+            "version": self.view.version,
+            "out": self.view.out,
+            "reachable": self.reachable,
+            "load": self.load(),
+        })
+    }
+}
--- /dev/null
+++ b/src/view.rs
@@ -0,0 +1,39 @@
+//! What one process holds to be in force.
+
+use std::{collections, net};
+
+use crate::{config, name};
+
+/// A snapshot of the configuration in force and of where backend servers are.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct View {
+    /// Version of the configuration; 0 before the first is known.
+    pub version: u64,
+    /// The operators' text as parsed.
+    pub config: config::Config,
+    /// Zones and servers out of service, with orders not yet durable.
+    pub out: config::Out,
+    /// Address of the sidecar of each backend server.
+    pub places: collections::BTreeMap<name::Server, net::SocketAddr>,
+}
+
+impl View {
+    /// Whether new work may go to `server`.
+    pub fn allows(&self, server: &name::Server) -> bool {
+        let known = self.config.servers.get(server);
+        known.is_some_and(|known| self.out.allows(server, &known.zone))
+    }
+
+    /// Backend servers of `service` that are known, placed and not out.
+    pub fn candidates<'a>(
+        &'a self,
+        service: &'a name::Service,
+    ) -> impl Iterator<Item = (&'a name::Server, &'a config::Server, net::SocketAddr)> {
+        self.config
+            .servers
+            .iter()
+            .filter(move |(_, known)| known.service == *service)
+            .filter(|(name, known)| self.out.allows(name, &known.zone))
+            .filter_map(|(name, known)| Some((name, known, *self.places.get(name)?)))
+    }
+}
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -1,6 +1,6 @@
 //! Length-prefixed bincode frames with a bound on their size.
 
-use bytes::{Buf, BufMut, Bytes, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use serde::{Serialize, de};
 
 use crate::{Error, Result};
@@ -27,22 +27,21 @@
     Ok(buf.freeze())
 }
 
+/// Length of the frame at the front of `buf` with its prefix, in bytes; `None` if not yet known.
+pub fn length(buf: &[u8]) -> Result<Option<usize>> {
+    let Some(prefix) = buf.first_chunk::<PREFIX>() else { return Ok(None) };
+    match u32::from_be_bytes(*prefix) as usize {
+        size if size > LIMIT => Err(Error::FrameTooLarge { size, limit: LIMIT }),
+        size => Ok(Some(PREFIX + size)),
+    }
+}
+
 /// Takes the next whole frame off the front of `buf`; `None` if more bytes are needed.
 pub fn decode<T: de::DeserializeOwned>(buf: &mut BytesMut) -> Result<Option<T>> {
-    if buf.len() < PREFIX {
-        return Ok(None);
-    }
-    let size = u32::from_be_bytes([buf[0], buf[1], buf[2], buf[3]]) as usize;
-    if size > LIMIT {
-        return Err(Error::FrameTooLarge { size, limit: LIMIT });
-    }
-    if buf.len() < PREFIX + size {
-        return Ok(None);
-    }
-    buf.advance(PREFIX);
-    let body = buf.split_to(size);
+    let Some(len) = length(buf)?.filter(|len| buf.len() >= *len) else { return Ok(None) };
+    let body = buf.split_to(len).split_off(PREFIX);
     match bincode::serde::decode_from_slice(&body, codec()) {
-        Ok((msg, used)) if used == size => Ok(Some(msg)),
+        Ok((msg, used)) if used == body.len() => Ok(Some(msg)),
         Ok(_) => Err(Error::Frame { problem: "bytes left over in the frame".into() }),
         Err(err) => Err(Error::Frame { problem: err.to_string() }),
     }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -11,6 +11,9 @@
 /// Version of these messages; both ends must have the same.
 pub const VERSION: u32 = 1;
 
+/// Path of the exchange that carries a [`Call`] and its [`Reply`] frames.
+pub const CALL: &str = "/call";
+
 /// Identity of one caller's request, unique over all entries.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct RequestId(pub u128);
@@ -38,6 +41,8 @@
     pub priority: config::Priority,
     /// Time left to the caller's deadline, in milliseconds.
     pub left_ms: u64,
+    /// Whether the call may be sent again.
+    pub repeatable: bool,
     /// HTTP method.
     pub method: String,
     /// Path and query.
@@ -127,16 +132,24 @@
         /// Highest configuration version the sidecar knows.
         version: u64,
     },
+    /// The gate took the call; the backend server is asked next.
+    Admitted {
+        /// Load now.
+        load: Load,
+        /// Highest configuration version the sidecar knows.
+        version: u64,
+    },
+    /// The sidecar still waits for the backend server.
+    Alive {
+        /// Load now.
+        load: Load,
+    },
     /// Status line and headers of the backend server's answer.
     Head {
         /// HTTP status.
         status: u16,
         /// Headers passed through.
         headers: Vec<Header>,
-        /// Load now.
-        load: Load,
-        /// Highest configuration version the sidecar knows.
-        version: u64,
     },
     /// A piece of the answer's body.
     Piece {
