Add the platform's HTTP client and its stand-in

Cause: every path that must last something needs the platform's table, objects and host list; the frame had only the traits.

Change: platform::Client speaks conditional requests through ureq with a deadline per call; any status or transport error on a write is an Err, which the trait defines as unknown.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -10,6 +10,10 @@
 
 use crate::{Result, name};
 
+mod client;
+
+pub use client::Client;
+
 /// A row's version tag as the table gave it; opaque.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Etag(pub String);
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,108 @@
+//! The platform's client against its stand-in.
+
+use std::{
+    io::{BufRead, BufReader},
+    process, time,
+};
+
+use knapweedford::platform::{self, Hosts, Objects, Table};
+
+const WITHIN: time::Duration = time::Duration::from_secs(5);
+
+/// A stand-in process, ended when dropped.
+pub struct StandIn {
+    child: process::Child,
+    /// Root URL.
+    pub root: String,
+}
+
+impl StandIn {
+    /// Starts the platform's stand-in on a port chosen by the kernel.
+    pub fn start() -> Self {
+        let mut child = process::Command::new(env!("CARGO_BIN_EXE_stand-in-platform"))
+            .stdout(process::Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+        let address = line.trim().strip_prefix("listening ").unwrap();
+        Self { child, root: format!("http://{address}") }
+    }
+
+    /// Sets the faults, as JSON.
+    pub fn faults(&self, faults: &str) {
+        ureq::post(format!("{}/faults", self.root)).send(faults).unwrap();
+    }
+
+    /// A client of this stand-in.
+    pub fn client(&self) -> platform::Client {
+        platform::Client::new(&self.root)
+    }
+}
+
+impl Drop for StandIn {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[test]
+fn conditions_hold() {
+    let stand_in = StandIn::start();
+    let client = stand_in.client();
+    assert_eq!(client.read("a/b c", WITHIN).unwrap(), None);
+    let done = client.write("a/b c", "1", &platform::When::Absent, WITHIN).unwrap();
+    let platform::Written::Done(etag) = done else { panic!("refused") };
+    let again = client.write("a/b c", "2", &platform::When::Absent, WITHIN).unwrap();
+    assert_eq!(again, platform::Written::Refused);
+    let when = platform::When::Unchanged(etag.clone());
+    assert_ne!(client.write("a/b c", "2", &when, WITHIN).unwrap(), platform::Written::Refused);
+    assert_eq!(client.write("a/b c", "3", &when, WITHIN).unwrap(), platform::Written::Refused);
+    assert!(!client.delete("a/b c", &etag, WITHIN).unwrap());
+    let row = client.read("a/b c", WITHIN).unwrap().unwrap();
+    assert_eq!(row.value, "2");
+    assert!(client.delete("a/b c", &row.etag, WITHIN).unwrap());
+}
+
+#[test]
+fn answer_lost() {
+    let stand_in = StandIn::start();
+    let client = stand_in.client();
+    stand_in.faults(r#"{"lose_answer": 1.0}"#);
+    client.write("k", "mine", &platform::When::Absent, WITHIN).unwrap_err();
+    assert_eq!(client.read("k", WITHIN).unwrap().unwrap().value, "mine");
+}
+
+#[test]
+fn down_then_back() {
+    let stand_in = StandIn::start();
+    let client = stand_in.client();
+    stand_in.faults(r#"{"down": true}"#);
+    client.read("k", WITHIN).unwrap_err();
+    client.list(WITHIN).unwrap_err();
+    stand_in.faults("{}");
+    assert_eq!(client.read("k", WITHIN).unwrap(), None);
+}
+
+#[test]
+fn slow_times_out() {
+    let stand_in = StandIn::start();
+    let client = stand_in.client();
+    stand_in.faults(r#"{"slow_ms": 2000}"#);
+    let err = client.read("k", time::Duration::from_millis(50)).unwrap_err();
+    assert!(err.to_string().contains("not available"), "{err}");
+}
+
+#[test]
+fn objects_and_hosts() {
+    let stand_in = StandIn::start();
+    let client = stand_in.client();
+    Objects::put(&client, "o", b"data", WITHIN).unwrap();
+    assert_eq!(Objects::get(&client, "o", WITHIN).unwrap().unwrap(), b"data");
+    let host = r#"{"host":"h1","zone":"z1","peers":"127.0.0.1:9","server":"s1","state":"live"}"#;
+    ureq::put(format!("{}/hosts/h1", stand_in.root)).send(host).unwrap();
+    let list = client.list(WITHIN).unwrap();
+    assert_eq!(list.len(), 1);
+    assert_eq!(list[0].state, platform::State::Live);
+}
