Read the operators' text whole, each fault with line, column and remedy

Cause: serde's derived reader stops at the first fault and a check after it has no places to point at. Ruled out: serde-saphyr's Spanned on each field of Config, since the type that the request path reads would carry places, and since unknown keys would still end the reading. Change: src/yaml reads a tree with places and gathers findings; config::parse checks shape and sense; the two example texts, loaded by tests.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -7,7 +7,37 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::name;
+use crate::{
+    name,
+    yaml::{Findings, Node, Read},
+};
+
+mod calls;
+mod check;
+mod cycle;
+mod diff;
+mod group;
+mod read;
+mod spelling;
+
+pub use diff::{Difference, Side, diff};
+
+/// Longest operators' text, in bytes.
+pub const TEXT_BYTES: usize = 3 << 20;
+
+/// Reads the operators' text and checks it whole.
+///
+/// Every fault of the shape and of the sense is reported, each with its line,
+/// column and remedy.
+pub fn parse(text: &str) -> Result<Config, Findings> {
+    let node = Node::parse(text, TEXT_BYTES)?;
+    let mut out = Findings::default();
+    let cfg = Config::read(&node, &mut out);
+    if let Some(cfg) = &cfg {
+        check::check(cfg, &node, &mut out);
+    }
+    out.or(cfg)
+}
 
 /// The operators' text as parsed. Unknown keys are refused.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod settings;
 pub mod sidecar;
 pub mod wire;
+pub mod yaml;
 
 pub use error::Error;
 
