--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod sidecar;
 pub mod view;
 pub mod wire;
+pub mod yaml;
 
 pub use error::Error;
 
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -2,3 +2,4 @@
 
 mod frames;
 mod platform;
+mod texts;
