Run the whole path as separate processes

Cause: nothing served a request end to end. Change: the daemon in both roles (stakker on the main thread, one I/O thread, bounded workers), drains on SIGTERM, a thin operators' port, platform polling. Tried by hand: a streamed answer and a posting through entry, sidecar and the stand-ins, and a stream whose engine was killed in its midst. Ruled out: tiny_http for the daemon's ports, see docs/DESIGN.md.

--- a/src/bin/knapweedfordd.rs
+++ b/src/bin/knapweedfordd.rs
@@ -1,3 +1,7 @@
 //! The daemon.
 
-fn main() {}
+use std::process;
+
+fn main() -> process::ExitCode {
+    knapweedford::daemon::run()
+}
--- /dev/null
+++ b/src/daemon/args.rs
@@ -0,0 +1,52 @@
+//! The daemon's command line.
+
+use std::{ffi, path};
+
+use crate::{Error, Result};
+
+/// What the command line asks for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Args {
+    /// Run with the settings in this file.
+    Run {
+        /// The settings file.
+        settings: path::PathBuf,
+    },
+    /// Print this text and end.
+    Print(String),
+}
+
+const HELP: &str = "\
+Runs one process of knapweedford, as an entry or as a sidecar.
+
+Usage: knapweedfordd SETTINGS.yaml
+
+Options:
+  -h, --help     Print this help
+  -V, --version  Print the version
+
+The environment variable RUST_LOG sets the log level, such as debug.
+SIGTERM ends the process once every request in flight has been answered.
+";
+
+/// Reads the arguments, without the program's name.
+pub fn parse(args: impl IntoIterator<Item = ffi::OsString>) -> Result<Args> {
+    let usage = |problem: String| Error::Usage { problem };
+    let mut parser = lexopt::Parser::from_args(args);
+    let mut settings = None;
+    while let Some(arg) = parser.next().map_err(|err| usage(err.to_string()))? {
+        match arg {
+            lexopt::Arg::Short('h') | lexopt::Arg::Long("help") => {
+                return Ok(Args::Print(HELP.into()));
+            }
+            lexopt::Arg::Short('V') | lexopt::Arg::Long("version") => {
+                let version = env!("CARGO_PKG_VERSION");
+                return Ok(Args::Print(format!("knapweedfordd {version}\n")));
+            }
+            lexopt::Arg::Value(file) if settings.is_none() => settings = Some(file.into()),
+            other => return Err(usage(other.unexpected().to_string())),
+        }
+    }
+    let missing = || usage("The settings file is missing".into());
+    Ok(Args::Run { settings: settings.ok_or_else(missing)? })
+}
--- /dev/null
+++ b/src/daemon/entry.rs
@@ -0,0 +1,128 @@
+//! The process in the role of an entry.
+
+use std::{
+    cell, rc,
+    sync::Arc,
+    sync::mpsc,
+    time::{self, Duration},
+};
+
+use stakker::{CX, Stakker, StopCause, actor, after, call, ret_nop};
+
+use super::{Ports, Switches};
+use crate::{
+    Error, Result,
+    entry::{Core, Event, Front},
+    http, peer, platform, settings,
+};
+
+/// Time between refusing new requests and closing the ports, so that callers on
+/// kept connections get an answer.
+const REFUSING: Duration = Duration::from_secs(1);
+
+/// Runs until told to end and all in flight has been answered.
+pub fn run(cfg: settings::Settings) -> Result {
+    let (tx, rx) = mpsc::channel();
+    let switches = Switches::new();
+    let told = tx.clone();
+    super::signals::watch(move || super::send(&told, Event::Terminate))?;
+    let lag = Duration::from_millis(cfg.balancer_lag_ms);
+    let io = {
+        let (view, ready) = (switches.view.clone(), switches.ready.clone());
+        let (refusing, stop) = (switches.refusing.clone(), switches.stop.clone());
+        let shared = Switches { view, ready, refusing, stop };
+        super::spawn_io(async move || serve(cfg, tx, shared).await)?
+    };
+    let mut stakker = Stakker::new(time::Instant::now());
+    let actor = actor!(stakker, Entry::init(switches, lag), ret_nop!());
+    super::reactor::run(stakker, &rx, |stakker, event| {
+        let actor = actor.clone();
+        call!([actor, stakker], event(event));
+    });
+    io.join().unwrap_or(Err(Error::Panicked))
+}
+
+struct Entry {
+    core: Core,
+    switches: Switches,
+    lag: Duration,
+    ending: bool,
+}
+
+impl Entry {
+    fn init(_: CX![], switches: Switches, lag: Duration) -> Option<Self> {
+        Some(Self { core: Core::new(), switches, lag, ending: false })
+    }
+
+    fn event(&mut self, cx: CX![], event: Event) {
+        match event {
+            Event::View(view) => {
+                self.core.view(Arc::clone(&view));
+                self.switches.view.send_replace(view);
+                self.switches.ready.send_replace(!self.ending);
+            }
+            Event::Route(ask) => self.core.route(*ask),
+            Event::News { server, outcome, over } => self.core.news(&server, &outcome, over),
+            Event::Dump(tx) => {
+                let _ = tx.send(self.core.dump());
+            }
+            Event::Terminate if self.ending => {}
+            Event::Terminate => {
+                log::info!("ending: not ready, still serving");
+                self.ending = true;
+                self.switches.ready.send_replace(false);
+                after!(self.lag, [cx], refuse());
+            }
+            Event::Drained => cx.shutdown(StopCause::Stopped),
+        }
+    }
+
+    fn refuse(&mut self, cx: CX![]) {
+        log::info!("ending: refusing new requests");
+        self.switches.refusing.send_replace(true);
+        after!(REFUSING, [cx], stop());
+    }
+
+    fn stop(&mut self, _: CX![]) {
+        log::info!("ending: finishing requests in flight");
+        self.switches.stop.send_replace(true);
+    }
+}
+
+async fn serve(cfg: settings::Settings, events: mpsc::Sender<Event>, on: Switches) -> Result {
+    let callers = cfg.callers.ok_or(Error::Settings { problem: "An entry needs callers" })?;
+    let (callers, callers_at) = super::listen(callers).await?;
+    let (operators, operators_at) = super::listen(cfg.operators).await?;
+    let (peers, peers_at) = super::listen(cfg.peers).await?;
+    let ports = Ports { callers: Some(callers_at), operators: operators_at, peers: peers_at };
+    cfg.ports_file.as_deref().map_or(Ok(()), |path| ports.write(path))?;
+
+    let adopt = events.clone();
+    let client = platform::Client::new(&cfg.platform);
+    tokio::task::spawn_local(super::poll::watch(client, move |view| {
+        super::send(&adopt, Event::View(view));
+    }));
+    let dump = events.clone();
+    let port = super::port::Port {
+        token: cfg.token.clone(),
+        dump: move |tx| super::send(&dump, Event::Dump(tx)),
+    };
+    let port =
+        http::serve(operators, http::Limits::default(), rc::Rc::new(port), on.stop.subscribe());
+    tokio::task::spawn_local(port);
+    let ignore = rc::Rc::new(async |_: peer::Incoming| ());
+    let token = cfg.token.as_str().into();
+    tokio::task::spawn_local(peer::serve(peers, token, ignore, on.stop.subscribe()));
+
+    let front = Front {
+        view: on.view.subscribe(),
+        events: events.clone(),
+        pool: peer::Pool::new(&cfg.token),
+        ready: on.ready.subscribe(),
+        refusing: on.refusing.subscribe(),
+        ids: cell::RefCell::new(super::generator(&cfg.host)),
+    };
+    http::serve(callers, http::Limits::default(), rc::Rc::new(front), on.stop.subscribe()).await;
+    super::send(&events, Event::Drained);
+    Ok(())
+}
--- /dev/null
+++ b/src/daemon/reactor.rs
@@ -0,0 +1,29 @@
+//! The main thread's loop: events from other threads in, stakker actors run.
+
+use std::{sync::mpsc, time};
+
+use stakker::Stakker;
+
+/// Longest sleep without a timer.
+const IDLE: time::Duration = time::Duration::from_secs(60);
+
+/// Runs `stakker` until it shuts down, handing each event to `take`.
+pub fn run<E>(
+    mut stakker: Stakker,
+    events: &mpsc::Receiver<E>,
+    mut take: impl FnMut(&mut Stakker, E),
+) {
+    while stakker.not_shutdown() {
+        let now = time::Instant::now();
+        stakker.run(now, false);
+        let wait = stakker.next_wait_max(now, IDLE, false);
+        match events.recv_timeout(wait) {
+            Ok(event) => take(&mut stakker, event),
+            Err(mpsc::RecvTimeoutError::Timeout) => continue,
+            Err(mpsc::RecvTimeoutError::Disconnected) => return,
+        }
+        for event in events.try_iter() {
+            take(&mut stakker, event);
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/sidecar.rs
@@ -0,0 +1,139 @@
+//! The process in the role of a sidecar.
+
+use std::{
+    rc,
+    sync::Arc,
+    sync::mpsc,
+    time::{self, Duration},
+};
+
+use stakker::{CX, Stakker, StopCause, actor, after, call, ret_nop};
+
+use super::{Ports, Switches};
+use crate::{
+    Error, Result, http, peer, platform, settings,
+    sidecar::{Backend, Core, Event, Side, health},
+    wire,
+};
+
+/// Time between the last answer and closing the ports, in which entries still
+/// hear that the server is leaving.
+const LINGER: Duration = Duration::from_secs(2);
+/// Pause between two looks at whether all in flight is done.
+const LOOK: Duration = Duration::from_millis(50);
+/// Connections kept to the backend server.
+const POOLED: usize = 64;
+
+/// Runs until told to end and all in flight has been answered.
+pub fn run(cfg: settings::Settings) -> Result {
+    let backend =
+        cfg.backend.clone().ok_or(Error::Settings { problem: "A sidecar needs backend" })?;
+    let (tx, rx) = mpsc::channel();
+    let switches = Switches::new();
+    let told = tx.clone();
+    super::signals::watch(move || super::send(&told, Event::Terminate))?;
+    let stop = switches.stop.clone();
+    let server = backend.server.clone();
+    let io = super::spawn_io(async move || serve(cfg, backend, tx, stop).await)?;
+    let mut stakker = Stakker::new(time::Instant::now());
+    let actor = actor!(stakker, Sidecar::init(Core::new(server), switches), ret_nop!());
+    super::reactor::run(stakker, &rx, |stakker, event| {
+        let actor = actor.clone();
+        call!([actor, stakker], event(event));
+    });
+    io.join().unwrap_or(Err(Error::Panicked))
+}
+
+struct Sidecar {
+    core: Core,
+    switches: Switches,
+    started: time::Instant,
+    ending: bool,
+}
+
+impl Sidecar {
+    fn init(cx: CX![], core: Core, switches: Switches) -> Option<Self> {
+        Some(Self { core, switches, started: cx.now(), ending: false })
+    }
+
+    fn event(&mut self, cx: CX![], event: Event) {
+        let now = cx.now().saturating_duration_since(self.started);
+        match event {
+            Event::View(view) => {
+                self.core.view(Arc::clone(&view));
+                self.switches.view.send_replace(view);
+            }
+            Event::Admit(ask) => self.core.admit(*ask, now),
+            Event::Progress { slot, events } => self.core.progress(slot, events, now),
+            Event::Over { slot, ending } => self.core.over(slot, ending, now),
+            Event::Health(health) => self.core.health(health),
+            Event::Load(tx) => {
+                let _ = tx.send(self.core.load());
+            }
+            Event::Dump(tx) => {
+                let _ = tx.send(self.core.dump());
+            }
+            Event::Terminate if self.ending => {}
+            Event::Terminate => {
+                log::info!("ending: refusing new calls");
+                self.ending = true;
+                self.core.leave();
+                self.look(cx);
+            }
+            Event::Drained => cx.shutdown(StopCause::Stopped),
+        }
+    }
+
+    fn look(&mut self, cx: CX![]) {
+        match self.core.left() {
+            true => after!(LINGER, [cx], stop()),
+            false => after!(LOOK, [cx], look()),
+        };
+    }
+
+    fn stop(&mut self, _: CX![]) {
+        log::info!("ending: nothing in flight");
+        self.switches.stop.send_replace(true);
+    }
+}
+
+async fn serve(
+    cfg: settings::Settings,
+    backend: settings::Backend,
+    events: mpsc::Sender<Event>,
+    stop: tokio::sync::watch::Sender<bool>,
+) -> Result {
+    let (operators, operators_at) = super::listen(cfg.operators).await?;
+    let (peers, peers_at) = super::listen(cfg.peers).await?;
+    let ports = Ports { callers: None, operators: operators_at, peers: peers_at };
+    cfg.ports_file.as_deref().map_or(Ok(()), |path| ports.write(path))?;
+
+    let adopt = events.clone();
+    let client = platform::Client::new(&cfg.platform);
+    tokio::task::spawn_local(super::poll::watch(client, move |view| {
+        super::send(&adopt, Event::View(view));
+    }));
+    let dump = events.clone();
+    let port = super::port::Port {
+        token: cfg.token.clone(),
+        dump: move |tx| super::send(&dump, Event::Dump(tx)),
+    };
+    let port = http::serve(operators, http::Limits::default(), rc::Rc::new(port), stop.subscribe());
+    tokio::task::spawn_local(port);
+
+    let backend = Backend::new(&backend, POOLED);
+    tokio::task::spawn_local(health::watch(backend.clone(), events.clone()));
+    let side = rc::Rc::new(Side { backend, events: events.clone() });
+    let handle = rc::Rc::new(async move |incoming: peer::Incoming| {
+        let handled = match incoming.path.as_str() {
+            wire::CALL => rc::Rc::clone(&side).call(incoming).await,
+            path => return log::warn!("a peer asked for {path}, which is not known here"),
+        };
+        if let Err(err) = handled {
+            log::info!("{err}");
+        }
+    });
+    peer::serve(peers, cfg.token.as_str().into(), handle, stop.subscribe()).await;
+    super::send(&events, Event::Drained);
+    Ok(())
+}
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -26,6 +26,8 @@
     Dump(oneshot::Sender<serde_json::Value>),
     /// The process was told to end.
     Terminate,
+    /// The callers' port has closed and all answers have been flushed.
+    Drained,
 }
 
 /// A request that wants a backend server.
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -1,11 +1,11 @@
 //! The callers' port: runs each request through the pipeline.
 
-use std::{cell, rc, sync::Arc, sync::mpsc};
+use std::{cell, rc, sync::Arc, sync::mpsc, time};
 
 use rand::RngExt;
 use tokio::sync::watch;
 
-use super::{Event, accept, answer, classify, session};
+use super::{Event, Refusal, accept, answer, classify, session};
 use crate::{http, peer, view, wire};
 
 /// What the I/O thread of an entry shares between requests.
@@ -18,6 +18,8 @@
     pub pool: rc::Rc<peer::Pool>,
     /// Whether the balancer should send requests here.
     pub ready: watch::Receiver<bool>,
+    /// Whether new requests are refused because the process is ending.
+    pub refusing: watch::Receiver<bool>,
     /// Source of request identities.
     pub ids: cell::RefCell<rand_pcg::Pcg64>,
 }
@@ -25,12 +27,16 @@
 /// Header with the identity that the entry gave a request.
 const ID_HEADER: &str = "x-request-id";
 
+/// When a caller finds another entry through the balancer.
+const ELSEWHERE: time::Duration = time::Duration::from_secs(1);
+
 impl http::Handler for Front {
     async fn handle(self: rc::Rc<Self>, req: http::Request) -> http::Response {
         match req.uri().path() {
             "/healthz" => http::answer::text(200, "alive\n"),
             "/readyz" if *self.ready.borrow() => http::answer::text(200, "ready\n"),
             "/readyz" => http::answer::text(503, "not ready\n"),
+            _ if *self.refusing.borrow() => Refusal::Unavailable { after: ELSEWHERE }.response(),
             _ => self.pipeline(req).await,
         }
     }
--- a/src/error.rs
+++ b/src/error.rs
@@ -76,4 +76,19 @@
         /// What is wrong with the arguments.
         problem: String,
     },
+    /// A thread or a signal handler could not be started.
+    #[error("Could not start a thread: {source}. Raise the limits of the process.")]
+    Thread {
+        /// What the operating system said.
+        source: io::Error,
+    },
+    /// A thread ended by a panic.
+    #[error("A thread of the process panicked; report the log, and restart the process.")]
+    Panicked,
+    /// The settings do not fit the role.
+    #[error("{problem}; add it to the settings.")]
+    Settings {
+        /// What is missing.
+        problem: &'static str,
+    },
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod agree;
 pub mod config;
+pub mod daemon;
 pub mod entry;
 pub mod error;
 pub mod group;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -43,11 +43,18 @@
     /// Where to write the addresses in use once listening; for ports chosen by the kernel.
     #[serde(default)]
     pub ports_file: Option<path::PathBuf>,
+    /// Time for which the balancer may still send requests after readiness ends, in milliseconds.
+    #[serde(default = "balancer_lag_ms")]
+    pub balancer_lag_ms: u64,
     /// Peers to ask while the platform's host list is unreachable.
     #[serde(default)]
     pub seeds: Vec<net::SocketAddr>,
 }
 
+fn balancer_lag_ms() -> u64 {
+    5000
+}
+
 /// The backend server that a sidecar stands beside.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
--- a/src/sidecar/core.rs
+++ b/src/sidecar/core.rs
@@ -39,6 +39,8 @@
     Dump(oneshot::Sender<serde_json::Value>),
     /// The process was told to end.
     Terminate,
+    /// The peers' port has closed and all answers have been flushed.
+    Drained,
 }
 
 /// A call that wants to be admitted.
