--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -6,7 +6,11 @@
 use tokio::sync::oneshot;
 
 use super::{Event, Front, Refusal, Request, core, request};
-use crate::{Result, peer, wire};
+use crate::{
+    Result, peer,
+    policy::collect::{self, Collect},
+    wire,
+};
 
 /// Longest silence of a sidecar before a repeatable call goes elsewhere.
 const SILENCE: time::Duration = time::Duration::from_secs(2);
@@ -71,14 +75,14 @@
     head: Option<Head>,
     attempt: u32,
     tried: Vec<crate::name::Server>,
-    events: u64,
-    bytes: u64,
-    hash: xxhash_rust::xxh3::Xxh3,
+    collect: Collect,
+    whole: bool,
 }
 
 impl Session {
     /// A session that has not been routed yet.
     pub fn new(front: rc::Rc<Front>, req: Request<request::Classified>) -> Self {
+        let collect = Collect::new(req.id, 1);
         Self {
             front,
             req,
@@ -86,9 +90,8 @@
             head: None,
             attempt: 0,
             tried: Vec::new(),
-            events: 0,
-            bytes: 0,
-            hash: xxhash_rust::xxh3::Xxh3::new(),
+            collect,
+            whole: false,
         }
     }
 
@@ -100,6 +103,9 @@
     /// The next step of the answer.
     pub async fn next(&mut self) -> Result<Step, Refusal> {
         loop {
+            if self.whole {
+                return Ok(Step::End);
+            }
             let Some(live) = self.live.as_mut() else {
                 self.start().await?;
                 continue;
@@ -128,6 +134,7 @@
     async fn start(&mut self) -> Result<(), Refusal> {
         let routed = self.route().await?;
         self.attempt += 1;
+        self.collect.next(self.attempt);
         self.tried.push(routed.server.clone());
         let call = self.call(&routed);
         let sending = self.front.pool.exchange(routed.address, wire::CALL, &call);
@@ -200,7 +207,7 @@
 
     fn resume(&self) -> Option<wire::Resume> {
         let begun = self.head.as_ref().is_some_and(Head::streamed);
-        begun.then_some(wire::Resume { events: self.events, bytes: self.bytes })
+        if begun { self.collect.resume() } else { None }
     }
 
     /// Takes one frame of the live attempt.
@@ -221,17 +228,14 @@
                 Ok(None)
             }
             wire::Reply::Head { status, headers } => Ok(self.begin(status, headers)),
-            wire::Reply::Piece { id, offset, events, data } => self.piece(id, offset, events, data),
-            wire::Reply::End { id, total, checksum, load }
-                if id == self.req.id && total == self.bytes && checksum == self.hash.digest() =>
-            {
-                self.end(core::Outcome::Finished { load });
-                Ok(Some(Step::End))
-            }
-            wire::Reply::End { .. } => {
-                log::error!("answer does not add up req={}", self.req.id);
-                self.lose(Lost::Unknown)?;
-                Ok(None)
+            reply @ wire::Reply::Piece { .. } => self.gather(reply),
+            wire::Reply::End { load, .. } => {
+                self.tell(core::Outcome::Alive { load });
+                let step = self.gather(reply)?;
+                if self.whole {
+                    self.end(core::Outcome::Finished { load });
+                }
+                Ok(step)
             }
             wire::Reply::Broken { ran, problem, load } => {
                 log::info!("backend server broke off req={}: {problem}", self.req.id);
@@ -247,7 +251,6 @@
 
     fn begin(&mut self, status: u16, mut headers: Vec<wire::Header>) -> Option<Step> {
         headers.retain(|h| !HOP_HEADERS.contains(&h.name.as_str()));
-        self.hash.reset();
         let head = Head { status, headers };
         match &self.head {
             None => {
@@ -256,31 +259,28 @@
             }
             Some(first) if first.streamed() => None,
             Some(_) => {
-                self.bytes = 0;
+                self.collect = Collect::new(self.req.id, self.attempt);
                 Some(Step::Restart)
             }
         }
     }
 
-    fn piece(
-        &mut self,
-        id: wire::RequestId,
-        offset: u64,
-        events: u64,
-        data: Vec<u8>,
-    ) -> Result<Option<Step>, Refusal> {
-        match offset {
-            _ if id != self.req.id => Ok(None),
-            at if at == self.bytes => {
-                self.hash.update(&data);
-                self.bytes += data.len() as u64;
-                self.events = self.events.max(events);
+    /// Hands a piece or the end to the whole-answer check.
+    fn gather(&mut self, reply: wire::Reply) -> Result<Option<Step>, Refusal> {
+        match self.collect.take(self.attempt, reply) {
+            collect::Step::Pass(data) if data.is_empty() => Ok(None),
+            collect::Step::Pass(data) => Ok(Some(Step::Data(data.into()))),
+            collect::Step::Whole(data) => {
+                self.whole = true;
                 Ok(Some(Step::Data(data.into())))
             }
-            at if at < self.bytes => Ok(None),
-            _ => {
+            collect::Step::Spoilt(problem) => {
+                log::error!("answer does not add up req={} problem={problem:?}", self.req.id);
                 self.lose(Lost::Unknown)?;
-                Ok(None)
+                match problem.resumable() {
+                    true => Ok(None),
+                    false => Err(Refusal::Broken { ran: wire::Ran::Unknown }),
+                }
             }
         }
     }
--- a/src/sidecar/serve.rs
+++ b/src/sidecar/serve.rs
@@ -64,7 +64,7 @@
         log::info!("admitted req={} attempt={}", call.id, call.attempt);
         let (rx, watch, ended) = self.work(call, slot, arrived + left);
         incoming.reply.send(&admitted).await?;
-        self.pass(incoming.reply, rx, watch, ended).await
+        self.pass(incoming.reply, slot, rx, watch, ended).await
     }
 
     async fn admit(&self, call: &wire::Call, left: time::Duration) -> Option<Verdict> {
@@ -106,10 +106,12 @@
     async fn pass(
         &self,
         mut reply: peer::Replier,
+        slot: u64,
         mut rx: frames::Receiver<wire::Reply>,
         mut watch: Watch,
         ended: oneshot::Receiver<Ended>,
     ) -> Result {
+        let mut seen = None;
         loop {
             let frame = tokio::select! {
                 frame = rx.recv() => frame,
@@ -119,7 +121,10 @@
                 }
             };
             match frame {
-                Some(frame) => reply.send(&frame).await?,
+                Some(frame) => {
+                    seen = self.progress(slot, seen, &frame);
+                    reply.send(&frame).await?;
+                }
                 None => break,
             }
         }
@@ -140,6 +145,14 @@
         Ok(())
     }
 
+    /// Tells the core of new events in `frame`; gives the events seen so far.
+    fn progress(&self, slot: u64, seen: Option<u64>, frame: &wire::Reply) -> Option<u64> {
+        let wire::Reply::Piece { events, .. } = frame else { return seen };
+        let fresh = seen.map_or(1, |seen| events.saturating_sub(seen));
+        let _ = self.events.send(Event::Progress { slot, events: fresh });
+        Some(*events)
+    }
+
     async fn load(&self) -> wire::Load {
         let (tx, rx) = oneshot::channel();
         let _ = self.events.send(Event::Load(tx));
