--- /dev/null
+++ b/measure/path/bench.rs
@@ -0,0 +1,188 @@
+//! The processes under measurement: stand-ins, one entry, a sidecar beside each engine.
+
+use std::{env, fs, io, io::BufRead, path, process, thread};
+
+use anyhow::Context;
+use knapweedford::{config, daemon, name, platform};
+
+use super::{stream, until};
+
+/// Model engines, each behind a sidecar.
+const ENGINES: usize = 4;
+/// Time between two tokens of an engine, in milliseconds.
+const TOKEN_MS: &str = "20";
+/// Streams per engine that warm it up.
+const WARM_STREAMS: usize = 25;
+/// Answers each of them reads.
+const WARM_ROUNDS: usize = 20;
+
+/// A process that ends with its owner.
+struct Child(process::Child);
+
+impl Drop for Child {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// All processes and where they listen.
+pub struct Bench {
+    dir: path::PathBuf,
+    children: Vec<Child>,
+    engines: Vec<String>,
+    entry: daemon::Ports,
+}
+
+impl Drop for Bench {
+    fn drop(&mut self) {
+        self.children.clear();
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl Bench {
+    /// Starts everything and waits until the entry is ready.
+    pub fn start() -> anyhow::Result<Self> {
+        let dir = env::temp_dir().join(format!("knapweedford-path-{}", process::id()));
+        fs::create_dir_all(&dir)?;
+        let ports = daemon::Ports {
+            callers: None,
+            operators: ([127, 0, 0, 1], 0).into(),
+            peers: ([127, 0, 0, 1], 0).into(),
+        };
+        let mut bench = Self { dir, children: Vec::new(), engines: Vec::new(), entry: ports };
+        let platform = format!("http://{}", bench.stand_in("stand-in-platform", &[])?);
+        bench.commit(&platform)?;
+        bench.entry = bench.daemon("entry-1", "entry", &platform, "callers: 127.0.0.1:0")?;
+        for number in 0..ENGINES {
+            bench.server(number, &platform)?;
+        }
+        let ready = format!("http://{}/readyz", bench.callers());
+        until("the entry", || ureq::get(&ready).call().ok())?;
+        Ok(bench)
+    }
+
+    /// The engine that stream `stream` calls directly.
+    pub fn engine(&self, stream: usize) -> String {
+        format!("http://{}/v1/completions", self.engines[stream % ENGINES])
+    }
+
+    /// The same call through the path.
+    pub fn path(&self) -> String {
+        format!("http://{}/writer/v1/completions", self.callers())
+    }
+
+    /// Loads the engines until their gates have opened.
+    pub fn warm(&self) -> anyhow::Result<()> {
+        thread::scope(|scope| {
+            for number in 0..ENGINES * WARM_STREAMS {
+                scope.spawn(move || {
+                    let agent = stream::agent();
+                    (0..WARM_ROUNDS).try_for_each(|round| {
+                        let body = stream::body(number, round, 4);
+                        stream::read_admitted(&agent, &self.path(), &body).map(drop)
+                    })
+                });
+            }
+        });
+        Ok(())
+    }
+
+    /// Resident memory of the entry, in KiB.
+    pub fn entry_memory(&self) -> anyhow::Result<u64> {
+        memory(&self.children[1])
+    }
+
+    /// Resident memory of the first sidecar, in KiB.
+    pub fn sidecar_memory(&self) -> anyhow::Result<u64> {
+        memory(&self.children[3])
+    }
+
+    fn callers(&self) -> std::net::SocketAddr {
+        self.entry.callers.unwrap_or(self.entry.operators)
+    }
+
+    fn commit(&self, platform: &str) -> anyhow::Result<()> {
+        let mut text = String::from(
+            "zones:\n  z1: {}\nservices:\n  writer:\n    kind: plain\n    calls:\n      \
+             - {method: POST, path: /v1/completions, repeatable: true, deadline-ms: 60000}\n    \
+             limits: {in-flight-per-server: 64}\nservers:\n",
+        );
+        for number in 0..ENGINES {
+            text.push_str(&format!("  writer-{number}: {{service: writer, zone: z1}}\n"));
+        }
+        let row = config::Committed { version: 1, text, out: config::Out::default() };
+        let url = format!("{platform}/table/{}", daemon::poll::CONFIG_KEY);
+        ureq::put(url).header("if-none-match", "*").send(serde_json::to_string(&row)?)?;
+        Ok(())
+    }
+
+    fn server(&mut self, number: usize, platform: &str) -> anyhow::Result<()> {
+        let engine = self.stand_in("stand-in-engine", &["--token-ms", TOKEN_MS])?;
+        let backend = format!("backend: {{server: writer-{number}, url: 'http://{engine}'}}");
+        let host = format!("side-{number}");
+        let ports = self.daemon(&host, "sidecar", platform, &backend)?;
+        let listed = platform::Listed {
+            host: name::Host::new(&host),
+            zone: "z1".into(),
+            peers: ports.peers,
+            server: Some(name::Server::new(format!("writer-{number}"))),
+            state: platform::State::Live,
+        };
+        let url = format!("{platform}/hosts/{host}");
+        ureq::put(url).send(serde_json::to_string(&listed)?)?;
+        self.engines.push(engine);
+        Ok(())
+    }
+
+    fn daemon(
+        &mut self,
+        host: &str,
+        role: &str,
+        platform: &str,
+        more: &str,
+    ) -> anyhow::Result<daemon::Ports> {
+        let ports = self.dir.join(format!("{host}.json"));
+        let settings = self.dir.join(format!("{host}.yaml"));
+        let text = format!(
+            "host: {host}\nzone: z1\nrole: {role}\noperators: 127.0.0.1:0\npeers: 127.0.0.1:0\n\
+             platform: {platform}\ntoken: 0123456789abcdef0123456789abcdef\n\
+             ports-file: {}\n{more}\n",
+            ports.display()
+        );
+        fs::write(&settings, text)?;
+        let child = process::Command::new(program("knapweedfordd")?)
+            .arg(settings)
+            .env("RUST_LOG", "warn")
+            .spawn()
+            .context("Could not start knapweedfordd; build it first.")?;
+        self.children.push(Child(child));
+        let text = until("a port file", || fs::read_to_string(&ports).ok())?;
+        Ok(serde_json::from_str(&text)?)
+    }
+
+    fn stand_in(&mut self, name: &str, args: &[&str]) -> anyhow::Result<String> {
+        let mut child = process::Command::new(program(name)?)
+            .args(args)
+            .stdout(process::Stdio::piped())
+            .spawn()
+            .with_context(|| format!("Could not start {name}; build it first."))?;
+        let out = child.stdout.take().context("no output")?;
+        self.children.push(Child(child));
+        let mut line = String::new();
+        io::BufReader::new(out).read_line(&mut line)?;
+        let address = line.trim().strip_prefix("listening ").context("no address printed")?;
+        Ok(address.into())
+    }
+}
+
+fn program(name: &str) -> anyhow::Result<path::PathBuf> {
+    Ok(env::current_exe()?.with_file_name(name))
+}
+
+fn memory(child: &Child) -> anyhow::Result<u64> {
+    let status = fs::read_to_string(format!("/proc/{}/status", child.0.id()))?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    Ok(line.context("no VmRSS")?.trim().trim_end_matches(" kB").parse()?)
+}
