Agree on configuration, outs and members through the table

Ruled out: a full mesh of heartbeats (920 x 919 messages a second), a history kept in separate rows (not atomic with the commit).

--- a/src/agree/mod.rs
+++ b/src/agree/mod.rs
@@ -1,1 +1,17 @@
-//! Agreement through the platform: configuration, membership, leases, claims.
+//! Agreement through the platform's table: configuration, members, leases, claims.
+//!
+//! All of it is state machines without I/O; `now` is the time since the
+//! process started. What must last or be agreed stands in the table; peers
+//! only carry it to each other sooner.
+
+pub mod change;
+pub mod desk;
+pub mod node;
+pub mod overlay;
+pub mod probe;
+pub mod record;
+pub mod roster;
+pub mod status;
+pub mod store;
+
+pub use node::Node;
--- /dev/null
+++ b/src/agree/record.rs
@@ -0,0 +1,182 @@
+//! The configuration row of the platform's table and the changes to it.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{config, name};
+
+/// Key of the row in the platform's table.
+pub const KEY: &str = "config";
+
+/// Changes that the row keeps.
+const HISTORY: usize = 64;
+
+/// Settled orders that the row remembers beyond its history.
+const SETTLED: usize = 256;
+
+/// Identity of one operator's order, drawn at random.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Op(pub u64);
+
+/// What operators take out of service or bring back.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Target {
+    /// An availability zone.
+    Zone(name::Zone),
+    /// A backend server.
+    Server(name::Server),
+}
+
+/// An order to take something out that is in force but not yet in the table.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Pending {
+    /// The order.
+    pub op: Op,
+    /// What is out.
+    pub target: Target,
+    /// Host whose operator's port took the order.
+    pub by: name::Host,
+}
+
+/// What one change did.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum What {
+    /// A new text.
+    Apply,
+    /// Taken out of service.
+    Out(Target),
+    /// Brought back.
+    In(Target),
+}
+
+/// One committed change.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Change {
+    /// Version that the change made.
+    pub version: u64,
+    /// The order behind it.
+    pub op: Op,
+    /// Host whose operators' port took the order.
+    pub by: name::Host,
+    /// What it did.
+    pub what: What,
+}
+
+/// The configuration row.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Record {
+    /// Counted up by one with each commit; 0 means none yet.
+    pub version: u64,
+    /// Version in which the text last changed.
+    pub text_version: u64,
+    /// The operators' text, to the letter.
+    pub text: String,
+    /// What operators have taken out.
+    pub out: config::Out,
+    /// Latest changes, oldest first.
+    pub history: Vec<Change>,
+    /// Orders to take out that are settled, oldest first.
+    pub settled: Vec<Op>,
+}
+
+impl Record {
+    /// The part that is in force.
+    pub fn committed(&self) -> config::Committed {
+        config::Committed { version: self.version, text: self.text.clone(), out: self.out.clone() }
+    }
+
+    /// The version in which `op` was committed, if the history still has it.
+    pub fn version_of(&self, op: Op) -> Option<u64> {
+        self.history.iter().find(|change| change.op == op).map(|change| change.version)
+    }
+
+    /// Whether the order to take out is in the row, or overridden by a later one.
+    pub fn is_settled(&self, op: Op) -> bool {
+        self.settled.contains(&op) || self.version_of(op).is_some()
+    }
+
+    /// The latest change to `target` after version `since`.
+    pub fn touched(&self, target: &Target, since: u64) -> Option<&Change> {
+        self.history
+            .iter()
+            .rev()
+            .take_while(|change| change.version > since)
+            .find(|change| matches!(&change.what, What::Out(t) | What::In(t) if t == target))
+    }
+
+    /// The row with a new text.
+    pub fn apply(&self, op: Op, by: &name::Host, text: &str) -> Self {
+        let mut next = self.next(op, by, What::Apply);
+        next.text = text.into();
+        next.text_version = next.version;
+        next
+    }
+
+    /// The row with `target` out.
+    pub fn take_out(&self, op: Op, by: &name::Host, target: &Target) -> Self {
+        let mut next = self.next(op, by, What::Out(target.clone()));
+        insert(&mut next.out, target);
+        next.settle([op]);
+        next
+    }
+
+    /// The row with `target` back; `overridden` orders to take it out are settled.
+    pub fn bring_in(
+        &self,
+        op: Op,
+        by: &name::Host,
+        target: &Target,
+        overridden: impl IntoIterator<Item = Op>,
+    ) -> Self {
+        let mut next = self.next(op, by, What::In(target.clone()));
+        match target {
+            Target::Zone(zone) => next.out.zones.remove(zone),
+            Target::Server(server) => next.out.servers.remove(server),
+        };
+        next.settle(overridden);
+        next
+    }
+
+    fn next(&self, op: Op, by: &name::Host, what: What) -> Self {
+        let mut next = self.clone();
+        next.version += 1;
+        next.history.push(Change { version: next.version, op, by: by.clone(), what });
+        let excess = next.history.len().saturating_sub(HISTORY);
+        next.history.drain(..excess);
+        next
+    }
+
+    fn settle(&mut self, ops: impl IntoIterator<Item = Op>) {
+        self.settled.extend(ops);
+        let excess = self.settled.len().saturating_sub(SETTLED);
+        self.settled.drain(..excess);
+    }
+}
+
+/// Adds `target` to `out`.
+pub fn insert(out: &mut config::Out, target: &Target) {
+    match target {
+        Target::Zone(zone) => out.zones.insert(zone.clone()),
+        Target::Server(server) => out.servers.insert(server.clone()),
+    };
+}
+
+/// What is in force at one process: the committed row and orders not yet durable.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Effective {
+    /// The committed part.
+    pub committed: config::Committed,
+    /// Orders to take out that are not yet in the table.
+    pub pending: Vec<Pending>,
+}
+
+impl Effective {
+    /// Everything that is out, durable or not.
+    pub fn out(&self) -> config::Out {
+        let mut out = self.committed.out.clone();
+        self.pending.iter().for_each(|pending| insert(&mut out, &pending.target));
+        out
+    }
+}
--- /dev/null
+++ b/src/wire/gossip.rs
@@ -0,0 +1,113 @@
+//! What processes tell each other of the configuration and of each other.
+//!
+//! Every message carries a digest and a few news of members, so that each
+//! contact teaches both ends; only [`Body::Document`] and [`Body::Members`]
+//! grow with the site.
+
+use std::net;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{agree::record, name};
+
+/// One message between two processes.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Message {
+    /// The sender.
+    pub from: Member,
+    /// What the sender knows.
+    pub digest: Digest,
+    /// News of members, bounded by [`UPDATES`].
+    pub updates: Vec<Member>,
+    /// What the message is for.
+    pub body: Body,
+}
+
+/// Most news of members on one message.
+pub const UPDATES: usize = 8;
+
+/// Parts of the roster that are compared by checksum.
+pub const BUCKETS: usize = 64;
+
+/// What a process knows, in short.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Digest {
+    /// Highest committed configuration version.
+    pub version: u64,
+    /// Checksum of the members it believes in service.
+    pub roster: u64,
+    /// Orders to take something out that are not yet durable.
+    pub pending: Vec<record::Pending>,
+}
+
+/// What a message is for.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Body {
+    /// Are you there?
+    Ping {
+        /// Comes back with the answer.
+        seq: u64,
+    },
+    /// Yes.
+    Ack {
+        /// From the ping.
+        seq: u64,
+    },
+    /// Ask another whether it is there.
+    PingFor {
+        /// Comes back with the answer.
+        seq: u64,
+        /// Whom to ask.
+        target: net::SocketAddr,
+    },
+    /// The digest says it all.
+    News,
+    /// Send the configuration.
+    Want,
+    /// The configuration as committed.
+    Document(Box<record::Record>),
+    /// Send everything; the sender has just started.
+    Join,
+    /// Checksums of the parts of the sender's roster.
+    Buckets(Vec<u32>),
+    /// Members of parts that differed.
+    Members {
+        /// The members.
+        members: Vec<Member>,
+        /// Parts that the sender wants back.
+        want: Vec<u8>,
+    },
+}
+
+/// One process as its peers know it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Member {
+    /// Its host.
+    pub host: name::Host,
+    /// Its availability zone.
+    pub zone: name::Zone,
+    /// Its address for other processes.
+    pub peers: net::SocketAddr,
+    /// The backend server beside it; `None` for entries.
+    pub server: Option<name::Server>,
+    /// Grows with each restart and each refutation; 0 if only listed by the platform.
+    pub incarnation: u64,
+    /// Drawn at start; a change means a restart, not a pause.
+    pub boot: u64,
+    /// Whether it said that it is leaving.
+    pub leaving: bool,
+    /// Whether it answers.
+    pub health: Health,
+}
+
+/// Whether a process answers, as its peers see it. The order is that of precedence.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Health {
+    /// It answers.
+    Alive,
+    /// It did not answer lately.
+    Suspect,
+    /// It did not answer for long.
+    Dead,
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -7,6 +7,7 @@
 use crate::{config, name};
 
 pub mod frame;
+pub mod gossip;
 
 /// Version of these messages; both ends must have the same.
 pub const VERSION: u32 = 1;
--- /dev/null
+++ b/tests/agreement.rs
@@ -0,0 +1,310 @@
+//! Configuration, zones out and in, and members, under virtual time.
+
+use std::time::Duration;
+
+use knapweedford::{
+    agree::change::{Order, Outcome},
+    agree::node::Input,
+    wire::gossip::Health,
+};
+
+use crate::site::{Site, apply, host, ms, secs, zone};
+
+fn committed(outcome: Option<&Outcome>) -> u64 {
+    match outcome {
+        Some(Outcome::Committed { version }) => *version,
+        other => panic!("not committed: {other:?}"),
+    }
+}
+
+#[test]
+fn change_spreads() {
+    let mut site = Site::settled(60);
+    site.order(5, 2, apply("two"));
+    site.run(secs(4));
+    assert_eq!(committed(site.answer(2)), 2);
+    assert_eq!(site.versions(), [2].into());
+}
+
+#[test]
+fn spreads_over_loss() {
+    let mut site = Site::settled(60);
+    site.loss = 0.3;
+    site.order(5, 2, apply("two"));
+    site.run(secs(4));
+    assert_eq!(site.versions(), [2].into());
+}
+
+#[test]
+fn racing_operators() {
+    let mut site = Site::settled(12);
+    site.order(3, 2, apply("one\nleft"));
+    site.order(4, 3, apply("one\nright"));
+    site.run(secs(4));
+    let answers = [site.answer(2).unwrap().clone(), site.answer(3).unwrap().clone()];
+    let won = answers.iter().filter(|a| matches!(a, Outcome::Committed { .. })).count();
+    assert_eq!(won, 1);
+    let Some(Outcome::Conflict { difference, remedy, .. }) =
+        answers.iter().find(|a| matches!(a, Outcome::Conflict { .. }))
+    else {
+        panic!("nobody lost: {answers:?}")
+    };
+    assert_eq!(difference.len(), 2);
+    assert!(remedy.contains("version 2"), "{remedy}");
+}
+
+#[test]
+fn stale_base() {
+    let mut site = Site::settled(3);
+    site.order(0, 2, apply("two"));
+    site.run(secs(2));
+    site.order(1, 3, Order::Apply { text: "three".into(), base: Some(1) });
+    site.run(secs(2));
+    assert!(matches!(site.answer(3), Some(Outcome::Conflict { version: 2, .. })));
+}
+
+#[test]
+fn lost_commit_answer() {
+    let mut site = Site::settled(6);
+    site.platform.state().lose_answer = 0.7;
+    for op in 2..12 {
+        site.order(op as usize % 6, op, apply(&format!("text {op}")));
+        site.run(secs(8));
+        assert_eq!(committed(site.answer(op)), op, "op {op}");
+    }
+    assert_eq!(site.versions(), [11].into());
+}
+
+#[test]
+fn lost_write() {
+    let mut site = Site::settled(6);
+    site.platform.state().lose_write = 0.7;
+    site.order(0, 2, apply("two"));
+    site.run(secs(8));
+    assert_eq!(committed(site.answer(2)), 2);
+}
+
+#[test]
+fn apply_while_down() {
+    let mut site = Site::settled(3);
+    site.platform.state().down = true;
+    site.order(0, 2, apply("two"));
+    site.run(secs(3));
+    assert!(matches!(site.answer(2), Some(Outcome::Unavailable { .. })));
+    assert_eq!(site.versions(), [1].into());
+}
+
+#[test]
+fn never_reverts() {
+    let mut site = Site::settled(10);
+    site.pause(9, secs(20));
+    site.order(1, 2, apply("two"));
+    site.run(secs(3));
+    site.kill(1);
+    site.start(1);
+    site.platform.state().down = true;
+    site.run(secs(40));
+    assert_eq!(site.versions(), [2].into());
+    for process in &site.processes {
+        let versions: Vec<u64> =
+            process.adopted.iter().map(|(_, effective)| effective.committed.version).collect();
+        assert!(versions.is_sorted(), "{versions:?}");
+    }
+}
+
+#[test]
+fn starts_while_down() {
+    let mut site = Site::settled(10);
+    site.platform.state().down = true;
+    site.kill(7);
+    site.run(secs(10));
+    site.start(7);
+    site.run(secs(2));
+    assert_eq!(site.node(7).record().version, 1);
+    assert_eq!(site.node(7).members().len(), 10);
+}
+
+#[test]
+fn isolated_learns() {
+    let mut site = Site::settled(10);
+    site.side[4] = 1;
+    site.run(secs(20));
+    site.order(0, 2, apply("two"));
+    site.run(secs(12));
+    assert_eq!(site.node(4).record().version, 2);
+}
+
+#[test]
+fn behind_named() {
+    let mut site = Site::settled(10);
+    site.pause(6, secs(60));
+    site.order(0, 2, apply("two"));
+    site.run(secs(2));
+    site.input(0, Input::Survey);
+    site.run(secs(2));
+    let status = site.node(0).status(site.now);
+    let behind: Vec<_> = status.behind.iter().map(|behind| behind.host.clone()).collect();
+    assert_eq!(behind, [host(6)]);
+}
+
+#[test]
+fn out_while_down() {
+    let mut site = Site::settled(40);
+    site.platform.state().down = true;
+    site.order(3, 2, Order::Out(zone("z1")));
+    site.run(secs(2));
+    assert!(site.all_out("z1"));
+    let Some(Outcome::NotDurable { held_by }) = site.answer(2) else { panic!("answered durable") };
+    assert!(*held_by >= 3, "{held_by}");
+    site.kill(3);
+    site.run(secs(60));
+    site.platform.state().down = false;
+    site.run(secs(30));
+    assert_eq!(site.versions(), [2].into());
+    assert!(site.node(5).status(site.now).not_durable.is_empty());
+    assert!(site.all_out("z1"));
+}
+
+#[test]
+fn last_holder_suffices() {
+    let mut site = Site::settled(8);
+    site.platform.state().down = true;
+    site.order(3, 2, Order::Out(zone("z1")));
+    site.run(secs(2));
+    (0..8).filter(|i| *i != 6).for_each(|i| site.kill(i));
+    (0..8).filter(|i| *i != 6).for_each(|i| site.start(i));
+    site.run(secs(5));
+    assert!(site.all_out("z1"));
+}
+
+#[test]
+fn in_needs_table() {
+    let mut site = Site::settled(8);
+    site.order(3, 2, Order::Out(zone("z1")));
+    site.run(secs(2));
+    assert_eq!(committed(site.answer(2)), 2);
+    site.platform.state().down = true;
+    site.order(3, 3, Order::In(zone("z1")));
+    site.run(secs(4));
+    assert!(matches!(site.answer(3), Some(Outcome::Unavailable { .. })));
+    assert!(site.all_out("z1"));
+    site.platform.state().down = false;
+    site.order(3, 4, Order::In(zone("z1")));
+    site.run(secs(4));
+    assert!(site.alive().all(|node| node.effective().out().zones.is_empty()));
+}
+
+#[test]
+fn late_out_stays_settled() {
+    let mut site = Site::settled(8);
+    site.platform.state().down = true;
+    site.order(3, 2, Order::Out(zone("z1")));
+    site.run(secs(2));
+    site.pause(7, secs(120));
+    site.platform.state().down = false;
+    site.run(secs(20));
+    site.order(0, 3, Order::In(zone("z1")));
+    site.run(secs(100));
+    site.run(secs(20));
+    assert!(site.alive().all(|node| node.effective().out().zones.is_empty()));
+    assert_eq!(site.node(7).record().version, 3);
+}
+
+#[test]
+fn death_then_restart() {
+    let mut site = Site::settled(20);
+    site.kill(4);
+    site.run(secs(15));
+    let health = |site: &Site| {
+        let members = site.node(0).members();
+        members.iter().find(|m| m.host == host(4)).map(|m| (m.health, m.boot))
+    };
+    assert_eq!(health(&site), Some((Health::Dead, 1)));
+    site.start(4);
+    site.run(secs(5));
+    assert_eq!(health(&site), Some((Health::Alive, 2)));
+}
+
+#[test]
+fn pause_is_no_restart() {
+    let mut site = Site::settled(20);
+    site.pause(4, secs(20));
+    site.run(secs(18));
+    site.run(secs(10));
+    let members = site.node(0).members();
+    let member = members.iter().find(|m| m.host == host(4)).unwrap();
+    assert_eq!((member.health, member.boot), (Health::Alive, 1));
+}
+
+#[test]
+fn rack_lost() {
+    let mut site = Site::settled(120);
+    let before: Vec<u64> = site.processes.iter().map(|p| p.cost.sent).collect();
+    (0..20).for_each(|i| site.kill(2 + i));
+    site.run(secs(20));
+    let dead = site.node(100).members().iter().filter(|m| m.health == Health::Dead).count();
+    assert_eq!(dead, 20);
+    let sent = |i: usize| site.processes[i].cost.sent - before[i];
+    let most = (30..120).map(sent).max().unwrap();
+    assert!(most < 20 * 12, "{most} messages from one process in 20 s");
+}
+
+#[test]
+fn regions_apart() {
+    let mut site = Site::settled(30);
+    (15..30).for_each(|i| site.side[i] = 1);
+    site.run(secs(120));
+    site.order(0, 2, apply("two"));
+    site.run(secs(100));
+    assert_eq!(site.versions(), [2].into());
+    site.side.fill(0);
+    site.run(secs(40));
+    let alive = |node: &knapweedford::agree::Node| {
+        node.members().iter().filter(|m| m.health == Health::Alive).count()
+    };
+    assert!(site.alive().all(|node| alive(node) == 30));
+}
+
+#[test]
+fn leaving_spreads() {
+    let mut site = Site::settled(20);
+    site.input(4, Input::Leave);
+    site.run(secs(2));
+    let knows = |node: &knapweedford::agree::Node| {
+        node.members().iter().any(|m| m.host == host(4) && m.leaving)
+    };
+    assert!(site.alive().all(knows));
+}
+
+fn reads_per_second(site: &mut Site, time: Duration) -> Vec<u64> {
+    (0..time.as_secs())
+        .map(|_| {
+            let before = site.platform.state().reads;
+            site.run(secs(1));
+            site.platform.state().reads - before
+        })
+        .collect()
+}
+
+#[test]
+fn no_stampede() {
+    let mut site = Site::settled(100);
+    site.run(secs(60));
+    let steady = reads_per_second(&mut site, secs(60)).into_iter().sum::<u64>() / 60;
+    site.platform.state().down = true;
+    site.run(secs(120));
+    site.platform.state().down = false;
+    let back = reads_per_second(&mut site, secs(30));
+    let peak = back.windows(5).map(|w| w.iter().sum::<u64>() / 5).max().unwrap();
+    assert!(peak <= 2 * steady.max(1), "steady {steady}, peak {peak}");
+}
+
+#[test]
+fn ticks_are_cheap() {
+    let mut site = Site::settled(60);
+    let before: u64 = site.processes.iter().map(|p| p.cost.sent).sum();
+    site.run(secs(30));
+    let sent = site.processes.iter().map(|p| p.cost.sent).sum::<u64>() - before;
+    assert!(sent <= 60 * 30 * 3, "{sent} messages");
+    site.run(ms(1));
+}
--- /dev/null
+++ b/tests/site.rs
@@ -0,0 +1,435 @@
+//! A small site under virtual time: nodes, a lossy network, a fake platform.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net,
+    sync::{Mutex, MutexGuard},
+    time::{self, Duration},
+};
+
+use knapweedford::{
+    Error, Result,
+    agree::{
+        change::{Order, Outcome},
+        node::{self, Input, Node, Output},
+        record::{Effective, Op, Target},
+        store,
+    },
+    name, platform,
+    wire::{frame, gossip},
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+/// The platform in memory.
+#[derive(Default)]
+pub struct Platform {
+    state: Mutex<State>,
+}
+
+/// Contents, faults and counts of a [`Platform`].
+pub struct State {
+    pub rows: BTreeMap<String, platform::Row>,
+    pub objects: BTreeMap<String, Vec<u8>>,
+    pub hosts: Vec<platform::Listed>,
+    pub down: bool,
+    pub lose_answer: f64,
+    pub lose_write: f64,
+    pub reads: u64,
+    pub writes: u64,
+    rng: Pcg64,
+    tag: u64,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            rows: BTreeMap::new(),
+            objects: BTreeMap::new(),
+            hosts: Vec::new(),
+            down: false,
+            lose_answer: 0.0,
+            lose_write: 0.0,
+            reads: 0,
+            writes: 0,
+            rng: Pcg64::seed_from_u64(7),
+            tag: 0,
+        }
+    }
+}
+
+fn down() -> Error {
+    Error::PlatformDown { service: "table", problem: "fake".into() }
+}
+
+impl Platform {
+    /// Contents, faults and counts.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
+    }
+
+    fn open(&self) -> Result<MutexGuard<'_, State>> {
+        let state = self.state();
+        if state.down { Err(down()) } else { Ok(state) }
+    }
+}
+
+impl State {
+    fn happens(&mut self, p: f64) -> bool {
+        p > 0.0 && self.rng.random_bool(p)
+    }
+}
+
+impl platform::Table for Platform {
+    fn read(&self, key: &str, _: Duration) -> Result<Option<platform::Row>> {
+        self.state().reads += 1;
+        Ok(self.open()?.rows.get(key).cloned())
+    }
+
+    fn write(
+        &self,
+        key: &str,
+        value: &str,
+        when: &platform::When,
+        _: Duration,
+    ) -> Result<platform::Written> {
+        self.state().writes += 1;
+        let mut state = self.open()?;
+        let p = state.lose_write;
+        if state.happens(p) {
+            return Err(down());
+        }
+        let holds = match (when, state.rows.get(key)) {
+            (platform::When::Absent, None) => true,
+            (platform::When::Unchanged(etag), Some(row)) => row.etag == *etag,
+            _ => false,
+        };
+        let p = state.lose_answer;
+        let lost = state.happens(p);
+        if !holds {
+            return if lost { Err(down()) } else { Ok(platform::Written::Refused) };
+        }
+        state.tag += 1;
+        let etag = platform::Etag(state.tag.to_string());
+        let row = platform::Row { etag: etag.clone(), value: value.into() };
+        state.rows.insert(key.into(), row);
+        if lost { Err(down()) } else { Ok(platform::Written::Done(etag)) }
+    }
+
+    fn delete(&self, key: &str, etag: &platform::Etag, _: Duration) -> Result<bool> {
+        self.state().writes += 1;
+        let mut state = self.open()?;
+        let held = state.rows.get(key).is_some_and(|row| row.etag == *etag);
+        if held {
+            state.rows.remove(key);
+        }
+        let p = state.lose_answer;
+        if state.happens(p) { Err(down()) } else { Ok(held) }
+    }
+}
+
+impl platform::Hosts for Platform {
+    fn list(&self, _: Duration) -> Result<Vec<platform::Listed>> {
+        self.state().reads += 1;
+        Ok(self.open()?.hosts.clone())
+    }
+}
+
+impl platform::Objects for Platform {
+    fn get(&self, key: &str, _: Duration) -> Result<Option<Vec<u8>>> {
+        Ok(self.open()?.objects.get(key).cloned())
+    }
+
+    fn put(&self, key: &str, data: &[u8], _: Duration) -> Result {
+        self.open()?.objects.insert(key.into(), data.into());
+        Ok(())
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Tick(usize, u64),
+    Deliver(usize, gossip::Message),
+    Store(usize, u64, store::Ask),
+}
+
+/// What one process cost.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cost {
+    /// Messages sent.
+    pub sent: u64,
+    /// Bytes sent and received, frames only.
+    pub bytes: u64,
+    /// Time spent in the state machine; wall clock.
+    pub busy: Duration,
+}
+
+/// One process of the site.
+pub struct Process {
+    /// The state machine; `None` while dead.
+    pub node: Option<Node>,
+    /// When it last adopted something, by version.
+    pub adopted: Vec<(Duration, Effective)>,
+    /// Cost so far.
+    pub cost: Cost,
+    boot: u64,
+    paused_until: Duration,
+}
+
+/// Processes, network, platform and virtual time.
+pub struct Site {
+    /// Virtual time.
+    pub now: Duration,
+    /// The platform.
+    pub platform: Platform,
+    /// The processes.
+    pub processes: Vec<Process>,
+    /// Answers to operators.
+    pub answers: BTreeMap<Op, Outcome>,
+    /// Probability that a message is lost.
+    pub loss: f64,
+    /// Processes that can reach each other have the same number here.
+    pub side: Vec<u8>,
+    /// Whether frames are encoded to count their bytes, and calls timed.
+    pub count_cost: bool,
+    queue: BTreeMap<(Duration, u64), Event>,
+    serial: u64,
+    rng: Pcg64,
+}
+
+/// One way through the network, at least and at most.
+const LATENCY_MS: std::ops::Range<u64> = 1..20;
+
+/// One call to the platform.
+const STORE_MS: u64 = 10;
+
+pub fn host(i: usize) -> name::Host {
+    name::Host::new(format!("h{i:03}"))
+}
+
+pub fn address(i: usize) -> net::SocketAddr {
+    net::SocketAddr::from(([10, 0, (i / 250) as u8, (i % 250) as u8], 7))
+}
+
+pub fn zone(name: &str) -> Target {
+    Target::Zone(name.into())
+}
+
+fn listed(i: usize) -> platform::Listed {
+    platform::Listed {
+        host: host(i),
+        zone: name::Zone::new(format!("z{}", i % 3)),
+        peers: address(i),
+        server: (i % 3 != 0).then(|| name::Server::new(format!("s{i}"))),
+        state: platform::State::Live,
+    }
+}
+
+impl Site {
+    /// A site of `count` processes that have just started, all listed.
+    pub fn new(count: usize) -> Self {
+        let mut site = Self {
+            now: Duration::ZERO,
+            platform: Platform::default(),
+            processes: Vec::new(),
+            answers: BTreeMap::new(),
+            loss: 0.0,
+            side: vec![0; count],
+            count_cost: false,
+            queue: BTreeMap::new(),
+            serial: 0,
+            rng: Pcg64::seed_from_u64(11),
+        };
+        site.platform.state().hosts = (0..count).map(listed).collect();
+        for i in 0..count {
+            site.processes.push(Process {
+                node: None,
+                adopted: Vec::new(),
+                cost: Cost::default(),
+                boot: 0,
+                paused_until: Duration::ZERO,
+            });
+            site.start(i);
+        }
+        site
+    }
+
+    /// A site that has run long enough to know itself, with text `one` committed.
+    pub fn settled(count: usize) -> Self {
+        let mut site = Self::new(count);
+        site.run(secs(15));
+        site.order(0, 1, apply("one"));
+        site.run(secs(10));
+        site
+    }
+
+    /// Starts or restarts process `i`, which knows nothing but process 0 and 1 as seeds.
+    pub fn start(&mut self, i: usize) {
+        let boot = self.processes[i].boot + 1;
+        let listed = listed(i);
+        let me = gossip::Member {
+            host: listed.host,
+            zone: listed.zone,
+            peers: listed.peers,
+            server: listed.server,
+            incarnation: 1 + self.now.as_millis() as u64,
+            boot,
+            leaving: false,
+            health: gossip::Health::Alive,
+        };
+        let seeds = vec![address(0), address(1)];
+        let start = node::Start { me, seeds, seed: 100 * boot + i as u64 };
+        let process = &mut self.processes[i];
+        process.boot = boot;
+        process.adopted.clear();
+        process.node = Some(Node::new(start, self.now));
+        let first = self.now + ms(self.rng.random_range(0..100));
+        self.push(first, Event::Tick(i, boot));
+    }
+
+    /// Kills process `i`.
+    pub fn kill(&mut self, i: usize) {
+        self.processes[i].node = None;
+    }
+
+    /// Stops process `i` for `time`; messages wait for it.
+    pub fn pause(&mut self, i: usize, time: Duration) {
+        self.processes[i].paused_until = self.now + time;
+    }
+
+    /// Gives process `i` an operator's order.
+    pub fn order(&mut self, i: usize, op: u64, order: Order) {
+        self.input(i, Input::Operator { op: Op(op), order });
+    }
+
+    /// Runs for `time`.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(((at, _), event)) = self.pop_until(end) {
+            self.now = at;
+            self.event(event);
+        }
+        self.now = end;
+    }
+
+    /// The answer to an order.
+    pub fn answer(&self, op: u64) -> Option<&Outcome> {
+        self.answers.get(&Op(op))
+    }
+
+    /// The process's state machine.
+    pub fn node(&self, i: usize) -> &Node {
+        self.processes[i].node.as_ref().unwrap()
+    }
+
+    /// The versions in force, of those alive.
+    pub fn versions(&self) -> BTreeSet<u64> {
+        self.alive().map(|node| node.record().version).collect()
+    }
+
+    /// The living.
+    pub fn alive(&self) -> impl Iterator<Item = &Node> {
+        self.processes.iter().filter_map(|process| process.node.as_ref())
+    }
+
+    /// Whether each living process has the zone out.
+    pub fn all_out(&self, zone: &str) -> bool {
+        self.alive().all(|node| node.effective().out().zones.contains(zone))
+    }
+
+    /// Hands `input` to process `i` now.
+    pub fn input(&mut self, i: usize, input: Input) {
+        let now = self.now;
+        let process = &mut self.processes[i];
+        let Some(node) = &mut process.node else { return };
+        let began = time::Instant::now();
+        let outputs = node.handle(now, input);
+        if self.count_cost {
+            process.cost.busy += began.elapsed();
+        }
+        for output in outputs {
+            self.output(i, output);
+        }
+    }
+
+    fn output(&mut self, i: usize, output: Output) {
+        match output {
+            Output::Store(ask) => {
+                let boot = self.processes[i].boot;
+                let at = self.now + ms(self.rng.random_range(1..STORE_MS));
+                self.push(at, Event::Store(i, boot, ask));
+            }
+            Output::Send { to, message } => self.send(i, to, message),
+            Output::Adopt(effective) => {
+                let now = self.now;
+                self.processes[i].adopted.push((now, effective));
+            }
+            Output::Members => {}
+            Output::Answer { op, outcome } => {
+                self.answers.insert(op, outcome);
+            }
+        }
+    }
+
+    fn send(&mut self, i: usize, to: net::SocketAddr, message: gossip::Message) {
+        let net::IpAddr::V4(ip) = to.ip() else { panic!("fake addresses are v4") };
+        let target = usize::from(ip.octets()[2]) * 250 + usize::from(ip.octets()[3]);
+        self.processes[i].cost.sent += 1;
+        if self.count_cost {
+            let size = frame::encode(&message).unwrap().len() as u64;
+            self.processes[i].cost.bytes += size;
+            self.processes[target].cost.bytes += size;
+        }
+        if self.side[i] != self.side[target] || self.rng.random_bool(self.loss) {
+            return;
+        }
+        let at = self.now + ms(self.rng.random_range(LATENCY_MS));
+        self.push(at, Event::Deliver(target, message));
+    }
+
+    fn event(&mut self, event: Event) {
+        let i = match &event {
+            Event::Tick(i, _) | Event::Deliver(i, _) | Event::Store(i, _, _) => *i,
+        };
+        let paused_until = self.processes[i].paused_until;
+        if self.now < paused_until {
+            return self.push(paused_until, event);
+        }
+        match event {
+            Event::Tick(_, boot) if boot != self.processes[i].boot => {}
+            Event::Tick(_, boot) => {
+                self.push(self.now + node::TICK, Event::Tick(i, boot));
+                self.input(i, Input::Tick);
+            }
+            Event::Deliver(_, message) => self.input(i, Input::Message(message)),
+            Event::Store(_, boot, ask) => {
+                let answer = store::serve(&ask, &self.platform, &self.platform);
+                if boot == self.processes[i].boot {
+                    self.input(i, Input::Store(answer));
+                }
+            }
+        }
+    }
+
+    fn push(&mut self, at: Duration, event: Event) {
+        self.serial += 1;
+        self.queue.insert((at, self.serial), event);
+    }
+
+    fn pop_until(&mut self, end: Duration) -> Option<((Duration, u64), Event)> {
+        let first = self.queue.first_entry()?;
+        (first.key().0 <= end).then(|| first.remove_entry())
+    }
+}
+
+pub fn secs(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+pub fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+pub fn apply(text: &str) -> Order {
+    Order::Apply { text: text.into(), base: None }
+}
