--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,15 +5,20 @@
 
 pub mod agree;
 pub mod config;
+pub mod daemon;
 pub mod entry;
 pub mod error;
 pub mod group;
+pub mod http;
 pub mod name;
+pub mod peer;
 pub mod platform;
 pub mod policy;
 pub mod settings;
 pub mod sidecar;
+pub mod view;
 pub mod wire;
+pub mod yaml;
 
 pub use error::Error;
 
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -6,3 +6,4 @@
 mod leases;
 mod platform;
 mod site;
+mod texts;
