--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -1,5 +1,9 @@
 //! Integration tests: one module a feature.
 
+mod agreement;
+mod claims;
 mod frames;
+mod leases;
 mod platform;
+mod site;
 mod texts;
