--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -21,6 +21,7 @@
 mod spelling;
 
 pub use diff::{Difference, Side, diff};
+pub use spelling::{is_name, remedy as name_remedy};
 
 /// Longest operators' text, in bytes.
 pub const TEXT_BYTES: usize = 3 << 20;
--- a/src/error.rs
+++ b/src/error.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 
+use crate::yaml;
+
 /// A typed failure; the message is a full sentence that says what to do.
 #[derive(Debug, thiserror::Error)]
 #[non_exhaustive]
@@ -14,17 +16,13 @@
         /// What the operating system said.
         source: io::Error,
     },
-    /// A YAML file does not have the expected shape.
-    #[error("{path}:{line}:{column}: {problem}.")]
-    Yaml {
+    /// A YAML file does not say what it must.
+    #[error("{}", place(path, findings))]
+    Text {
         /// The file, as the user named it.
         path: String,
-        /// Line, from 1.
-        line: u64,
-        /// Column, from 1.
-        column: u64,
-        /// What is wrong and what to write instead.
-        problem: String,
+        /// Every fault in it.
+        findings: yaml::Findings,
     },
     /// A frame on a peer connection was larger than allowed.
     #[error("A peer sent a frame of {size} bytes, over the limit of {limit}; upgrade both ends.")]
@@ -77,3 +75,8 @@
         problem: String,
     },
 }
+
+/// Each finding on a line of its own, after the file it is in.
+fn place(path: &str, findings: &yaml::Findings) -> String {
+    findings.iter().map(|finding| format!("{path}:{finding}")).collect::<Vec<_>>().join("\n")
+}
--- a/src/yaml/node.rs
+++ b/src/yaml/node.rs
@@ -74,17 +74,13 @@
         let options = serde_saphyr::options! {
             budget: budget,
             duplicate_keys: serde_saphyr::DuplicateKeyPolicy::PassThrough,
+            strict_booleans: true,
             with_snippet: false,
         };
         match serde_saphyr::from_str_with_options::<Self>(text, options) {
             Ok(node) => Ok(node),
             Err(err) => {
-                let mark = err.location().map_or(Mark::START, Mark::from);
-                out.add(
-                    mark,
-                    format!("The text is not valid YAML: {}", plain(&err)),
-                    "Correct the indentation, quotes or brackets there",
-                );
+                refuse(&err, &mut out);
                 out.or(None)
             }
         }
@@ -161,10 +157,26 @@
     }
 }
 
-fn plain(err: &serde_saphyr::Error) -> String {
-    let text = err.without_snippet().to_string();
-    let first = text.lines().next().unwrap_or_default();
-    first.trim_end_matches('.').to_owned()
+fn refuse(err: &serde_saphyr::Error, out: &mut Findings) {
+    let mark = err.location().map_or(Mark::START, Mark::from);
+    let err = err.without_snippet();
+    match err {
+        serde_saphyr::Error::MultipleDocuments { .. } => {
+            out.add(mark, "A second document begins here", "Write one document, without `---`");
+        }
+        _ => out.add(
+            mark,
+            format!("The text is not valid YAML: {}", reason(&err.to_string())),
+            "Correct the indentation, quotes, brackets or key there",
+        ),
+    }
+}
+
+/// What the parser says, without the place and the advice to programmers.
+fn reason(said: &str) -> &str {
+    let line = said.lines().next().unwrap_or_default();
+    let line = line.split(" at line ").next().unwrap_or(line);
+    line.split("; use ").next().unwrap_or(line)
 }
 
 impl<'de> Deserialize<'de> for Node {
--- a/src/yaml/read.rs
+++ b/src/yaml/read.rs
@@ -75,7 +75,10 @@
 
 impl<T: Read> Read for Option<T> {
     fn read(node: &Node, out: &mut Findings) -> Option<Self> {
-        T::read(node, out).map(Some)
+        match node.value {
+            Value::Null => Some(None),
+            _ => T::read(node, out).map(Some),
+        }
     }
 }
 
