--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -12,6 +12,9 @@
 /// Longest settings text, in bytes.
 pub const TEXT_BYTES: usize = 64 << 10;
 
+/// Time that a balancer takes to heed readiness unless the settings say otherwise, in milliseconds.
+const BALANCER_LAG_MS: u64 = 5_000;
+
 /// The role a process runs in.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Role {
@@ -44,6 +47,8 @@
     pub backend: Option<Backend>,
     /// Where to write the addresses in use once listening; for ports chosen by the kernel.
     pub ports_file: Option<path::PathBuf>,
+    /// Time for which the balancer may still send requests after readiness ends, in milliseconds.
+    pub balancer_lag_ms: u64,
     /// Peers to ask while the platform's host list is unreachable.
     pub seeds: Vec<net::SocketAddr>,
 }
@@ -91,6 +96,7 @@
             "token",
             "backend",
             "ports-file",
+            "balancer-lag-ms",
             "seeds",
         ];
         let table = Table::open(node, &known, out)?;
@@ -104,6 +110,7 @@
         let token = table.need("token", out);
         let backend = table.maybe("backend", None, out);
         let ports_file: Option<Option<String>> = table.maybe("ports-file", None, out);
+        let lag = table.maybe("balancer-lag-ms", BALANCER_LAG_MS, out);
         let seeds = table.maybe("seeds", Vec::new(), out);
         Some(Self {
             host: name::Host::new(host?),
@@ -116,6 +123,7 @@
             token: token?,
             backend: backend?,
             ports_file: ports_file?.map(path::PathBuf::from),
+            balancer_lag_ms: lag?,
             seeds: seeds?,
         })
     }
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -2,4 +2,5 @@
 
 mod frames;
 mod host_settings;
+mod platform;
 mod texts;
