--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -1,6 +1,8 @@
 //! Integration tests: one module a feature.
 
+mod agreement;
 mod frames;
 mod host_settings;
 mod platform;
 mod texts;
+mod site;
