--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -4,6 +4,7 @@
 mod claims;
 mod frames;
 mod leases;
+mod host_settings;
 mod platform;
 mod site;
 mod texts;
