--- /dev/null
+++ b/src/group/layout.rs
@@ -0,0 +1,28 @@
+//! Where ranks stand: the host and the zone of each.
+
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+/// Host and zone of each rank, as small numbers.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Layout {
+    /// Host of each rank.
+    pub hosts: Vec<u16>,
+    /// Zone of each rank.
+    pub zones: Vec<u16>,
+}
+
+impl Layout {
+    /// Ranks dealt to hosts in order, and hosts to zones in equal runs.
+    pub fn regular(ranks: usize, ranks_per_host: usize, zones: usize) -> Self {
+        let hosts = (0..ranks).map(|rank| (rank / ranks_per_host) as u16).collect();
+        let zones = (0..ranks).map(|rank| (rank * zones / ranks) as u16).collect();
+        Self { hosts, zones }
+    }
+
+    /// Zones that hold one of `ranks`.
+    pub fn zones_of(&self, ranks: &[u16]) -> usize {
+        ranks.iter().map(|&rank| self.zones[usize::from(rank)]).collect::<BTreeSet<_>>().len()
+    }
+}
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -1,1 +1,13 @@
 //! Group duties: expert maps of a model group and the orders that install them.
+//!
+//! Deciding is pure: counts → plan → map. Changing is two state machines
+//! without I/O, [`controller`] and [`rank`], joined by [`order`]s.
+
+pub mod bound;
+pub mod counts;
+pub mod layout;
+pub mod loads;
+pub mod map;
+pub mod pack;
+pub mod plan;
+pub mod straggler;
--- /dev/null
+++ b/src/group/plan.rs
@@ -0,0 +1,258 @@
+//! The change worth making now, if any: few moves that lower the skew of the map in use.
+
+use std::time;
+
+use serde::{Deserialize, Serialize};
+
+use crate::group::{bound, counts, layout, loads, map};
+
+/// Skew below which a layer is left alone.
+const GOOD: f64 = 1.003;
+/// Busiest ranks tried before a layer counts as mended as far as edits can.
+const TRIES: usize = 6;
+
+/// How an operator weighs the ends against each other.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Weights {
+    /// Worth of a second of group time saved.
+    pub skew: f64,
+    /// Worth of a second of group time that a change costs.
+    pub cost: f64,
+    /// Worth of keeping copies of an expert in two zones, in units of the load potential.
+    pub spread: f64,
+}
+
+impl Weights {
+    /// For groups whose runs must close on time: skew and cost of moves above all.
+    pub const PIENSAIME: Self = Self { skew: 1.0, cost: 1.0, spread: 0.0 };
+    /// For groups that must ride out the loss of a zone: copies in two zones, fewer changes.
+    pub const HSINCHU: Self = Self { skew: 0.5, cost: 1.0, spread: 0.05 };
+}
+
+/// What moves cost and how long their gain lasts.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Terms {
+    /// How long a change is expected to pay.
+    pub horizon: time::Duration,
+    /// Part of a balanced step that is spent in experts, from 0 to 1.
+    pub expert_part: f64,
+    /// Size of one expert's weights, in bytes.
+    pub expert_bytes: u64,
+    /// This group's share of the weight store's rate, in bytes a second.
+    pub rate: f64,
+    /// Slowdown of steps while weights are loaded, from 0 to 1.
+    pub interference: f64,
+    /// Time for which a switch stops the group.
+    pub stall: time::Duration,
+    /// Most bytes of one change.
+    pub max_bytes: u64,
+    /// Weights of the ends.
+    pub weights: Weights,
+}
+
+/// Why no change is made.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Why {
+    /// No counts have come yet.
+    NoCounts,
+    /// Every layer is even already.
+    Even,
+    /// What could be gained is within the noise of the counts.
+    Noise,
+    /// What could be gained is worth less than it costs.
+    Cost,
+    /// An operator froze the map.
+    Frozen,
+    /// A rank is slow for reasons of its own; no map mends it.
+    Straggler,
+    /// Another change is under way.
+    Busy,
+}
+
+/// A change that pays.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    /// The map to go to.
+    pub map: map::Map,
+    /// Copies to load.
+    pub moves: usize,
+    /// Bytes to load.
+    pub bytes: u64,
+    /// Expected mean skew over layers without and with the change.
+    pub skew: (f64, f64),
+    /// Group time saved over the horizon, in seconds.
+    pub saving: f64,
+    /// Group time lost to loading and stall, in seconds.
+    pub cost: f64,
+}
+
+/// What to do with a group's map.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// Leave it.
+    Keep {
+        /// Why.
+        why: Why,
+        /// Expected mean skew over layers.
+        skew: f64,
+    },
+    /// Make this change.
+    Change(Box<Change>),
+}
+
+/// The group as far as a decision needs it.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// Map in use.
+    pub map: &'a map::Map,
+    /// Popularity by layer.
+    pub counts: &'a [counts::Counts],
+    /// Where the ranks stand.
+    pub layout: &'a layout::Layout,
+}
+
+/// Decides on a change for the map in use.
+pub fn decide(view: View<'_>, terms: &Terms) -> Decision {
+    let shape = view.map.shape();
+    if view.counts.len() != shape.layers || view.counts.iter().any(|c| c.weights().is_empty()) {
+        return Decision::Keep { why: Why::NoCounts, skew: 1.0 };
+    }
+    let mut budget = (terms.max_bytes / terms.expert_bytes.max(1)) as usize;
+    let mut layers: Vec<Layer> =
+        (0..shape.layers).map(|layer| Layer::new(view, terms, layer, budget)).collect();
+    layers.sort_by(|a, b| b.net.total_cmp(&a.net).then(a.layer.cmp(&b.layer)));
+    let before = mean(layers.iter().map(|layer| layer.before));
+    let mut chosen: Vec<&Layer> = Vec::new();
+    for layer in layers.iter().filter(|layer| layer.net > 0.0) {
+        if layer.moves <= budget {
+            budget -= layer.moves;
+            chosen.push(layer);
+        }
+    }
+    let saving: f64 = chosen.iter().map(|layer| layer.saving).sum();
+    let cost = chosen.iter().map(|layer| layer.cost).sum::<f64>() + terms.stall.as_secs_f64();
+    match () {
+        () if chosen.is_empty() => Decision::Keep { why: why(&layers), skew: before },
+        () if terms.weights.skew * saving <= terms.weights.cost * cost => {
+            Decision::Keep { why: Why::Cost, skew: before }
+        }
+        () => Decision::Change(Box::new(change(view, terms, &chosen, (before, saving, cost)))),
+    }
+}
+
+fn change(view: View<'_>, terms: &Terms, chosen: &[&Layer], sums: (f64, f64, f64)) -> Change {
+    let mut map = view.map.clone();
+    chosen.iter().for_each(|layer| map.set_layer(layer.layer, &layer.cells));
+    let moves = view.map.moves(&map).len();
+    let (before, saving, cost) = sums;
+    let gained = chosen.iter().map(|layer| layer.before - layer.after).sum::<f64>();
+    Change {
+        map,
+        moves,
+        bytes: moves as u64 * terms.expert_bytes,
+        skew: (before, before - gained / view.map.shape().layers as f64),
+        saving,
+        cost,
+    }
+}
+
+fn why(layers: &[Layer]) -> Why {
+    match () {
+        () if layers.iter().all(|layer| layer.before <= layer.bound * GOOD) => Why::Even,
+        () if layers.iter().any(|layer| layer.noisy) => Why::Noise,
+        () => Why::Cost,
+    }
+}
+
+/// The best prefix of edits of one layer.
+struct Layer {
+    layer: usize,
+    cells: Vec<u16>,
+    moves: usize,
+    before: f64,
+    after: f64,
+    bound: f64,
+    saving: f64,
+    cost: f64,
+    net: f64,
+    noisy: bool,
+}
+
+impl Layer {
+    fn new(view: View<'_>, terms: &Terms, layer: usize, budget: usize) -> Self {
+        let shape = view.map.shape();
+        let counts = &view.counts[layer];
+        let old = view.map.layer(layer);
+        let mut loads = loads::Loads::new(counts.weights(), shape.slots, old);
+        let before = loads.skew();
+        let bound = bound::skew(counts.weights(), shape.ranks, shape.slots);
+        let mut best = Self {
+            layer,
+            cells: old.to_vec(),
+            moves: 0,
+            before,
+            after: before,
+            bound,
+            saving: 0.0,
+            cost: 0.0,
+            net: 0.0,
+            noisy: false,
+        };
+        let noise = noise_gain(&loads, &counts.errors(), shape.ranks);
+        let place = loads::Place { layout: view.layout, spread: terms.weights.spread };
+        let mut spent = 0;
+        while let Some(edit) = next(&loads, &place, bound) {
+            spent += edit.moves();
+            if spent > budget {
+                break;
+            }
+            loads.apply(edit);
+            best.consider(&loads, terms, &shape, (spent, noise));
+        }
+        best
+    }
+
+    fn consider(
+        &mut self,
+        loads: &loads::Loads<'_>,
+        terms: &Terms,
+        shape: &map::Shape,
+        (moves, noise): (usize, f64),
+    ) {
+        let after = loads.skew();
+        let step = 1.0 - terms.expert_part + terms.expert_part * self.before;
+        let part = terms.expert_part / step / shape.layers as f64;
+        let saving = terms.horizon.as_secs_f64() * part * (self.before - after);
+        let load = moves as f64 * terms.expert_bytes as f64 / terms.rate.max(1.0);
+        let cost = load * terms.interference;
+        let net = terms.weights.skew * saving - terms.weights.cost * cost;
+        self.noisy |= net > self.net && self.before - after <= noise;
+        if net > self.net && self.before - after > noise {
+            self.cells.copy_from_slice(loads.cells());
+            (self.moves, self.after, self.saving, self.cost, self.net) =
+                (moves, after, saving, cost, net);
+        }
+    }
+}
+
+/// Fall of the skew that fitting a map to noise alone would seem to give.
+fn noise_gain(loads: &loads::Loads<'_>, errors: &[f64], ranks: usize) -> f64 {
+    (2.0 * (ranks as f64).ln()).sqrt() * loads.error(errors)
+}
+
+fn next(loads: &loads::Loads<'_>, place: &loads::Place<'_>, bound: f64) -> Option<loads::Edit> {
+    if loads.skew() <= bound * GOOD {
+        return None;
+    }
+    let load = loads.by_rank();
+    let mut ranks: Vec<usize> = (0..load.len()).collect();
+    ranks.sort_by(|&a, &b| load[b].total_cmp(&load[a]));
+    ranks.into_iter().take(TRIES).find_map(|rank| loads.best(rank, place)).map(|(edit, _)| edit)
+}
+
+fn mean(values: impl ExactSizeIterator<Item = f64>) -> f64 {
+    let len = values.len().max(1) as f64;
+    values.sum::<f64>() / len
+}
