Fuzz the whole-answer check against the one right answer

Cause: pieces can come late, twice, out of order, from dead attempts and for other requests; the caller must get its own answer whole or see an error.

--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -1,4 +1,6 @@
 //! Integration tests: one module a feature.
 
 mod frames;
+mod fuzz;
+mod fuzz_answers;
 mod platform;
