--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -4,3 +4,4 @@
 mod fuzz;
 mod fuzz_answers;
 mod platform;
+mod texts;
