Fuzz the admission gate against what a server has shown

Cause: a server that has just started must get no more than it can carry, whatever restarts, silent failures, late health answers and drains do.

Change: tests/fuzz_gate.rs drives Gate under virtual time. Oracle: two requests, and one more for each whole answer since the start; three failures in a row count as a start; nothing while out; an idle server always takes one.

Ruled out: counting answers by the number of health changes heard.

--- a/src/sidecar/backend.rs
+++ b/src/sidecar/backend.rs
@@ -186,7 +186,9 @@
     let mut buf = vec![0; READ_BYTES];
     loop {
         let found = match reader.read(&mut buf) {
-            Ok(0) if events.whole() => return Ended::Whole { total: offset, checksum: hash.digest() },
+            Ok(0) if events.whole() => {
+                return Ended::Whole { total: offset, checksum: hash.digest() };
+            }
             Ok(0) => return broken(wire::Ran::Yes, &"the stream ended within an event"),
             Ok(len) => events.push(&buf[..len]),
             Err(err) => return broken(wire::Ran::Yes, &err),
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -3,5 +3,6 @@
 mod frames;
 mod fuzz;
 mod fuzz_answers;
+mod fuzz_gate;
 mod platform;
 mod texts;
