Read load and health of the backend server, its plain kind without either

Cause: a plain service that names no incarnation counted as unreachable, and tokens in flight never reached the gate. Ruled out: asking plain services for GET /load, which would run as a call there.

--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -27,12 +27,8 @@
     let told = tx.clone();
     super::signals::watch(move || super::send(&told, Event::Terminate))?;
     let lag = Duration::from_millis(cfg.balancer_lag_ms);
-    let io = {
-        let (view, ready) = (switches.view.clone(), switches.ready.clone());
-        let (refusing, stop) = (switches.refusing.clone(), switches.stop.clone());
-        let shared = Switches { view, ready, refusing, stop };
-        super::spawn_io(async move || serve(cfg, tx, shared).await)?
-    };
+    let shared = switches.clone();
+    let io = super::spawn_io(async move || serve(cfg, tx, shared).await)?;
     let mut stakker = Stakker::new(time::Instant::now());
     let actor = actor!(stakker, Entry::init(switches, lag), ret_nop!());
     super::reactor::run(stakker, &rx, |stakker, event| {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -61,6 +61,7 @@
 }
 
 /// The ends that the I/O thread and the main thread share.
+#[derive(Clone)]
 pub struct Switches {
     /// Configuration in force.
     pub view: watch::Sender<Arc<view::View>>,
--- a/src/daemon/sidecar.rs
+++ b/src/daemon/sidecar.rs
@@ -32,9 +32,9 @@
     let switches = Switches::new();
     let told = tx.clone();
     super::signals::watch(move || super::send(&told, Event::Terminate))?;
-    let stop = switches.stop.clone();
+    let shared = switches.clone();
     let server = backend.server.clone();
-    let io = super::spawn_io(async move || serve(cfg, backend, tx, stop).await)?;
+    let io = super::spawn_io(async move || serve(cfg, backend, tx, shared).await)?;
     let mut stakker = Stakker::new(time::Instant::now());
     let actor = actor!(stakker, Sidecar::init(Core::new(server), switches), ret_nop!());
     super::reactor::run(stakker, &rx, |stakker, event| {
@@ -101,7 +101,7 @@
     cfg: settings::Settings,
     backend: settings::Backend,
     events: mpsc::Sender<Event>,
-    stop: tokio::sync::watch::Sender<bool>,
+    on: Switches,
 ) -> Result {
     let (operators, operators_at) = super::listen(cfg.operators).await?;
     let (peers, peers_at) = super::listen(cfg.peers).await?;
@@ -118,11 +118,12 @@
         token: cfg.token.clone(),
         dump: move |tx| super::send(&dump, Event::Dump(tx)),
     };
-    let port = http::serve(operators, http::Limits::default(), rc::Rc::new(port), stop.subscribe());
+    let port =
+        http::serve(operators, http::Limits::default(), rc::Rc::new(port), on.stop.subscribe());
     tokio::task::spawn_local(port);
 
     let backend = Backend::new(&backend, POOLED);
-    tokio::task::spawn_local(health::watch(backend.clone(), events.clone()));
+    tokio::task::spawn_local(health::watch(backend.clone(), on.view.subscribe(), events.clone()));
     let side = rc::Rc::new(Side { backend, events: events.clone() });
     let handle = rc::Rc::new(async move |incoming: peer::Incoming| {
         let handled = match incoming.path.as_str() {
@@ -133,7 +134,7 @@
             log::info!("{err}");
         }
     });
-    peer::serve(peers, cfg.token.as_str().into(), handle, stop.subscribe()).await;
+    peer::serve(peers, cfg.token.as_str().into(), handle, on.stop.subscribe()).await;
     super::send(&events, Event::Drained);
     Ok(())
 }
--- a/src/sidecar/backend.rs
+++ b/src/sidecar/backend.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3;
 
 use super::events::Events;
-use crate::{settings, wire};
+use crate::{name, settings, wire};
 
 /// Longest time to open a connection to the backend server.
 const CONNECT_TIME: time::Duration = time::Duration::from_secs(1);
@@ -17,6 +17,9 @@
 /// Largest answer that is not a stream, in bytes.
 const ANSWER_LIMIT: u64 = 8 << 20;
 
+/// Largest document read, in bytes.
+const DOCUMENT_LIMIT: u64 = 64 << 10;
+
 /// Header with the request's identity.
 const ID_HEADER: &str = "x-request-id";
 /// Header that asks a stream to go on after an event.
@@ -25,6 +28,7 @@
 /// Clients of one backend server.
 #[derive(Clone, Debug)]
 pub struct Backend {
+    server: name::Server,
     url: String,
     pooled: ureq::Agent,
     fresh: ureq::Agent,
@@ -65,21 +69,27 @@
                 .build()
                 .new_agent()
         };
-        Self { url: settings.url.clone(), pooled: config(idle), fresh: config(0) }
+        let server = settings.server.clone();
+        Self { server, url: settings.url.clone(), pooled: config(idle), fresh: config(0) }
+    }
+
+    /// Name of the backend server.
+    pub fn server(&self) -> &name::Server {
+        &self.server
     }
 
-    /// Reads a small JSON document at `path`.
+    /// Reads a small JSON document at `path`; `None` if the answer is another.
     pub fn read<T: serde::de::DeserializeOwned>(
         &self,
         path: &str,
         within: time::Duration,
-    ) -> Result<T, ureq::Error> {
+    ) -> Result<Option<T>, ureq::Error> {
         let url = format!("{}{path}", self.url);
         let req = self.pooled.get(url).config().timeout_global(Some(within)).build();
         let mut res = req.call()?;
         match res.status().as_u16() {
-            200 => res.body_mut().read_json(),
-            status => Err(ureq::Error::StatusCode(status)),
+            200 => Ok(res.body_mut().with_config().limit(DOCUMENT_LIMIT).read_json().ok()),
+            _ => Ok(None),
         }
     }
 
--- a/src/sidecar/core.rs
+++ b/src/sidecar/core.rs
@@ -177,6 +177,7 @@
         self.reachable = health.is_some();
         if let Some(health) = health {
             self.gate.incarnation(health.incarnation);
+            self.gate.tokens(health.tokens);
         }
     }
 
--- a/src/view.rs
+++ b/src/view.rs
@@ -18,6 +18,12 @@
 }
 
 impl View {
+    /// Kind of the service that `server` serves; `None` if it is not known.
+    pub fn kind(&self, server: &name::Server) -> Option<config::Kind> {
+        let known = self.config.servers.get(server)?;
+        Some(self.config.services.get(&known.service)?.kind)
+    }
+
     /// Whether new work may go to `server`.
     pub fn allows(&self, server: &name::Server) -> bool {
         let known = self.config.servers.get(server);
