Run the agreement in every process

Cause: entries and sidecars polled the table each on their own, twice a second: 920 processes would read it 3,680 times a second, and an order to take a zone out could not be given at all, least of all during an outage.

Change: daemon::agent, a stakker thread around agent::Node; daemon::courier carries its messages as h2 exchanges on /gossip and its calls to the table on worker threads; daemon::orders answers operators (status, config, history, apply, zones and servers out and in). daemon::poll is gone.

--- a/src/agree/event.rs
+++ b/src/agree/event.rs
@@ -43,8 +43,8 @@
     },
     /// A call or reply of the request path carried this configuration version.
     Heard {
-        /// The other end.
-        from: net::SocketAddr,
+        /// The other end, if its address is known.
+        from: Option<net::SocketAddr>,
         /// Its version.
         version: u64,
     },
--- a/src/agree/node.rs
+++ b/src/agree/node.rs
@@ -43,6 +43,9 @@
 const POLL_PER_PROCESS: time::Duration = time::Duration::from_millis(100);
 const POLL_ISOLATED: time::Duration = time::Duration::from_secs(5);
 
+/// Period of reads of the host list while nobody else is known.
+const LIST_ALONE: time::Duration = time::Duration::from_secs(1);
+
 /// Time after which an order to take out that is not yet durable is answered.
 const OUT_PATIENCE: time::Duration = time::Duration::from_secs(1);
 
@@ -103,7 +106,7 @@
             Input::Message(message) => self.message(now, message),
             Input::Store(answer) => self.store(now, answer),
             Input::Operator { op, order } => self.operator(now, op, order),
-            Input::Heard { from, version } => self.compare(now, from, version),
+            Input::Heard { from, version } => self.heard(now, from, version),
             Input::Survey => self.survey_until = now + SURVEY,
             Input::Leave => self.leave(now),
         }
@@ -189,6 +192,10 @@
     fn ask_store(&mut self, now: time::Duration) {
         if self.probes.is_isolated(now) {
             self.poll.hurry(now, POLL_ISOLATED, &mut self.rng);
+            self.list.hurry(now, POLL_ISOLATED, &mut self.rng);
+        }
+        if self.roster.is_empty() {
+            self.list.hurry(now, LIST_ALONE, &mut self.rng);
         }
         if self.poll.start(now) {
             self.out.push(Output::Store(Ask::Poll));
@@ -303,6 +310,20 @@
         }
     }
 
+    fn heard(&mut self, now: time::Duration, from: Option<net::SocketAddr>, version: u64) {
+        let asked = self.want.is_some_and(|at| now < at + WANT_TIMEOUT);
+        match from {
+            _ if version <= self.record.version || asked => {}
+            Some(from) => self.compare(now, from, version),
+            None => {
+                self.want = Some(now);
+                for to in self.roster.sample(FANOUT, &mut self.rng) {
+                    self.send(to, Body::Want);
+                }
+            }
+        }
+    }
+
     fn teach(&mut self, to: net::SocketAddr, theirs: &Digest) {
         let older = theirs.version < self.record.version;
         let lacking =
--- a/src/agree/record.rs
+++ b/src/agree/record.rs
@@ -1,5 +1,7 @@
 //! The configuration row of the platform's table and the changes to it.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{config, name};
@@ -28,6 +30,15 @@
     Server(name::Server),
 }
 
+impl fmt::Display for Target {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Zone(zone) => write!(f, "zone {zone}"),
+            Self::Server(server) => write!(f, "server {server}"),
+        }
+    }
+}
+
 /// An order to take something out that is in force but not yet in the table.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Pending {
@@ -64,8 +75,9 @@
     pub what: What,
 }
 
-/// The configuration row.
+/// The configuration row. A bare [`config::Committed`] reads as one without a past.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
 pub struct Record {
     /// Counted up by one with each commit; 0 means none yet.
     pub version: u64,
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -9,11 +9,11 @@
 
 use stakker::{CX, Stakker, StopCause, actor, after, call, ret_nop};
 
-use super::{Ports, Switches};
+use super::{Ports, Switches, agent, courier};
 use crate::{
     Error, Result,
     entry::{Core, Event, Front},
-    http, peer, platform, settings,
+    http, peer, platform, settings, wire,
 };
 
 /// Time between refusing new requests and closing the ports, so that callers on
@@ -99,20 +99,31 @@
 
     let adopt = events.clone();
     let client = platform::Client::new(&cfg.platform);
-    tokio::task::spawn_local(super::poll::watch(client, move |view| {
+    let (link, errands) = agent::start(&cfg, peers_at, move |view| {
         super::send(&adopt, Event::View(view));
-    }));
+    })?;
+    let token = cfg.token.clone();
+    tokio::task::spawn_local(courier::run(client, token, link.clone(), errands));
     let dump = events.clone();
     let port = super::port::Port {
         token: cfg.token.clone(),
         dump: move |tx| super::send(&dump, Event::Dump(tx)),
+        link: link.clone(),
     };
     let port =
         http::serve(operators, http::Limits::default(), rc::Rc::new(port), on.stop.subscribe());
     tokio::task::spawn_local(port);
-    let ignore = rc::Rc::new(async |_: peer::Incoming| ());
+    let handle = rc::Rc::new(async move |incoming: peer::Incoming| {
+        let handled = match incoming.path.as_str() {
+            wire::GOSSIP => courier::serve(incoming, &link).await,
+            path => return log::warn!("a peer asked for {path}, which is not known here"),
+        };
+        if let Err(err) = handled {
+            log::info!("{err}");
+        }
+    });
     let token = cfg.token.as_str().into();
-    tokio::task::spawn_local(peer::serve(peers, token, ignore, on.stop.subscribe()));
+    tokio::task::spawn_local(peer::serve(peers, token, handle, on.stop.subscribe()));
 
     let front = Front {
         view: on.view.subscribe(),
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -10,9 +10,11 @@
 
 use crate::{Error, Result, name, settings, view};
 
+pub mod agent;
 pub mod args;
+pub mod courier;
 pub mod entry;
-pub mod poll;
+pub mod orders;
 pub mod port;
 pub mod ports;
 pub mod reactor;
--- a/src/daemon/port.rs
+++ b/src/daemon/port.rs
@@ -1,9 +1,10 @@
-//! The operators' port: dump and status, behind the token of the settings.
+//! The operators' port: dump, and what [`orders`] answers, behind the token of the settings.
 
 use std::rc;
 
 use tokio::sync::oneshot;
 
+use super::{agent::Link, orders};
 use crate::{http, peer};
 
 /// Answers operators.
@@ -12,6 +13,8 @@
     pub token: String,
     /// Asks the main thread for its state.
     pub dump: F,
+    /// The way to the agent.
+    pub link: Link,
 }
 
 impl<F> http::Handler for Port<F>
@@ -26,7 +29,10 @@
                 http::answer::refusal(401, "Present the token of the settings.", None)
             }
             "/dump" => self.state().await,
-            path => http::answer::refusal(404, &format!("There is nothing at {path}."), None),
+            _ => orders::handle(&self.link, req).await.unwrap_or_else(|req| {
+                let problem = format!("There is nothing at {}.", req.uri().path());
+                http::answer::refusal(404, &problem, None)
+            }),
         }
     }
 }
--- a/src/daemon/sidecar.rs
+++ b/src/daemon/sidecar.rs
@@ -9,7 +9,7 @@
 
 use stakker::{CX, Stakker, StopCause, actor, after, call, ret_nop};
 
-use super::{Ports, Switches};
+use super::{Ports, Switches, agent, courier};
 use crate::{
     Error, Result, http, peer, platform, settings,
     sidecar::{Backend, Core, Event, Side, health},
@@ -110,13 +110,16 @@
 
     let adopt = events.clone();
     let client = platform::Client::new(&cfg.platform);
-    tokio::task::spawn_local(super::poll::watch(client, move |view| {
+    let (link, errands) = agent::start(&cfg, peers_at, move |view| {
         super::send(&adopt, Event::View(view));
-    }));
+    })?;
+    let token = cfg.token.clone();
+    tokio::task::spawn_local(courier::run(client, token, link.clone(), errands));
     let dump = events.clone();
     let port = super::port::Port {
         token: cfg.token.clone(),
         dump: move |tx| super::send(&dump, Event::Dump(tx)),
+        link: link.clone(),
     };
     let port = http::serve(operators, http::Limits::default(), rc::Rc::new(port), stop.subscribe());
     tokio::task::spawn_local(port);
@@ -127,6 +130,7 @@
     let handle = rc::Rc::new(async move |incoming: peer::Incoming| {
         let handled = match incoming.path.as_str() {
             wire::CALL => rc::Rc::clone(&side).call(incoming).await,
+            wire::GOSSIP => courier::serve(incoming, &link).await,
             path => return log::warn!("a peer asked for {path}, which is not known here"),
         };
         if let Err(err) = handled {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -15,6 +15,9 @@
 /// Path of the exchange that carries a [`Call`] and its [`Reply`] frames.
 pub const CALL: &str = "/call";
 
+/// Path of the exchange that carries one [`gossip::Message`] and the answers to it.
+pub const GOSSIP: &str = "/gossip";
+
 /// Identity of one caller's request, unique over all entries.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct RequestId(pub u128);
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -5,5 +5,6 @@
 mod frames;
 mod leases;
 mod platform;
+mod processes;
 mod site;
 mod texts;
