--- a/src/group/loads.rs
+++ b/src/group/loads.rs
@@ -86,7 +86,8 @@
             let others = (0..self.cells.len()).filter(move |b| b / self.slots != hot);
             others.map(move |b| Edit::Put(b, self.cells[a]))
         });
-        let lighter = own.flat_map(|a| (0..self.weights.len()).map(move |e| Edit::Put(a, e as u16)));
+        let lighter =
+            own.flat_map(|a| (0..self.weights.len()).map(move |e| Edit::Put(a, e as u16)));
         swaps
             .chain(copies)
             .chain(lighter)
@@ -149,7 +150,10 @@
             return None;
         }
         let gain = self.drop(h, -shift) + self.drop(c, shift);
-        Some(gain - place.lost(self.holders(e), h, Some(c)) - place.lost(self.holders(f), c, Some(h)))
+        Some(
+            gain - place.lost(self.holders(e), h, Some(c))
+                - place.lost(self.holders(f), c, Some(h)),
+        )
     }
 
     fn gain_of_put(&self, a: usize, e: u16, place: &Place<'_>) -> Option<f64> {
--- a/src/group/pack.rs
+++ b/src/group/pack.rs
@@ -11,9 +11,9 @@
 pub fn replicate(weights: &[f64], ranks: usize, slots: usize) -> Vec<usize> {
     let mut copies = vec![1; weights.len()];
     for _ in weights.len()..ranks * slots {
-        let busiest = (0..weights.len())
-            .filter(|&e| copies[e] < ranks)
-            .max_by(|&a, &b| per_copy(weights, &copies, a).total_cmp(&per_copy(weights, &copies, b)));
+        let busiest = (0..weights.len()).filter(|&e| copies[e] < ranks).max_by(|&a, &b| {
+            per_copy(weights, &copies, a).total_cmp(&per_copy(weights, &copies, b))
+        });
         match busiest {
             Some(expert) => copies[expert] += 1,
             None => break,
@@ -88,7 +88,9 @@
             false => (false, false),
         };
         (0..self.held.len())
-            .filter(|&rank| self.held[rank].len() < self.slots && !self.held[rank].contains(&expert))
+            .filter(|&rank| {
+                self.held[rank].len() < self.slots && !self.held[rank].contains(&expert)
+            })
             .min_by(|&a, &b| {
                 let by_load = self.load[a].total_cmp(&self.load[b]);
                 crowded(a).cmp(&crowded(b)).then(by_load).then(a.cmp(&b))
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -3,11 +3,11 @@
 mod agreement;
 mod claims;
 mod frames;
-mod leases;
-mod host_settings;
 mod fuzz;
 mod fuzz_answers;
 mod fuzz_gate;
+mod host_settings;
+mod leases;
 mod platform;
 mod processes;
 mod site;
