--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -9,5 +9,6 @@
 mod host_settings;
 mod leases;
 mod platform;
+mod processes;
 mod site;
 mod texts;
