Never pass on another attempt's head, an engine's cut stream or a false 'did not run'

Cause (found by reading): a stream that a model engine ended at an event boundary without its last event counted as whole; a later attempt's head was dropped, so that the body of a 500 could follow the head of a 200; a failing server's 5xx went to the caller although another server could answer; and a refusal after an attempt that may have run said that the request did not run. Change: [DONE] ends a model engine's stream; an attempt whose head differs is lost; a 5xx to a repeatable call is tried elsewhere; the session remembers whether an attempt may have run.

--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -13,8 +13,8 @@
 pub async fn run(mut session: session::Session) -> http::Response {
     match session.next().await {
         Ok(session::Step::Head(head)) if head.streamed() => streamed(session, &head),
-        Ok(session::Step::Head(head)) => match whole(&mut session).await {
-            Ok(body) => response(&head, http::Body::whole(body)),
+        Ok(session::Step::Head(head)) => match whole(&mut session, head).await {
+            Ok((head, body)) => response(&head, http::Body::whole(body)),
             Err(refusal) => refusal.response(),
         },
         Ok(_) => Refusal::Broken { ran: wire::Ran::Unknown }.response(),
@@ -22,14 +22,19 @@
     }
 }
 
-async fn whole(session: &mut session::Session) -> Result<Bytes, Refusal> {
+async fn whole(
+    session: &mut session::Session,
+    mut head: session::Head,
+) -> Result<(session::Head, Bytes), Refusal> {
     let mut body = BytesMut::new();
     loop {
         match session.next().await? {
             session::Step::Data(data) => body.extend_from_slice(&data),
-            session::Step::Restart => body.clear(),
-            session::Step::End => return Ok(body.freeze()),
-            session::Step::Head(_) => {}
+            session::Step::End => return Ok((head, body.freeze())),
+            session::Step::Head(further) => {
+                head = further;
+                body.clear();
+            }
         }
     }
 }
--- a/src/entry/classify.rs
+++ b/src/entry/classify.rs
@@ -46,6 +46,7 @@
         prefix: prefix(&workspace, &req.body),
         tokens: tokens(&req.body),
         version: view.version,
+        kind: known.kind,
         service: name,
         path,
         workspace,
--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -55,7 +55,7 @@
         ran: wire::Ran,
     },
     /// The backend server broke off and the call may not be sent again.
-    #[error("The backend server broke off; find out whether the call ran before sending it again.")]
+    #[error("The backend server broke off; send the request again only if it may be repeated.")]
     Broken {
         /// Whether the request ran.
         ran: wire::Ran,
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -32,6 +32,8 @@
 pub struct Classified {
     /// Service called.
     pub service: name::Service,
+    /// What kind of back end serves it.
+    pub kind: config::Kind,
     /// Path and query at the service.
     pub path: String,
     /// Caller's workspace.
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -15,6 +15,9 @@
 /// Longest silence of a sidecar before a repeatable call goes elsewhere.
 const SILENCE: time::Duration = time::Duration::from_secs(2);
 
+/// First HTTP status that blames the server.
+const SERVER_ERROR: u16 = 500;
+
 /// Most attempts at one request.
 const ATTEMPTS: u32 = 5;
 
@@ -38,17 +41,26 @@
             |h: &wire::Header| h.name == "content-type" && h.value.starts_with("text/event-stream");
         self.headers.iter().any(events)
     }
+
+    /// Whether `other` can be the head of the same answer, begun elsewhere.
+    fn same(&self, other: &Self) -> bool {
+        self.status == other.status && self.streamed() == other.streamed()
+    }
+
+    /// Whether the backend server says that it failed.
+    fn failed(&self) -> bool {
+        self.status >= SERVER_ERROR
+    }
 }
 
 /// What a session yields next.
 #[derive(Debug)]
 pub enum Step {
-    /// The answer's head; once.
+    /// The answer's head. Once for a stream; for another body, a further head
+    /// makes void all that was yielded before.
     Head(Head),
     /// The next bytes of the body.
     Data(Bytes),
-    /// Bytes yielded before are void; the body starts again.
-    Restart,
     /// The answer is whole.
     End,
 }
@@ -77,6 +89,7 @@
     tried: Vec<crate::name::Server>,
     collect: Collect,
     whole: bool,
+    ran: wire::Ran,
 }
 
 impl Session {
@@ -92,6 +105,7 @@
             tried: Vec::new(),
             collect,
             whole: false,
+            ran: wire::Ran::No,
         }
     }
 
@@ -100,8 +114,16 @@
         self.req.id
     }
 
-    /// The next step of the answer.
+    /// The next step of the answer. A refusal says that the request did not run
+    /// only if no attempt may have run.
     pub async fn next(&mut self) -> Result<Step, Refusal> {
+        self.step().await.map_err(|refusal| match refusal.ran() {
+            wire::Ran::No if self.ran != wire::Ran::No => Refusal::Broken { ran: self.ran },
+            _ => refusal,
+        })
+    }
+
+    async fn step(&mut self) -> Result<Step, Refusal> {
         loop {
             if self.whole {
                 return Ok(Step::End);
@@ -194,6 +216,7 @@
             service: stage.service.clone(),
             workspace: stage.workspace.clone(),
             priority: stage.priority,
+            kind: stage.kind,
             left_ms: left.as_millis() as u64,
             repeatable: stage.repeatable,
             method: self.req.method.clone(),
@@ -227,7 +250,7 @@
                 self.tell(core::Outcome::Alive { load });
                 Ok(None)
             }
-            wire::Reply::Head { status, headers } => Ok(self.begin(status, headers)),
+            wire::Reply::Head { status, headers } => self.begin(status, headers),
             reply @ wire::Reply::Piece { .. } => self.gather(reply),
             wire::Reply::End { load, .. } => {
                 self.tell(core::Outcome::Alive { load });
@@ -249,18 +272,23 @@
         }
     }
 
-    fn begin(&mut self, status: u16, mut headers: Vec<wire::Header>) -> Option<Step> {
+    /// Takes the head of the live attempt's answer.
+    fn begin(
+        &mut self,
+        status: u16,
+        mut headers: Vec<wire::Header>,
+    ) -> Result<Option<Step>, Refusal> {
         headers.retain(|h| !HOP_HEADERS.contains(&h.name.as_str()));
         let head = Head { status, headers };
-        match &self.head {
+        let again = self.req.stage.repeatable && self.attempt < ATTEMPTS;
+        match self.head.as_ref().filter(|first| first.streamed()) {
+            Some(first) if first.same(&head) => Ok(None),
+            Some(_) => self.lose(Lost::Unknown).map(|()| None),
+            None if head.failed() && again => self.lose(Lost::Unknown).map(|()| None),
             None => {
-                self.head = Some(head.clone());
-                Some(Step::Head(head))
-            }
-            Some(first) if first.streamed() => None,
-            Some(_) => {
                 self.collect = Collect::new(self.req.id, self.attempt);
-                Some(Step::Restart)
+                self.head = Some(head.clone());
+                Ok(Some(Step::Head(head)))
             }
         }
     }
@@ -304,6 +332,9 @@
 
     /// Whether another attempt may be made after one was lost.
     fn retry(&mut self, lost: Lost) -> Result<(), Refusal> {
+        if let Lost::Unknown = lost {
+            self.ran = wire::Ran::Unknown;
+        }
         match lost {
             Lost::Unknown if !self.req.stage.repeatable => {
                 Err(Refusal::Broken { ran: wire::Ran::Unknown })
--- a/src/sidecar/backend.rs
+++ b/src/sidecar/backend.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3;
 
 use super::events::Events;
-use crate::{name, settings, wire};
+use crate::{config, name, settings, wire};
 
 /// Longest time to open a connection to the backend server.
 const CONNECT_TIME: time::Duration = time::Duration::from_secs(1);
@@ -196,10 +196,10 @@
     let mut buf = vec![0; READ_BYTES];
     loop {
         let found = match reader.read(&mut buf) {
-            Ok(0) if events.whole() => {
+            Ok(0) if events.whole() && (events.done() || call.kind == config::Kind::Plain) => {
                 return Ended::Whole { total: offset, checksum: hash.digest() };
             }
-            Ok(0) => return broken(wire::Ran::Yes, &"the stream ended within an event"),
+            Ok(0) => return broken(wire::Ran::Yes, &"the stream ended before its last event"),
             Ok(len) => events.push(&buf[..len]),
             Err(err) => return broken(wire::Ran::Yes, &err),
         };
--- a/src/sidecar/events.rs
+++ b/src/sidecar/events.rs
@@ -8,8 +8,12 @@
 pub struct Events {
     buf: Vec<u8>,
     count: u64,
+    done: bool,
 }
 
+/// Last event of a model engine's stream.
+const DONE: &[u8] = b"data: [DONE]\n\n";
+
 /// An event that does not end within [`EVENT_LIMIT`].
 #[derive(Debug, thiserror::Error)]
 #[error("The backend server sent an event over {EVENT_LIMIT} bytes; let it send smaller ones.")]
@@ -18,7 +22,7 @@
 impl Events {
     /// A stream of which the caller has `count` events.
     pub fn new(count: u64) -> Self {
-        Self { buf: Vec::new(), count }
+        Self { buf: Vec::new(), count, done: false }
     }
 
     /// Adds bytes; gives the whole events at hand and how many there are since the beginning.
@@ -37,11 +41,17 @@
             _ => {
                 let rest = self.buf.split_off(last);
                 self.count += found;
+                self.done = self.buf.ends_with(DONE);
                 Ok(Some((std::mem::replace(&mut self.buf, rest), self.count)))
             }
         }
     }
 
+    /// Whether the last whole event says that the answer is complete.
+    pub fn done(&self) -> bool {
+        self.done
+    }
+
     /// Whether the stream ended at an event boundary.
     pub fn whole(&self) -> bool {
         self.buf.is_empty()
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -39,6 +39,8 @@
     pub server: name::Server,
     /// Service called.
     pub service: name::Service,
+    /// What kind of back end serves it; a model engine's stream must end with `[DONE]`.
+    pub kind: config::Kind,
     /// Caller's workspace.
     pub workspace: name::Workspace,
     /// Interactive or batch.
