Write the operators' tool over a typed client of the operators' port

Cause: orders and questions had no tool; the surface of the port was closures with bare JSON. Ruled out: JSON bodies for apply (a raw text with ?base=N can be sent by any HTTP client to the letter), and a token on the command line (it would show in the process list). Change: src/operators (Client, Turn, InForce, Fault, readable), src/tool with one module a command, documented exit codes.

--- a/src/bin/knapweedford.rs
+++ b/src/bin/knapweedford.rs
@@ -1,3 +1,7 @@
 //! The operators' tool.
 
-fn main() {}
+use std::process;
+
+fn main() -> process::ExitCode {
+    knapweedford::tool::main()
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -1,6 +1,6 @@
 //! Every error of the crate, each with a message that names the remedy.
 
-use std::io;
+use std::{io, net};
 
 use crate::yaml;
 
@@ -74,6 +74,25 @@
         /// What is wrong with the arguments.
         problem: String,
     },
+    /// A process did not take the operator's token.
+    #[error(
+        "The process at {address} does not take the token; \
+         set KNAPWEEDFORD_TOKEN_FILE to a file with the token of its settings."
+    )]
+    Token {
+        /// The process.
+        address: net::SocketAddr,
+    },
+    /// A process refused an operator's request.
+    #[error("The process at {address} refused with status {status}: {problem}")]
+    Refused {
+        /// The process.
+        address: net::SocketAddr,
+        /// HTTP status.
+        status: u16,
+        /// What it said, with the remedy.
+        problem: String,
+    },
     /// A thread or a signal handler could not be started.
     #[error("Could not start a thread: {source}. Raise the limits of the process.")]
     Thread {
--- /dev/null
+++ b/src/operators/in_force.rs
@@ -0,0 +1,30 @@
+//! The answer to `GET /config`.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    agree::record::{Effective, Pending},
+    config,
+};
+
+/// What is in force at one process.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct InForce {
+    /// Committed version; 0 means none yet.
+    pub version: u64,
+    /// The operators' text, to the letter.
+    pub text: String,
+    /// All that is out, durable or not.
+    pub out: config::Out,
+    /// Orders to take out that are not yet in the platform's table.
+    pub not_durable: Vec<Pending>,
+}
+
+impl From<Effective> for InForce {
+    fn from(effective: Effective) -> Self {
+        let out = effective.out();
+        let Effective { committed, pending } = effective;
+        Self { version: committed.version, text: committed.text, out, not_durable: pending }
+    }
+}
--- /dev/null
+++ b/src/operators/mod.rs
@@ -0,0 +1,26 @@
+//! The operators' port: what the tool and every process say to each other, as JSON over HTTP.
+//!
+//! | Request | Answer |
+//! |---|---|
+//! | `GET /metrics` | Prometheus text |
+//! | `GET /dump` | state of the process; as text for `Accept: text/plain` |
+//! | `GET /status` | [`Status`](crate::agree::status::Status); starts a survey of who is behind |
+//! | `GET /config` | [`InForce`] |
+//! | `GET /history` | list of [`Change`](crate::agree::record::Change), oldest first |
+//! | `POST /apply?base=N`, the body is the text | [`Outcome`](crate::agree::change::Outcome) |
+//! | `POST /zones/NAME/out`, `/in` | the same |
+//! | `POST /servers/NAME/out`, `/in` | the same |
+//!
+//! Every request carries `Authorization: Bearer TOKEN`. A refusal is a [`Fault`].
+
+mod client;
+mod fault;
+mod in_force;
+mod readable;
+mod turn;
+
+pub use client::Client;
+pub use fault::Fault;
+pub use in_force::InForce;
+pub use readable::readable;
+pub use turn::Turn;
--- /dev/null
+++ b/src/tool/dump.rs
@@ -0,0 +1,10 @@
+//! `dump PROCESS`: the state of one process.
+
+use super::{Exit, Report};
+use crate::{Result, operators};
+
+/// Fetches the state.
+pub fn run(client: &operators::Client) -> Result<Report> {
+    let state = client.dump()?;
+    Ok(Report::new(operators::readable(&state), &state, Exit::Done))
+}
--- /dev/null
+++ b/src/tool/exit.rs
@@ -0,0 +1,53 @@
+//! Exit codes of the tool.
+
+use std::process;
+
+use crate::Error;
+
+/// How a run of the tool ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[repr(u8)]
+pub enum Exit {
+    /// Done.
+    Done = 0,
+    /// `diff` found differences.
+    Differs = 1,
+    /// The command line was not understood.
+    Usage = 2,
+    /// The text has faults.
+    Faults = 3,
+    /// Another operator was first; nothing was changed.
+    Conflict = 4,
+    /// The process was not reached, or refused.
+    Unreached = 5,
+    /// The platform is unavailable; nothing was changed.
+    Unavailable = 6,
+    /// In force and spreading, but not durable yet.
+    NotDurable = 7,
+    /// It is not known whether the order took effect.
+    Unknown = 8,
+    /// The time to wait ended before the version was in force everywhere.
+    Behind = 9,
+    /// A file could not be read, or another failure here.
+    Failed = 10,
+}
+
+impl Exit {
+    /// The code for an error.
+    pub fn of(err: &Error) -> Self {
+        match err {
+            Error::Usage { .. } => Self::Usage,
+            Error::Text { .. } => Self::Faults,
+            Error::Connection { .. } | Error::Token { .. } | Error::Refused { .. } => {
+                Self::Unreached
+            }
+            _ => Self::Failed,
+        }
+    }
+}
+
+impl From<Exit> for process::ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit as u8)
+    }
+}
--- /dev/null
+++ b/src/tool/history.rs
@@ -0,0 +1,36 @@
+//! `history`: committed changes.
+
+use super::{Exit, Report};
+use crate::{
+    Result,
+    agree::record::{Change, Target, What},
+    operators,
+};
+
+/// Fetches the changes.
+pub fn run(client: &operators::Client) -> Result<Report> {
+    Ok(report(&client.history()?))
+}
+
+/// Changes for printing, oldest first.
+pub fn report(changes: &[Change]) -> Report {
+    let text: String = changes.iter().map(line).collect();
+    Report::new(text, &changes, Exit::Done)
+}
+
+fn line(change: &Change) -> String {
+    let what = match &change.what {
+        What::Apply => "text applied".to_owned(),
+        What::Out(target) => format!("{} out", noun(target)),
+        What::In(target) => format!("{} in", noun(target)),
+    };
+    format!("{:>6}  {what}  through {}\n", change.version, change.by)
+}
+
+/// What a target is called in sentences.
+pub fn noun(target: &Target) -> String {
+    match target {
+        Target::Zone(zone) => format!("zone {zone}"),
+        Target::Server(server) => format!("backend server {server}"),
+    }
+}
--- /dev/null
+++ b/src/tool/mod.rs
@@ -0,0 +1,77 @@
+//! The operators' tool: one command a run, results on stdout, errors on stderr.
+
+use std::{
+    env,
+    io::{self, Write},
+    process,
+};
+
+use crate::{Error, Result, operators};
+
+pub mod args;
+
+mod apply;
+mod check;
+mod diff;
+mod dump;
+mod exit;
+mod file;
+mod help;
+mod history;
+mod report;
+mod show;
+mod status;
+mod turn;
+mod wait;
+
+pub use args::{Args, Command};
+pub use exit::Exit;
+pub use report::Report;
+
+/// Runs the tool with the process's arguments and environment.
+pub fn main() -> process::ExitCode {
+    let args = Args::parse(env::args_os().skip(1), |name| env::var(name).ok());
+    let json = args.as_ref().is_ok_and(|args| args.json);
+    let exit = match args.and_then(|args| run(&args)) {
+        Ok(report) => print(&report, json),
+        Err(err) => {
+            eprintln!("knapweedford: {err}");
+            Exit::of(&err)
+        }
+    };
+    exit.into()
+}
+
+/// Runs one command.
+pub fn run(args: &Args) -> Result<Report> {
+    match &args.command {
+        Command::Help => Ok(Report::text(help::TEXT)),
+        Command::Version => Ok(Report::text(help::VERSION)),
+        Command::Check { file } => check::run(file),
+        Command::Apply { file, base } => apply::run(&client(args)?, file, *base),
+        Command::Diff { file } => diff::run(&client(args)?, file),
+        Command::Show => show::run(&client(args)?),
+        Command::History => history::run(&client(args)?),
+        Command::Status => status::run(&client(args)?),
+        Command::Turn { turn, target } => turn::run(&client(args)?, *turn, target),
+        Command::Dump { process } => {
+            dump::run(&operators::Client::new(*process, &args.token.read()?))
+        }
+        Command::Wait { version } => wait::run(&client(args)?, *version, args.timeout),
+    }
+}
+
+fn client(args: &Args) -> Result<operators::Client> {
+    let missing = || Error::Usage {
+        problem: "No process is named: give --address or set KNAPWEEDFORD_ADDRESS".into(),
+    };
+    let address = args.address.ok_or_else(missing)?;
+    Ok(operators::Client::new(address, &args.token.read()?))
+}
+
+/// Prints `report`; a reader that has gone away is no fault.
+fn print(report: &Report, json: bool) -> Exit {
+    let text = if json { report.json() } else { report.plain().to_owned() };
+    let _ = io::stdout().lock().write_all(text.as_bytes());
+    report.exit
+}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -4,5 +4,6 @@
 mod frames;
 mod host_settings;
 mod platform;
-mod texts;
 mod site;
+mod texts;
+mod tool;
