--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -1,8 +1,13 @@
 //! Integration tests: one module a feature.
 
 mod agreement;
+mod claims;
 mod frames;
+mod fuzz;
+mod fuzz_answers;
+mod fuzz_gate;
 mod host_settings;
+mod leases;
 mod platform;
 mod site;
 mod texts;
