Add Prometheus metrics and key=value log lines

Cause: the port had no metrics and log lines were free text. Ruled out: labels by workspace (35,000 of them), and time formatting by a crate (seconds since the epoch sort and join as they are). Change: src/metrics (entry, sidecar, a flight that counts itself when dropped), src/logging.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod error;
 pub mod group;
 pub mod http;
+pub mod logging;
+pub mod metrics;
 pub mod name;
 pub mod operators;
 pub mod peer;
--- /dev/null
+++ b/src/metrics/entry.rs
@@ -0,0 +1,77 @@
+//! Metrics of an entry.
+
+use std::time;
+
+use prometheus::{HistogramVec, IntCounterVec, IntGauge};
+
+use super::{Flight, Page};
+
+/// Metrics of an entry; clones share the values.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// The page they stand on.
+    pub page: Page,
+    pub(super) in_flight: IntGauge,
+    pub(super) requests: IntCounterVec,
+    pub(super) first_piece: HistogramVec,
+    pub(super) duration: HistogramVec,
+    refusals: IntCounterVec,
+    attempts: IntCounterVec,
+}
+
+impl Entry {
+    /// All at zero.
+    pub fn new() -> Self {
+        let page = Page::new();
+        Self {
+            in_flight: page.gauge("requests_in_flight", "Requests of callers in flight here."),
+            requests: page.counter(
+                "requests_total",
+                "Requests of callers, by how they ended.",
+                &["service", "ending"],
+            ),
+            first_piece: page.seconds_by(
+                "first_piece_seconds",
+                "Time from a request's arrival to the first piece of its answer.",
+                &["service"],
+            ),
+            duration: page.seconds_by(
+                "request_seconds",
+                "Time from a request's arrival to its end.",
+                &["service"],
+            ),
+            refusals: page.counter(
+                "refusals_total",
+                "Answers that are not a backend server's, by reason.",
+                &["reason"],
+            ),
+            attempts: page.counter(
+                "attempts_total",
+                "Attempts at backend servers, by outcome.",
+                &["outcome"],
+            ),
+            page,
+        }
+    }
+
+    /// A request of `service` that arrived at `since` is in flight.
+    pub fn begin(&self, service: &str, since: time::Instant) -> Flight {
+        Flight::new(self.clone(), service, since)
+    }
+
+    /// Counts an answer that is not a backend server's.
+    pub fn refused(&self, reason: &str) {
+        self.refusals.with_label_values(&[reason]).inc();
+    }
+
+    /// Counts an attempt at a backend server.
+    pub fn attempt(&self, outcome: &str) {
+        self.attempts.with_label_values(&[outcome]).inc();
+    }
+}
+
+impl Default for Entry {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/src/metrics/page.rs
@@ -0,0 +1,85 @@
+//! The page that `GET /metrics` answers with.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder, core::Collector,
+};
+
+/// Bounds of latency buckets, in seconds.
+const SECONDS: [f64; 14] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0];
+
+/// Metrics of one process; clones share the values.
+#[derive(Clone, Debug)]
+pub struct Page {
+    registry: Registry,
+    version: IntGauge,
+    ready: IntGauge,
+}
+
+impl Page {
+    /// A page with what every process tells.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let version = gauge(&registry, "config_version", "Configuration version in force here.");
+        let ready = gauge(&registry, "ready", "Whether this process takes new requests.");
+        Self { registry, version, ready }
+    }
+
+    /// Notes the configuration version in force.
+    pub fn version(&self, version: u64) {
+        self.version.set(version as i64);
+    }
+
+    /// Notes whether the process takes new requests.
+    pub fn ready(&self, ready: bool) {
+        self.ready.set(ready.into());
+    }
+
+    /// The page in the Prometheus text format.
+    pub fn render(&self) -> String {
+        let mut out = Vec::new();
+        if let Err(err) = TextEncoder::new().encode(&self.registry.gather(), &mut out) {
+            log::error!("the metrics page could not be written: {err}");
+        }
+        String::from_utf8_lossy(&out).into_owned()
+    }
+
+    pub(super) fn gauge(&self, name: &str, help: &str) -> IntGauge {
+        gauge(&self.registry, name, help)
+    }
+
+    pub(super) fn counter(&self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+        let opts = Opts::new(name, help).namespace(NAMESPACE);
+        take(&self.registry, IntCounterVec::new(opts, labels))
+    }
+
+    pub(super) fn seconds(&self, name: &str, help: &str) -> Histogram {
+        let opts = HistogramOpts::new(name, help).namespace(NAMESPACE).buckets(SECONDS.into());
+        take(&self.registry, Histogram::with_opts(opts))
+    }
+
+    pub(super) fn seconds_by(&self, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+        let opts = HistogramOpts::new(name, help).namespace(NAMESPACE).buckets(SECONDS.into());
+        take(&self.registry, HistogramVec::new(opts, labels))
+    }
+}
+
+impl Default for Page {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+const NAMESPACE: &str = "knapweedford";
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    take(registry, IntGauge::with_opts(Opts::new(name, help).namespace(NAMESPACE)))
+}
+
+/// Registers a metric whose name and labels are constants of this crate.
+fn take<T: Collector + Clone + 'static>(registry: &Registry, made: prometheus::Result<T>) -> T {
+    let made = made.expect("metric names are valid");
+    registry.register(Box::new(made.clone())).expect("metric names differ");
+    made
+}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -10,5 +10,6 @@
 mod leases;
 mod platform;
 mod site;
+mod telemetry;
 mod texts;
 mod tool;
