--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -9,6 +9,7 @@
 mod host_settings;
 mod leases;
 mod platform;
+mod processes;
 mod site;
 mod telemetry;
 mod texts;
