Glue the operators' port: typed bodies, metrics, readable dump

Cause: the daemon's port answered with bare JSON, had no metrics, and its dump lacked the agreement.

--- a/measure/path/bench.rs
+++ b/measure/path/bench.rs
@@ -3,7 +3,7 @@
 use std::{env, fs, io, io::BufRead, path, process, thread};
 
 use anyhow::Context;
-use knapweedford::{config, daemon, name, platform};
+use knapweedford::{agree::record, daemon, name, platform};
 
 use super::{stream, until};
 
@@ -112,8 +112,8 @@
         for number in 0..ENGINES {
             text.push_str(&format!("  writer-{number}: {{service: writer, zone: z1}}\n"));
         }
-        let row = config::Committed { version: 1, text, out: config::Out::default() };
-        let url = format!("{platform}/table/{}", daemon::poll::CONFIG_KEY);
+        let row = record::Record { version: 1, text_version: 1, text, ..Default::default() };
+        let url = format!("{platform}/table/{}", record::KEY);
         ureq::put(url).header("if-none-match", "*").send(serde_json::to_string(&row)?)?;
         Ok(())
     }
--- a/src/daemon/agent.rs
+++ b/src/daemon/agent.rs
@@ -37,6 +37,8 @@
     Order(Order, oneshot::Sender<Outcome>),
     /// The status is asked for; starts a survey.
     Status(oneshot::Sender<Status>),
+    /// The status is asked for; asks nobody else.
+    Look(oneshot::Sender<Status>),
     /// The configuration in force is asked for.
     Config(oneshot::Sender<Effective>),
     /// The latest changes are asked for.
@@ -172,6 +174,9 @@
                 self.take(now, Input::Survey, None);
                 let _ = tx.send(self.node.status(now));
             }
+            Event::Look(tx) => {
+                let _ = tx.send(self.node.status(now));
+            }
             Event::Config(tx) => {
                 let _ = tx.send(self.node.effective());
             }
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -13,7 +13,7 @@
 use crate::{
     Error, Result,
     entry::{Core, Event, Front},
-    http, peer, platform, settings, wire,
+    http, metrics, peer, platform, settings, wire,
 };
 
 /// Time between refusing new requests and closing the ports, so that callers on
@@ -24,6 +24,7 @@
 pub fn run(cfg: settings::Settings) -> Result {
     let (tx, rx) = mpsc::channel();
     let switches = Switches::new();
+    let metrics = metrics::Entry::new();
     let told = tx.clone();
     super::signals::watch(move || super::send(&told, Event::Terminate))?;
     let lag = Duration::from_millis(cfg.balancer_lag_ms);
@@ -31,10 +32,11 @@
         let (view, ready) = (switches.view.clone(), switches.ready.clone());
         let (refusing, stop) = (switches.refusing.clone(), switches.stop.clone());
         let shared = Switches { view, ready, refusing, stop };
-        super::spawn_io(async move || serve(cfg, tx, shared).await)?
+        let metrics = metrics.clone();
+        super::spawn_io(async move || serve(cfg, tx, shared, metrics).await)?
     };
     let mut stakker = Stakker::new(time::Instant::now());
-    let actor = actor!(stakker, Entry::init(switches, lag), ret_nop!());
+    let actor = actor!(stakker, Entry::init(switches, metrics, lag), ret_nop!());
     super::reactor::run(stakker, &rx, |stakker, event| {
         let actor = actor.clone();
         call!([actor, stakker], event(event));
@@ -45,24 +47,32 @@
 struct Entry {
     core: Core,
     switches: Switches,
+    metrics: metrics::Entry,
     lag: Duration,
     ending: bool,
 }
 
 impl Entry {
-    fn init(_: CX![], switches: Switches, lag: Duration) -> Option<Self> {
-        Some(Self { core: Core::new(), switches, lag, ending: false })
+    fn init(_: CX![], switches: Switches, metrics: metrics::Entry, lag: Duration) -> Option<Self> {
+        Some(Self { core: Core::new(), switches, metrics, lag, ending: false })
     }
 
     fn event(&mut self, cx: CX![], event: Event) {
         match event {
             Event::View(view) => {
                 self.core.view(Arc::clone(&view));
+                self.metrics.page.version(view.version);
+                self.metrics.page.ready(!self.ending);
                 self.switches.view.send_replace(view);
                 self.switches.ready.send_replace(!self.ending);
             }
             Event::Route(ask) => self.core.route(*ask),
-            Event::News { server, outcome, over } => self.core.news(&server, &outcome, over),
+            Event::News { server, outcome, over } => {
+                if over {
+                    self.metrics.attempt(outcome.label());
+                }
+                self.core.news(&server, &outcome, over);
+            }
             Event::Dump(tx) => {
                 let _ = tx.send(self.core.dump());
             }
@@ -70,6 +80,7 @@
             Event::Terminate => {
                 log::info!("ending: not ready, still serving");
                 self.ending = true;
+                self.metrics.page.ready(false);
                 self.switches.ready.send_replace(false);
                 after!(self.lag, [cx], refuse());
             }
@@ -89,7 +100,12 @@
     }
 }
 
-async fn serve(cfg: settings::Settings, events: mpsc::Sender<Event>, on: Switches) -> Result {
+async fn serve(
+    cfg: settings::Settings,
+    events: mpsc::Sender<Event>,
+    on: Switches,
+    metrics: metrics::Entry,
+) -> Result {
     let callers = cfg.callers.ok_or(Error::Settings { problem: "An entry needs callers" })?;
     let (callers, callers_at) = super::listen(callers).await?;
     let (operators, operators_at) = super::listen(cfg.operators).await?;
@@ -109,6 +125,7 @@
         token: cfg.token.clone(),
         dump: move |tx| super::send(&dump, Event::Dump(tx)),
         link: link.clone(),
+        page: metrics.page.clone(),
     };
     let port =
         http::serve(operators, http::Limits::default(), rc::Rc::new(port), on.stop.subscribe());
@@ -132,6 +149,7 @@
         ready: on.ready.subscribe(),
         refusing: on.refusing.subscribe(),
         ids: cell::RefCell::new(super::generator(&cfg.host)),
+        metrics,
     };
     http::serve(callers, http::Limits::default(), rc::Rc::new(front), on.stop.subscribe()).await;
     super::send(&events, Event::Drained);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -8,7 +8,7 @@
 use rand::SeedableRng;
 use tokio::{sync::watch, task};
 
-use crate::{Error, Result, name, settings, view};
+use crate::{Error, Result, logging, name, settings, view};
 
 pub mod agent;
 pub mod args;
@@ -53,7 +53,7 @@
 }
 
 fn start(path: &path::Path) -> Result {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    logging::start();
     let cfg = settings::Settings::load(path)?;
     log::info!("starting host={} role={:?}", cfg.host, cfg.role);
     match cfg.role {
--- a/src/daemon/port.rs
+++ b/src/daemon/port.rs
@@ -1,11 +1,14 @@
-//! The operators' port: dump, and what [`orders`] answers, behind the token of the settings.
+//! The operators' port: metrics, dump, and what [`orders`] answers, behind the token.
 
 use std::rc;
 
 use tokio::sync::oneshot;
 
-use super::{agent::Link, orders};
-use crate::{http, peer};
+use super::{
+    agent::{Event, Link},
+    orders,
+};
+use crate::{http, metrics, operators, peer};
 
 /// Answers operators.
 pub struct Port<F> {
@@ -15,6 +18,8 @@
     pub dump: F,
     /// The way to the agent.
     pub link: Link,
+    /// What `GET /metrics` answers with.
+    pub page: metrics::Page,
 }
 
 impl<F> http::Handler for Port<F>
@@ -22,17 +27,14 @@
     F: Fn(oneshot::Sender<serde_json::Value>) + 'static,
 {
     async fn handle(self: rc::Rc<Self>, req: http::Request) -> http::Response {
-        let given = req.headers().get("authorization").and_then(|value| value.to_str().ok());
-        let given = given.and_then(|value| value.strip_prefix("Bearer ")).unwrap_or_default();
-        match req.uri().path() {
+        let given = header(&req, "authorization").strip_prefix("Bearer ").unwrap_or_default();
+        match (req.method().as_str(), req.uri().path()) {
             _ if !peer::same(given, &self.token) => {
                 http::answer::refusal(401, "Present the token of the settings.", None)
             }
-            "/dump" => self.state().await,
-            _ => orders::handle(&self.link, req).await.unwrap_or_else(|req| {
-                let problem = format!("There is nothing at {}.", req.uri().path());
-                http::answer::refusal(404, &problem, None)
-            }),
+            ("GET", "/dump") => self.state(header(&req, "accept").starts_with("text/plain")).await,
+            ("GET", "/metrics") => http::answer::text(200, self.page.render()),
+            _ => orders::handle(&self.link, req).await.unwrap_or_else(|req| nothing(&req)),
         }
     }
 }
@@ -41,12 +43,31 @@
 where
     F: Fn(oneshot::Sender<serde_json::Value>) + 'static,
 {
-    async fn state(&self) -> http::Response {
+    async fn state(&self, readable: bool) -> http::Response {
         let (tx, rx) = oneshot::channel();
         (self.dump)(tx);
-        match rx.await {
-            Ok(state) => http::answer::json(200, &state),
-            Err(_) => http::answer::refusal(503, "The process is ending.", None),
+        let agreement = self.link.ask(Event::Look).await;
+        match (rx.await, readable) {
+            (Ok(state), false) => http::answer::json(200, &whole(state, &agreement)),
+            (Ok(state), true) => {
+                http::answer::text(200, operators::readable(&whole(state, &agreement)))
+            }
+            (Err(_), _) => http::answer::refusal(503, "The process is ending.", None),
         }
     }
 }
+
+/// The state of the process with that of its agreement.
+fn whole(mut state: serde_json::Value, agreement: &impl serde::Serialize) -> serde_json::Value {
+    state["agreement"] = serde_json::to_value(agreement).unwrap_or_default();
+    state
+}
+
+fn nothing(req: &http::Request) -> http::Response {
+    let problem = format!("There is no {} {}; see the manual.", req.method(), req.uri().path());
+    http::answer::refusal(404, &problem, None)
+}
+
+fn header<'a>(req: &'a http::Request, name: &str) -> &'a str {
+    req.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+}
--- a/src/daemon/sidecar.rs
+++ b/src/daemon/sidecar.rs
@@ -11,7 +11,7 @@
 
 use super::{Ports, Switches, agent, courier};
 use crate::{
-    Error, Result, http, peer, platform, settings,
+    Error, Result, http, metrics, peer, platform, settings,
     sidecar::{Backend, Core, Event, Side, health},
     wire,
 };
@@ -33,10 +33,11 @@
     let told = tx.clone();
     super::signals::watch(move || super::send(&told, Event::Terminate))?;
     let stop = switches.stop.clone();
-    let server = backend.server.clone();
-    let io = super::spawn_io(async move || serve(cfg, backend, tx, stop).await)?;
+    let core = Core::new(backend.server.clone());
+    let page = core.metrics().page.clone();
+    let io = super::spawn_io(async move || serve(cfg, backend, tx, stop, page).await)?;
     let mut stakker = Stakker::new(time::Instant::now());
-    let actor = actor!(stakker, Sidecar::init(Core::new(server), switches), ret_nop!());
+    let actor = actor!(stakker, Sidecar::init(core, switches), ret_nop!());
     super::reactor::run(stakker, &rx, |stakker, event| {
         let actor = actor.clone();
         call!([actor, stakker], event(event));
@@ -102,6 +103,7 @@
     backend: settings::Backend,
     events: mpsc::Sender<Event>,
     stop: tokio::sync::watch::Sender<bool>,
+    page: metrics::Page,
 ) -> Result {
     let (operators, operators_at) = super::listen(cfg.operators).await?;
     let (peers, peers_at) = super::listen(cfg.peers).await?;
@@ -120,6 +122,7 @@
         token: cfg.token.clone(),
         dump: move |tx| super::send(&dump, Event::Dump(tx)),
         link: link.clone(),
+        page,
     };
     let port = http::serve(operators, http::Limits::default(), rc::Rc::new(port), stop.subscribe());
     tokio::task::spawn_local(port);
--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -4,24 +4,40 @@
 use tokio::sync::mpsc;
 
 use super::{Refusal, refusal, session};
-use crate::{http, wire};
+use crate::{http, metrics, wire};
 
 /// Pieces that may wait for a slow caller.
 const PIECES: usize = 64;
 
 /// Drives `session` and answers the caller.
-pub async fn run(mut session: session::Session) -> http::Response {
+pub async fn run(mut session: session::Session, flight: metrics::Flight) -> http::Response {
     match session.next().await {
-        Ok(session::Step::Head(head)) if head.streamed() => streamed(session, &head),
+        Ok(session::Step::Head(head)) if head.streamed() => streamed(session, &head, flight),
         Ok(session::Step::Head(head)) => match whole(&mut session).await {
-            Ok(body) => response(&head, http::Body::whole(body)),
-            Err(refusal) => refusal.response(),
+            Ok(body) => {
+                flight.end(metrics::Ending::Whole);
+                response(&head, http::Body::whole(body))
+            }
+            Err(refusal) => refuse(&refusal, flight),
         },
-        Ok(_) => Refusal::Broken { ran: wire::Ran::Unknown }.response(),
-        Err(refusal) => refusal.response(),
+        Ok(_) => refuse(&Refusal::Broken { ran: wire::Ran::Unknown }, flight),
+        Err(refusal) => refuse(&refusal, flight),
     }
 }
 
+fn refuse(refusal: &Refusal, flight: metrics::Flight) -> http::Response {
+    count(refusal, flight);
+    refusal.response()
+}
+
+fn count(refusal: &Refusal, flight: metrics::Flight) {
+    flight.refused(refusal.label());
+    flight.end(match refusal.ran() {
+        wire::Ran::No => metrics::Ending::Refused,
+        wire::Ran::Yes | wire::Ran::Unknown => metrics::Ending::Failed,
+    });
+}
+
 async fn whole(session: &mut session::Session) -> Result<Bytes, Refusal> {
     let mut body = BytesMut::new();
     loop {
@@ -34,30 +50,42 @@
     }
 }
 
-fn streamed(session: session::Session, head: &session::Head) -> http::Response {
+fn streamed(
+    session: session::Session,
+    head: &session::Head,
+    flight: metrics::Flight,
+) -> http::Response {
     let (tx, rx) = mpsc::channel(PIECES);
-    tokio::task::spawn_local(pump(session, tx));
+    tokio::task::spawn_local(pump(session, tx, flight));
     response(head, http::Body::Stream(rx))
 }
 
-async fn pump(mut session: session::Session, tx: mpsc::Sender<Result<Bytes, http::answer::Cut>>) {
+async fn pump(
+    mut session: session::Session,
+    tx: mpsc::Sender<Result<Bytes, http::answer::Cut>>,
+    mut flight: metrics::Flight,
+) {
+    let id = session.id();
     loop {
         let step = tokio::select! {
             step = session.next() => step,
-            () = tx.closed() => return log::info!("caller went away req={}", session.id()),
+            () = tx.closed() => return log::info!(req:% = id; "caller went away"),
         };
         let sent = match step {
-            Ok(session::Step::Data(data)) => tx.send(Ok(data)).await,
-            Ok(session::Step::End) => return,
+            Ok(session::Step::Data(data)) => {
+                flight.piece();
+                tx.send(Ok(data)).await
+            }
+            Ok(session::Step::End) => return flight.end(metrics::Ending::Whole),
             Ok(_) => Ok(()),
             Err(refusal) => {
-                log::warn!("stream cut req={} why={refusal}", session.id());
+                log::warn!(req:% = id, why = refusal.label(); "stream cut: {refusal}");
                 let _ = tx.send(Err(http::answer::Cut)).await;
-                return;
+                return count(&refusal, flight);
             }
         };
         if sent.is_err() {
-            return log::info!("caller went away req={}", session.id());
+            return log::info!(req:% = id; "caller went away");
         }
     }
 }
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -101,6 +101,21 @@
     Cancelled,
 }
 
+impl Outcome {
+    /// Its label in metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Refused { .. } => "refused",
+            Self::Admitted { .. } => "admitted",
+            Self::Alive { .. } => "alive",
+            Self::Finished { .. } => "whole",
+            Self::Broken => "broken",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
 /// A routed attempt; reports its end when dropped.
 pub struct Routed {
     /// The backend server.
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -6,7 +6,7 @@
 use tokio::sync::watch;
 
 use super::{Event, Refusal, accept, answer, classify, session};
-use crate::{http, peer, view, wire};
+use crate::{http, metrics, peer, view, wire};
 
 /// What the I/O thread of an entry shares between requests.
 pub struct Front {
@@ -22,6 +22,8 @@
     pub refusing: watch::Receiver<bool>,
     /// Source of request identities.
     pub ids: cell::RefCell<rand_pcg::Pcg64>,
+    /// Counts of requests.
+    pub metrics: metrics::Entry,
 }
 
 /// Header with the identity that the entry gave a request.
@@ -48,10 +50,16 @@
         let accepted = accept::run(id, req).await;
         let view = Arc::clone(&self.view.borrow());
         let mut res = match accepted.and_then(|req| classify::run(req, &view)) {
-            Ok(req) => answer::run(session::Session::new(rc::Rc::clone(&self), req)).await,
-            Err(refusal) => refusal.response(),
+            Ok(req) => {
+                let flight = self.metrics.begin(req.stage.service.as_str(), req.arrived);
+                answer::run(session::Session::new(rc::Rc::clone(&self), req), flight).await
+            }
+            Err(refusal) => {
+                self.metrics.refused(refusal.label());
+                refusal.response()
+            }
         };
-        log::info!("answered req={id} status={}", res.status().as_u16());
+        log::info!(req:% = id, status = res.status().as_u16(); "answered");
         if let Ok(value) = hyper::header::HeaderValue::try_from(id.to_string()) {
             res.headers_mut().insert(ID_HEADER, value);
         }
--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -71,6 +71,21 @@
         }
     }
 
+    /// Its label in metrics and logs.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Bad(_) => "bad",
+            Self::TooLarge { .. } => "too-large",
+            Self::Unknown(_) => "unknown",
+            Self::Busy { .. } => "busy",
+            Self::Unavailable { .. } => "unavailable",
+            Self::Unclaimed { .. } => "unclaimed",
+            Self::Claimed { .. } => "claimed",
+            Self::Late { .. } => "late",
+            Self::Broken { .. } => "broken",
+        }
+    }
+
     /// HTTP status.
     pub fn status(&self) -> u16 {
         match self {
--- a/src/metrics/flight.rs
+++ b/src/metrics/flight.rs
@@ -28,6 +28,11 @@
         }
     }
 
+    /// Counts that the answer is not a backend server's.
+    pub fn refused(&self, reason: &str) {
+        self.metrics.refused(reason);
+    }
+
     /// Ends the request.
     pub fn end(mut self, ending: Ending) {
         self.ending = ending;
--- a/src/policy/gate.rs
+++ b/src/policy/gate.rs
@@ -39,6 +39,17 @@
     Cancelled,
 }
 
+impl Ending {
+    /// Its label in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
 /// Leave for one request to be in flight; given back by [`Gate::release`].
 #[derive(Debug)]
 #[must_use]
@@ -49,6 +60,13 @@
     events: u64,
 }
 
+impl Permit {
+    /// When it was given.
+    pub fn since(&self) -> time::Duration {
+        self.at
+    }
+}
+
 /// Why a request was not admitted and when to come back.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Refusal {
--- a/src/sidecar/core.rs
+++ b/src/sidecar/core.rs
@@ -6,7 +6,7 @@
 
 use super::health;
 use crate::{
-    name,
+    metrics, name,
     policy::gate::{self, Gate},
     view, wire,
 };
@@ -92,6 +92,7 @@
     reachable: bool,
     leaving: bool,
     out: bool,
+    metrics: metrics::Sidecar,
 }
 
 impl Core {
@@ -106,9 +107,15 @@
             reachable: false,
             leaving: false,
             out: false,
+            metrics: metrics::Sidecar::new(),
         }
     }
 
+    /// Counts of calls and the state of the gate.
+    pub fn metrics(&self) -> &metrics::Sidecar {
+        &self.metrics
+    }
+
     /// Takes another view into force.
     pub fn view(&mut self, view: Arc<view::View>) {
         let known = view.config.servers.get(&self.server);
@@ -124,11 +131,17 @@
         }
         self.out = out;
         self.view = view;
+        self.metrics.page.version(self.view.version);
+        self.show();
     }
 
     /// Decides about `ask` and answers it.
     pub fn admit(&mut self, ask: Ask, now: time::Duration) {
         let verdict = self.verdict(&ask, now);
+        if let Verdict::Refused { why, .. } = verdict {
+            self.metrics.refused(why);
+        }
+        self.show();
         if let Err(Verdict::Admitted { slot, .. }) = ask.tx.send(verdict) {
             self.over(slot, gate::Ending::Cancelled, now);
         }
@@ -168,8 +181,10 @@
     /// Frees the place of a call that is over.
     pub fn over(&mut self, slot: u64, ending: gate::Ending, now: time::Duration) {
         if let Some(permit) = self.permits.remove(&slot) {
+            self.metrics.over(ending.label(), now.saturating_sub(permit.since()));
             self.gate.release(permit, ending, now);
         }
+        self.show();
     }
 
     /// Takes the backend server's health.
@@ -178,12 +193,19 @@
         if let Some(health) = health {
             self.gate.incarnation(health.incarnation);
         }
+        self.show();
     }
 
     /// Refuses new work from now on.
     pub fn leave(&mut self) {
         self.leaving = true;
         self.gate.drain();
+        self.show();
+    }
+
+    fn show(&self) {
+        self.metrics.load(&self.load(), self.reachable);
+        self.metrics.page.ready(!self.leaving && !self.out && self.reachable);
     }
 
     /// Whether this sidecar takes no new work and has none in flight.
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -8,6 +8,7 @@
 mod fuzz_gate;
 mod host_settings;
 mod leases;
+mod operators_port;
 mod platform;
 mod processes;
 mod site;
--- /dev/null
+++ b/tests/operators_port.rs
@@ -0,0 +1,106 @@
+//! The operators' port of real processes, driven by the tool.
+
+use std::{ffi, fs, path};
+
+use knapweedford::{Error, tool};
+
+use crate::processes::{self, Cluster};
+
+/// Runs the tool's `line` against the operators' port of `name`.
+fn run(cluster: &Cluster, name: &str, line: &str) -> Result<tool::Report, Error> {
+    let env = |var: &str| match var {
+        "KNAPWEEDFORD_ADDRESS" => Some(cluster.operators(name).to_string()),
+        "KNAPWEEDFORD_TOKEN" => Some(processes::TOKEN.into()),
+        _ => None,
+    };
+    let args = line.split_whitespace().map(ffi::OsString::from);
+    tool::run(&tool::Args::parse(args, env).unwrap())
+}
+
+fn file(name: &str, text: &str) -> path::PathBuf {
+    let path = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&path, text).unwrap();
+    path
+}
+
+#[test]
+fn tool_drives() {
+    let cluster = processes::small("tool_drives");
+    let said = |line: &str| run(&cluster, "e1", line).unwrap();
+    assert!(said("show").plain().ends_with("# Version 1.\n"));
+    assert_eq!(said("zone out z1").plain(), "Committed as version 2.\n");
+    assert_eq!(said("wait 2").exit, tool::Exit::Done);
+    assert!(said("status").plain().contains("Out: zone z1.\n"));
+    let history = run(&cluster, "c2", "history").unwrap();
+    assert_eq!(
+        history.plain(),
+        "     1  text applied  through e1\n     2  zone z1 out  through e1\n"
+    );
+    assert_eq!(run(&cluster, "e2", "zone in z1").unwrap().exit, tool::Exit::Done);
+    let text = processes::TEXT.replace("5000", "6000");
+    let path = file("tool_drives.yaml", &text);
+    let diff = said(&format!("diff {}", path.display()));
+    assert_eq!(
+        diff.plain(),
+        "~ services.ledger-app.calls: [{\"deadline-ms\":5000,\"method\":\"POST\",\"path\":\"/post\",\"repeatable\":false}] -> [{\"deadline-ms\":6000,\"method\":\"POST\",\"path\":\"/post\",\"repeatable\":false}]\n"
+    );
+    assert_eq!(said(&format!("apply {}", path.display())).exit, tool::Exit::Done);
+    let late = said(&format!("apply {} --base 1", path.display()));
+    assert_eq!(late.exit, tool::Exit::Conflict);
+}
+
+#[test]
+fn unknown_names() {
+    let cluster = processes::small("unknown_names");
+    let err = run(&cluster, "e1", "zone out z9").unwrap_err().to_string();
+    assert!(err.contains("has no zone z9"), "{err}");
+    let err = run(&cluster, "e1", "server out s9").unwrap_err().to_string();
+    assert!(err.contains("has no server s9"), "{err}");
+}
+
+#[test]
+fn faults_listed() {
+    let cluster = processes::small("faults_listed");
+    let (status, body) = cluster.operator("e1", "POST", "/apply", "zones: 3\nsevers: {}\n");
+    assert_eq!(status, 422);
+    let fault: knapweedford::operators::Fault = serde_json::from_str(&body).unwrap();
+    let marks: Vec<_> = fault.findings.iter().map(|finding| finding.mark.to_string()).collect();
+    assert_eq!(marks, ["1:1", "1:1", "1:8", "2:1"]);
+}
+
+#[test]
+fn dump_and_metrics() {
+    let cluster = processes::small("dump_and_metrics");
+    let dump = cluster.get("c1", "/dump");
+    assert_eq!((&dump["role"], &dump["agreement"]["version"]), (&"sidecar".into(), &1.into()));
+    let readable = run(&cluster, "e1", &format!("dump {}", cluster.operators("e1"))).unwrap();
+    assert!(readable.plain().contains("\nrole: entry\n"), "{}", readable.plain());
+    for name in ["e1", "c1"] {
+        let (status, page) = cluster.operator(name, "GET", "/metrics", "");
+        assert_eq!(status, 200);
+        assert!(page.lines().any(|line| line == "knapweedford_config_version 1"), "{page}");
+    }
+}
+
+#[test]
+fn text_dump() {
+    let cluster = processes::small("text_dump");
+    let url = format!("http://{}/dump", cluster.operators("c1"));
+    let bearer = format!("Bearer {}", processes::TOKEN);
+    let req = ureq::get(url).header("authorization", bearer).header("accept", "text/plain");
+    let text = req.call().unwrap().body_mut().read_to_string().unwrap();
+    assert!(text.lines().any(|line| line == "role: sidecar"), "{text}");
+}
+
+#[test]
+fn every_path_guarded() {
+    let cluster = processes::small("every_path_guarded");
+    let paths = ["/metrics", "/dump", "/status", "/config", "/history", "/nothing"];
+    for path in paths {
+        let url = format!("http://{}{path}", cluster.operators("e1"));
+        for bearer in ["", "Bearer ", "Bearer secret-of-the-test", "secret-of-the-tests"] {
+            let err = ureq::get(&url).header("authorization", bearer).call().unwrap_err();
+            assert!(matches!(err, ureq::Error::StatusCode(401)), "{path} {bearer}: {err}");
+        }
+    }
+}
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -13,7 +13,8 @@
 /// Longest wait for something that must happen; only a guard against a hang.
 const PATIENCE: Duration = Duration::from_secs(60);
 
-const TEXT: &str = "\
+/// The text in force.
+pub const TEXT: &str = "\
 zones:
   z0: {}
   z1: {}
@@ -54,6 +55,9 @@
     }
 }
 
+/// Token of all daemons.
+pub const TOKEN: &str = "secret-of-the-tests";
+
 /// Daemons over one stand-in platform.
 pub struct Cluster {
     platform: StandIn,
@@ -83,7 +87,7 @@
         };
         let settings = format!(
             "host: {name}\nzone: {zone}\n{role}operators: 127.0.0.1:0\npeers: 127.0.0.1:0\n\
-             platform: {}\ntoken: secret\nports-file: {}\nseeds: {}\n",
+             platform: {}\ntoken: secret-of-the-tests\nports-file: {}\nseeds: {}\n",
             self.platform.root,
             ports_file.display(),
             serde_json::to_string(&seeds).unwrap(),
@@ -112,13 +116,18 @@
         let agent: ureq::Agent =
             ureq::Agent::config_builder().http_status_as_error(false).build().into();
         let sent = match method {
-            "GET" => agent.get(&url).header("Authorization", "Bearer secret").call(),
-            _ => agent.post(&url).header("Authorization", "Bearer secret").send(body),
+            "GET" => agent.get(&url).header("Authorization", "Bearer secret-of-the-tests").call(),
+            _ => agent.post(&url).header("Authorization", "Bearer secret-of-the-tests").send(body),
         };
         let mut res = sent.unwrap();
         (res.status().as_u16(), res.body_mut().read_to_string().unwrap())
     }
 
+    /// Operators' port of a daemon.
+    pub fn operators(&self, name: &str) -> net::SocketAddr {
+        self.daemons[name].ports.operators
+    }
+
     /// A question to a daemon, answered as JSON.
     pub fn get(&self, name: &str, path: &str) -> serde_json::Value {
         serde_json::from_str(&self.operator(name, "GET", path, "").1).unwrap()
@@ -136,7 +145,8 @@
     }
 }
 
-fn small(name: &str) -> Cluster {
+/// Two entries and two sidecars with a text in force.
+pub fn small(name: &str) -> Cluster {
     let mut cluster = Cluster::new(name);
     cluster.start("e1", "z0", None);
     cluster.start("e2", "z0", None);
