--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -13,7 +13,8 @@
 /// Longest wait for something that must happen; only a guard against a hang.
 const PATIENCE: Duration = Duration::from_secs(60);
 
-const TEXT: &str = "\
+/// The text in force.
+pub const TEXT: &str = "\
 zones:
   z0: {}
   z1: {}
@@ -28,9 +29,6 @@
   s2: {service: ledger-app, zone: z2}
 ";
 
-/// The token of all daemons; the settings ask for 16 bytes at least.
-const TOKEN: &str = "0123456789abcdef";
-
 fn bearer() -> String {
     format!("Bearer {TOKEN}")
 }
@@ -61,6 +59,9 @@
     }
 }
 
+/// Token of all daemons.
+pub const TOKEN: &str = "secret-of-the-tests";
+
 /// Daemons over one stand-in platform.
 pub struct Cluster {
     platform: StandIn,
@@ -126,6 +127,11 @@
         (res.status().as_u16(), res.body_mut().read_to_string().unwrap())
     }
 
+    /// Operators' port of a daemon.
+    pub fn operators(&self, name: &str) -> net::SocketAddr {
+        self.daemons[name].ports.operators
+    }
+
     /// A question to a daemon, answered as JSON.
     pub fn get(&self, name: &str, path: &str) -> serde_json::Value {
         serde_json::from_str(&self.operator(name, "GET", path, "").1).unwrap()
@@ -143,7 +149,8 @@
     }
 }
 
-fn small(name: &str) -> Cluster {
+/// Two entries and two sidecars with a text in force.
+pub fn small(name: &str) -> Cluster {
     let mut cluster = Cluster::new(name);
     cluster.start("e1", "z0", None);
     cluster.start("e2", "z0", None);
