maps: partial repack, controller and rank without I/O

Change: ranks far from the mean are dealt out anew, the others kept, and the cheapest passing candidate is taken; the state machines of a change come with it.

--- a/measure/maps/mod.rs
+++ b/measure/maps/mod.rs
@@ -12,6 +12,7 @@
 const NOISE: f64 = 0.03;
 const EXPERT_BYTES: u64 = 44_000_000;
 const RATE: f64 = 2e9;
+const LEAST_GAIN: f64 = 0.015;
 /// Copies of one change over all slots of the group.
 const MOST: f64 = 0.18;
 
@@ -32,6 +33,7 @@
         rate: RATE,
         interference: 0.1,
         stall: time::Duration::from_millis(50),
+        least_gain: LEAST_GAIN,
         max_bytes: (slots as f64 * MOST) as u64 * EXPERT_BYTES,
         weights,
     }
--- a/src/group/counts.rs
+++ b/src/group/counts.rs
@@ -8,6 +8,8 @@
 const NOISE: f64 = 0.1;
 /// Distance of the averages, in standard deviations, that counts as a drift.
 const DRIFT: f64 = 4.0;
+/// Distance of one report from the slow average, in standard deviations, that counts as a jump.
+const JUMP: f64 = 7.0;
 /// Standard deviation of fast minus slow average, per unit of noise.
 const APART: f64 = 0.47;
 /// Median of the absolute value of a standard normal variable.
@@ -25,8 +27,8 @@
 /// Estimated popularity of one layer's experts.
 ///
 /// Two averages run side by side. The slow one is the estimate; where the
-/// fast one leaves it by more than noise explains, the slow one starts anew
-/// from it.
+/// fast one, or a single report, leaves it by more than noise explains, it
+/// starts anew from there.
 #[derive(Clone, Debug, Default)]
 pub struct Counts {
     period: Option<u64>,
@@ -88,7 +90,12 @@
     fn update(&mut self, shares: Vec<f64>) {
         self.observe_noise(&shares);
         let noise = self.noise.unwrap_or(0.0);
+        let jump = (JUMP * noise).exp();
         for (i, share) in shares.iter().enumerate() {
+            if share / self.slow[i] > jump || self.slow[i] / share > jump {
+                (self.fast[i], self.slow[i], self.seen[i]) = (*share, *share, 1);
+                continue;
+            }
             self.seen[i] += 1;
             self.fast[i] += FAST * (share - self.fast[i]);
             self.slow[i] += (1.0 / f64::from(self.seen[i])).max(SLOW) * (share - self.slow[i]);
--- a/src/group/layout.rs
+++ b/src/group/layout.rs
@@ -1,7 +1,5 @@
 //! Where ranks stand: the host and the zone of each.
 
-use std::collections::BTreeSet;
-
 use serde::{Deserialize, Serialize};
 
 /// Host and zone of each rank, as small numbers.
@@ -21,8 +19,8 @@
         Self { hosts, zones }
     }
 
-    /// Zones that hold one of `ranks`.
-    pub fn zones_of(&self, ranks: &[u16]) -> usize {
-        ranks.iter().map(|&rank| self.zones[usize::from(rank)]).collect::<BTreeSet<_>>().len()
+    /// Number of zones that hold one of `ranks`; zones are numbered below 64.
+    pub fn zones_of(&self, ranks: impl Iterator<Item = u16>) -> u32 {
+        ranks.fold(0u64, |seen, rank| seen | 1 << self.zones[usize::from(rank)]).count_ones()
     }
 }
--- a/src/group/loads.rs
+++ b/src/group/loads.rs
@@ -2,6 +2,9 @@
 
 use crate::group::layout;
 
+/// Least gain in the potential that is worth an edit.
+const LEAST: f64 = 1e-9;
+
 /// One edit of a layer.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Edit {
@@ -21,26 +24,40 @@
     }
 }
 
-/// Loads of one layer. Copies of an expert share its tokens evenly.
+/// Loads of one layer, over the mean. Copies of an expert share its tokens evenly.
 #[derive(Clone, Debug)]
-pub struct Loads<'a> {
-    weights: &'a [f64],
+pub struct Loads {
+    weights: Vec<f64>,
     slots: usize,
     cells: Vec<u16>,
     at: Vec<Vec<u16>>,
+    held: Vec<bool>,
+    share: Vec<f64>,
     load: Vec<f64>,
-    mean: f64,
+    phi: Vec<f64>,
 }
 
-impl<'a> Loads<'a> {
+impl Loads {
     /// Loads of `cells`, rank by rank, for `weights` by expert.
-    pub fn new(weights: &'a [f64], slots: usize, cells: &[u16]) -> Self {
-        let ranks = cells.len() / slots;
-        let mut at = vec![Vec::new(); weights.len()];
-        cells.iter().enumerate().for_each(|(i, &e)| at[usize::from(e)].push((i / slots) as u16));
+    pub fn new(weights: &[f64], slots: usize, cells: &[u16]) -> Self {
+        let (ranks, experts) = (cells.len() / slots, weights.len());
         let mean = weights.iter().sum::<f64>() / ranks as f64;
-        let load = vec![0.0; ranks];
-        let mut loads = Self { weights, slots, cells: cells.to_vec(), at, load, mean };
+        let mut at = vec![Vec::new(); experts];
+        let mut held = vec![false; ranks * experts];
+        for (i, &expert) in cells.iter().enumerate() {
+            at[usize::from(expert)].push((i / slots) as u16);
+            held[i / slots * experts + usize::from(expert)] = true;
+        }
+        let mut loads = Self {
+            weights: weights.iter().map(|w| w / mean.max(f64::MIN_POSITIVE)).collect(),
+            slots,
+            cells: cells.to_vec(),
+            at,
+            held,
+            share: vec![0.0; experts],
+            load: vec![0.0; ranks],
+            phi: vec![0.0; ranks],
+        };
         loads.recount();
         loads
     }
@@ -50,16 +67,16 @@
         &self.cells
     }
 
-    /// Load of each rank, in the unit of the weights.
+    /// Load of each rank over the mean.
     pub fn by_rank(&self) -> &[f64] {
         &self.load
     }
 
-    /// Largest rank load over the mean.
+    /// Largest rank load over the mean; 1 when there is no load.
     pub fn skew(&self) -> f64 {
-        match self.mean > 0.0 {
-            true => self.load.iter().copied().fold(0.0, f64::max) / self.mean,
-            false => 1.0,
+        match self.load.iter().copied().fold(0.0, f64::max) {
+            0.0 => 1.0,
+            skew => skew,
         }
     }
 
@@ -68,30 +85,49 @@
         &self.at[usize::from(expert)]
     }
 
-    /// Standard deviation of a rank's load over the mean load, for relative `errors` by expert.
+    /// Root mean square error of rank loads over the mean load, for relative `errors` by expert.
     pub fn error(&self, errors: &[f64]) -> f64 {
-        let part = |&e: &u16| (self.share(e) * errors[usize::from(e)]).powi(2);
-        let by_rank = self.cells.chunks(self.slots).map(|rank| rank.iter().map(part).sum::<f64>());
-        by_rank.fold(0.0, f64::max).sqrt() / self.mean.max(f64::MIN_POSITIVE)
+        let part = |&e: &u16| (self.share[usize::from(e)] * errors[usize::from(e)]).powi(2);
+        let sum: f64 = self.cells.iter().map(part).sum();
+        (sum / self.load.len() as f64).sqrt()
     }
 
     /// Best edit for rank `hot` by gain per copy loaded, and that gain; `None` if none helps.
     pub fn best(&self, hot: usize, place: &Place<'_>) -> Option<(Edit, f64)> {
         let own = hot * self.slots..(hot + 1) * self.slots;
+        let others = || (0..own.start).chain(own.end..self.cells.len());
+        let cool: Vec<usize> =
+            others().filter(|b| self.load[b / self.slots] < self.load[hot]).collect();
+        let spare: Vec<usize> =
+            others().filter(|b| self.at[usize::from(self.cells[*b])].len() > 1).collect();
+        let loss: Vec<f64> = (0..self.weights.len()).map(|f| self.gain_of_loss(f)).collect();
         let swaps = own.clone().flat_map(|a| {
-            let others = (0..self.cells.len()).filter(move |b| b / self.slots != hot);
-            others.map(move |b| Edit::Swap(a, b))
+            let gain = move |&b: &usize| (Edit::Swap(a, b), self.gain_of_swap(a, b, place));
+            cool.iter().map(gain)
         });
         let copies = own.clone().flat_map(|a| {
-            let others = (0..self.cells.len()).filter(move |b| b / self.slots != hot);
-            others.map(move |b| Edit::Put(b, self.cells[a]))
+            let e = self.cells[a];
+            let base = self.gain_of_copy(usize::from(e));
+            let loss = &loss;
+            let gain = move |&b: &usize| {
+                (Edit::Put(b, e), self.gain_of_put(hot, b, e, base + loss[usize::from(self.cells[b])], place))
+            };
+            spare.iter().map(gain)
+        });
+        let thinned = own.clone().filter(|&a| self.at[usize::from(self.cells[a])].len() > 1);
+        let lighter = thinned.flat_map(|a| {
+            let loss = loss[usize::from(self.cells[a])];
+            let gain = move |e: usize| {
+                let base = self.gain_of_copy(e) + loss;
+                (Edit::Put(a, e as u16), self.gain_of_put(hot, a, e as u16, base, place))
+            };
+            (0..self.weights.len()).map(gain)
         });
-        let lighter = own.flat_map(|a| (0..self.weights.len()).map(move |e| Edit::Put(a, e as u16)));
         swaps
             .chain(copies)
             .chain(lighter)
-            .filter_map(|edit| Some((edit, self.gain(edit, place)? / edit.moves() as f64)))
-            .filter(|(_, gain)| *gain > 1e-9)
+            .filter_map(|(edit, gain)| Some((edit, gain? / edit.moves() as f64)))
+            .filter(|(_, gain)| *gain > LEAST)
             .max_by(|a, b| a.1.total_cmp(&b.1))
     }
 
@@ -109,74 +145,98 @@
     }
 
     fn replace(&mut self, cell: usize, old: u16, new: u16) {
-        let rank = (cell / self.slots) as u16;
-        let at = &mut self.at[usize::from(old)];
-        at.retain(|holder| *holder != rank);
-        self.at[usize::from(new)].push(rank);
+        let rank = cell / self.slots;
+        self.at[usize::from(old)].retain(|holder| usize::from(*holder) != rank);
+        self.at[usize::from(new)].push(rank as u16);
+        self.held[rank * self.weights.len() + usize::from(old)] = false;
+        self.held[rank * self.weights.len() + usize::from(new)] = true;
         self.cells[cell] = new;
     }
 
     fn recount(&mut self) {
-        for rank in 0..self.load.len() {
-            let own = &self.cells[rank * self.slots..(rank + 1) * self.slots];
-            self.load[rank] = own.iter().map(|&e| self.share(e)).sum();
+        for expert in 0..self.weights.len() {
+            self.share[expert] = self.weights[expert] / self.at[expert].len() as f64;
+        }
+        for (rank, own) in self.cells.chunks(self.slots).enumerate() {
+            self.load[rank] = own.iter().map(|&e| self.share[usize::from(e)]).sum();
+            self.phi[rank] = potential(self.load[rank]);
         }
     }
 
-    fn share(&self, expert: u16) -> f64 {
-        self.weights[usize::from(expert)] / self.at[usize::from(expert)].len() as f64
+    fn holds(&self, rank: usize, expert: usize) -> bool {
+        self.held[rank * self.weights.len() + expert]
     }
 
-    fn holds(&self, rank: usize, expert: u16) -> bool {
-        self.cells[rank * self.slots..(rank + 1) * self.slots].contains(&expert)
+    /// Load that a further copy of `e` takes off each present one.
+    fn relief(&self, e: usize) -> f64 {
+        self.share[e] - self.weights[e] / (self.at[e].len() + 1) as f64
     }
 
-    fn gain(&self, edit: Edit, place: &Place<'_>) -> Option<f64> {
-        match edit {
-            Edit::Swap(a, b) => self.gain_of_swap(a, b, place),
-            Edit::Put(a, e) => self.gain_of_put(a, e, place),
+    /// Load that the loss of a copy of `f` puts on each other one.
+    fn strain(&self, f: usize) -> f64 {
+        match self.at[f].len() {
+            0 | 1 => 0.0,
+            len => self.weights[f] / (len - 1) as f64 - self.share[f],
         }
     }
 
+    /// Gain on the present holders of `e` from a further copy.
+    fn gain_of_copy(&self, e: usize) -> f64 {
+        let relief = self.relief(e);
+        self.at[e].iter().map(|&rank| self.drop(usize::from(rank), -relief)).sum()
+    }
+
+    /// Gain, below zero, on all holders of `f` from one copy fewer.
+    fn gain_of_loss(&self, f: usize) -> f64 {
+        let strain = self.strain(f);
+        self.at[f].iter().map(|&rank| self.drop(usize::from(rank), strain)).sum()
+    }
+
     fn gain_of_swap(&self, a: usize, b: usize, place: &Place<'_>) -> Option<f64> {
         let (e, f) = (self.cells[a], self.cells[b]);
         let (h, c) = (a / self.slots, b / self.slots);
-        let shift = self.share(e) - self.share(f);
-        if shift <= 0.0 || self.load[c] + shift >= self.load[h] {
-            return None;
-        }
-        if self.holds(c, e) || self.holds(h, f) {
-            return None;
+        let shift = self.share[usize::from(e)] - self.share[usize::from(f)];
+        match () {
+            () if shift <= 0.0 || self.load[c] + shift >= self.load[h] => return None,
+            () if self.holds(c, usize::from(e)) || self.holds(h, usize::from(f)) => return None,
+            () => {}
         }
         let gain = self.drop(h, -shift) + self.drop(c, shift);
-        Some(gain - place.lost(self.holders(e), h, Some(c)) - place.lost(self.holders(f), c, Some(h)))
+        let lost =
+            place.lost(self.holders(e), h, Some(c)) + place.lost(self.holders(f), c, Some(h));
+        Some(gain - lost)
     }
 
-    fn gain_of_put(&self, a: usize, e: u16, place: &Place<'_>) -> Option<f64> {
-        let (f, c) = (self.cells[a], a / self.slots);
-        let (old, new) = (self.holders(f), self.holders(e));
-        if old.len() < 2 || e == f || self.holds(c, e) {
+    /// Gain of `e` in `cell`; `base` is that on the holders of `e` and of the expert it replaces.
+    fn gain_of_put(
+        &self,
+        hot: usize,
+        cell: usize,
+        e: u16,
+        base: f64,
+        place: &Place<'_>,
+    ) -> Option<f64> {
+        let (c, new, old) = (cell / self.slots, usize::from(e), usize::from(self.cells[cell]));
+        let by = self.share[new] - self.relief(new) - self.share[old];
+        if self.load[c] + by >= self.load[hot] || self.holds(c, new) {
             return None;
         }
-        let (we, wf) = (self.weights[usize::from(e)], self.weights[usize::from(f)]);
-        let after = we / (new.len() + 1) as f64;
-        let less = self.share(e) - after;
-        let more = wf / (old.len() - 1) as f64 - self.share(f);
-        let mut gain = self.drop(c, after - self.share(f));
-        for &rank in new {
-            let both = if self.holds(usize::from(rank), f) { more } else { 0.0 };
-            gain += self.drop(usize::from(rank), both - less);
-        }
-        for &rank in old.iter().filter(|rank| usize::from(**rank) != c) {
-            let rank = usize::from(rank);
-            gain += if self.holds(rank, e) { 0.0 } else { self.drop(rank, more) };
-        }
-        Some(gain - place.lost(old, c, None) - place.lost(new, usize::MAX, Some(c)))
+        let (relief, strain) = (self.relief(new), self.strain(old));
+        let both = |&&rank: &&u16| self.holds(usize::from(rank), new);
+        let mixed: f64 = self.at[old]
+            .iter()
+            .filter(both)
+            .map(|&rank| usize::from(rank))
+            .map(|r| self.drop(r, strain - relief) - self.drop(r, strain) - self.drop(r, -relief))
+            .sum();
+        let gain = base + mixed - self.drop(c, strain) + self.drop(c, by);
+        let lost = place.lost(&self.at[old], c, None) + place.lost(&self.at[new], usize::MAX, Some(c));
+        Some(gain - lost)
     }
 
     /// Fall of the potential when the load of `rank` changes by `by`.
     fn drop(&self, rank: usize, by: f64) -> f64 {
-        potential(self.load[rank] / self.mean) - potential((self.load[rank] + by) / self.mean)
+        self.phi[rank] - potential(self.load[rank] + by)
     }
 }
 
@@ -196,9 +256,9 @@
             return 0.0;
         }
         let kept = holders.iter().copied().filter(|rank| usize::from(*rank) != from);
-        let after: Vec<u16> = kept.chain(to.map(|rank| rank as u16)).collect();
-        let zones = |ranks: &[u16]| self.layout.zones_of(ranks).min(2) as f64;
-        self.spread * (zones(holders) - zones(&after))
+        let after = kept.chain(to.map(|rank| rank as u16));
+        let before = self.layout.zones_of(holders.iter().copied()).min(2) as f64;
+        self.spread * (before - self.layout.zones_of(after).min(2) as f64)
     }
 }
 
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -4,10 +4,15 @@
 //! without I/O, [`controller`] and [`rank`], joined by [`order`]s.
 
 pub mod bound;
+pub mod controller;
 pub mod counts;
 pub mod layout;
 pub mod loads;
 pub mod map;
+pub mod mend;
+pub mod order;
 pub mod pack;
 pub mod plan;
+pub mod rank;
+pub mod row;
 pub mod straggler;
--- a/src/group/pack.rs
+++ b/src/group/pack.rs
@@ -1,20 +1,16 @@
 //! Greedy map from scratch: how many copies of each expert, and on which ranks.
 
-use std::mem;
+use std::{cmp, mem};
 
-use crate::group::{layout, loads};
+use crate::group::layout;
 
-/// Most edits that mend what greedy placement could not place.
-const REPAIRS: usize = 64;
-
-/// Number of copies of each expert: one each, then the next to the busiest copy.
+/// Number of copies of each expert: one each, then one more to the busiest copy, again and again.
 pub fn replicate(weights: &[f64], ranks: usize, slots: usize) -> Vec<usize> {
     let mut copies = vec![1; weights.len()];
     for _ in weights.len()..ranks * slots {
-        let busiest = (0..weights.len())
-            .filter(|&e| copies[e] < ranks)
-            .max_by(|&a, &b| per_copy(weights, &copies, a).total_cmp(&per_copy(weights, &copies, b)));
-        match busiest {
+        let share = |e: usize| weights[e] / copies[e] as f64;
+        let open = (0..weights.len()).filter(|&e| copies[e] < ranks);
+        match open.max_by(|&a, &b| share(a).total_cmp(&share(b))) {
             Some(expert) => copies[expert] += 1,
             None => break,
         }
@@ -25,41 +21,13 @@
 /// Cells of one layer, rank by rank, without regard to any map in use.
 ///
 /// Copies are placed in falling order of load, each on the least loaded rank
-/// with a free slot; a zone and then a host without a copy goes before.
+/// with a free slot; with `spread`, zones and then hosts without a copy go first.
 pub fn pack(weights: &[f64], slots: usize, layout: &layout::Layout, spread: bool) -> Vec<u16> {
-    let ranks = layout.hosts.len();
-    let copies = replicate(weights, ranks, slots);
-    let mut order: Vec<usize> = (0..weights.len()).collect();
-    order.sort_by(|&a, &b| {
-        per_copy(weights, &copies, b).total_cmp(&per_copy(weights, &copies, a)).then(a.cmp(&b))
-    });
-    let mut bins = Bins { layout, slots, held: vec![Vec::new(); ranks], load: vec![0.0; ranks] };
-    let mut left = Vec::new();
-    for expert in order {
-        for _ in 0..copies[expert] {
-            match bins.choose(expert as u16, spread) {
-                Some(rank) => bins.put(rank, expert as u16, per_copy(weights, &copies, expert)),
-                None => left.push(expert as u16),
-            }
-        }
-    }
-    bins.force(left);
-    bins.held.concat()
-}
-
-/// Greedy placement, then the edits that still lower its skew.
-pub fn refine(weights: &[f64], slots: usize, layout: &layout::Layout, spread: f64) -> Vec<u16> {
-    let cells = pack(weights, slots, layout, spread > 0.0);
-    let mut loads = loads::Loads::new(weights, slots, &cells);
-    let place = loads::Place { layout, spread };
-    for _ in 0..REPAIRS {
-        let hot = busiest(loads.by_rank());
-        match loads.best(hot, &place) {
-            Some((edit, _)) => loads.apply(edit),
-            None => break,
-        }
-    }
-    loads.cells().to_vec()
+    let copies = replicate(weights, layout.hosts.len(), slots);
+    let shares: Vec<f64> = weights.iter().zip(&copies).map(|(w, n)| w / *n as f64).collect();
+    let mut bins = Bins::new(layout, slots, &[], 0.0);
+    bins.deal(&shares, &copies, spread);
+    bins.cells()
 }
 
 /// Index of the largest load.
@@ -67,63 +35,103 @@
     (0..load.len()).max_by(|&a, &b| load[a].total_cmp(&load[b])).unwrap_or(0)
 }
 
-fn per_copy(weights: &[f64], copies: &[usize], expert: usize) -> f64 {
-    weights[expert] / copies[expert] as f64
-}
-
-struct Bins<'a> {
+/// Ranks that are being filled.
+pub(crate) struct Bins<'a> {
     layout: &'a layout::Layout,
     slots: usize,
+    old: &'a [u16],
+    bonus: f64,
     held: Vec<Vec<u16>>,
     load: Vec<f64>,
 }
 
-impl Bins<'_> {
-    fn choose(&self, expert: u16, spread: bool) -> Option<usize> {
-        let holders: Vec<usize> =
-            (0..self.held.len()).filter(|&rank| self.held[rank].contains(&expert)).collect();
-        let near = |of: &[u16], rank: usize| holders.iter().any(|&held| of[held] == of[rank]);
-        let crowded = |rank: usize| match spread {
-            true => (near(&self.layout.zones, rank), near(&self.layout.hosts, rank)),
-            false => (false, false),
-        };
-        (0..self.held.len())
-            .filter(|&rank| self.held[rank].len() < self.slots && !self.held[rank].contains(&expert))
-            .min_by(|&a, &b| {
-                let by_load = self.load[a].total_cmp(&self.load[b]);
-                crowded(a).cmp(&crowded(b)).then(by_load).then(a.cmp(&b))
-            })
+impl<'a> Bins<'a> {
+    /// Empty ranks; one that held an expert in `old` counts as lighter by `bonus` for it.
+    pub(crate) fn new(
+        layout: &'a layout::Layout,
+        slots: usize,
+        old: &'a [u16],
+        bonus: f64,
+    ) -> Self {
+        let ranks = layout.hosts.len();
+        Self { layout, slots, old, bonus, held: vec![Vec::new(); ranks], load: vec![0.0; ranks] }
     }
 
-    fn put(&mut self, rank: usize, expert: u16, load: f64) {
+    /// Gives `rank` a copy of `expert`.
+    pub(crate) fn put(&mut self, rank: usize, expert: u16, load: f64) {
         self.held[rank].push(expert);
         self.load[rank] += load;
     }
 
-    /// Places copies whose only free slots are on ranks that hold the expert, by an exchange.
-    fn force(&mut self, left: Vec<u16>) {
-        for expert in left {
-            let Some(free) = (0..self.held.len()).find(|&rank| self.held[rank].len() < self.slots)
-            else {
-                return;
-            };
-            match self.exchange(free, expert) {
-                Some((rank, slot)) => {
-                    let moved = mem::replace(&mut self.held[rank][slot], expert);
-                    self.held[free].push(moved);
-                }
-                None => {
-                    let other = (0..).find(|e| !self.held[free].contains(e));
-                    self.held[free].extend(other);
+    /// Places `copies` of each expert, in falling order of their `shares`.
+    pub(crate) fn deal(&mut self, shares: &[f64], copies: &[usize], spread: bool) {
+        let mut order: Vec<usize> = (0..shares.len()).collect();
+        order.sort_by(|&a, &b| shares[b].total_cmp(&shares[a]).then(a.cmp(&b)));
+        let mut left = Vec::new();
+        for expert in order {
+            for _ in 0..copies[expert] {
+                match self.choose(expert as u16, spread) {
+                    Some(rank) => self.put(rank, expert as u16, shares[expert]),
+                    None => left.push(expert as u16),
                 }
             }
         }
+        left.into_iter().for_each(|expert| self.force(expert));
+    }
+
+    /// The cells, rank by rank.
+    pub(crate) fn cells(self) -> Vec<u16> {
+        self.held.concat()
+    }
+
+    fn choose(&self, expert: u16, spread: bool) -> Option<usize> {
+        let holders: Vec<usize> = match spread {
+            true => (0..self.held.len()).filter(|&r| self.held[r].contains(&expert)).collect(),
+            false => Vec::new(),
+        };
+        (0..self.held.len())
+            .filter(|&rank| self.held[rank].len() < self.slots)
+            .filter(|&rank| !self.held[rank].contains(&expert))
+            .map(|rank| (self.crowded(&holders, rank), self.cost(rank, expert), rank))
+            .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)))
+            .map(|(_, _, rank)| rank)
+    }
+
+    /// Whether the zone and the host of `rank` have a holder already.
+    fn crowded(&self, holders: &[usize], rank: usize) -> (bool, bool) {
+        let near = |of: &[u16]| holders.iter().any(|&held| of[held] == of[rank]);
+        (near(&self.layout.zones), near(&self.layout.hosts))
+    }
+
+    fn cost(&self, rank: usize, expert: u16) -> f64 {
+        let held_before = match self.old {
+            [] => false,
+            old => old[rank * self.slots..(rank + 1) * self.slots].contains(&expert),
+        };
+        self.load[rank] - if held_before { self.bonus } else { 0.0 }
+    }
+
+    /// Places a copy when the only free slots are on ranks that hold the expert, by an exchange.
+    fn force(&mut self, expert: u16) {
+        let free = (0..self.held.len())
+            .min_by_key(|&rank| cmp::Reverse(self.slots - self.held[rank].len()))
+            .unwrap_or(0);
+        match self.exchange(free, expert) {
+            Some((rank, slot)) => {
+                let moved = mem::replace(&mut self.held[rank][slot], expert);
+                self.held[free].push(moved);
+            }
+            None => {
+                let other = (0..).find(|e| !self.held[free].contains(e));
+                self.held[free].extend(other);
+            }
+        }
     }
 
     /// A slot elsewhere that may take `expert` and whose expert rank `free` may take.
     fn exchange(&self, free: usize, expert: u16) -> Option<(usize, usize)> {
-        let lacking = (0..self.held.len()).filter(|&rank| !self.held[rank].contains(&expert));
-        lacking.into_iter().find_map(|rank| {
+        let mut lacking = (0..self.held.len()).filter(|&rank| !self.held[rank].contains(&expert));
+        lacking.find_map(|rank| {
             let slot = self.held[rank].iter().position(|e| !self.held[free].contains(e))?;
             Some((rank, slot))
         })
--- a/src/group/plan.rs
+++ b/src/group/plan.rs
@@ -4,12 +4,18 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::group::{bound, counts, layout, loads, map};
+use crate::group::{bound, counts, layout, loads, map, mend};
 
 /// Skew below which a layer is left alone.
 const GOOD: f64 = 1.003;
 /// Busiest ranks tried before a layer counts as mended as far as edits can.
-const TRIES: usize = 6;
+const TRIES: usize = 2;
+/// Most edits tried on the map in use.
+const EDITS: usize = 32;
+/// Most edits tried on a partial repack.
+const POLISH: usize = 24;
+/// Distances from the mean at which a rank is left as it is by a partial repack.
+const TOLERANCES: [f64; 3] = [0.15, 0.06, 0.02];
 
 /// How an operator weighs the ends against each other.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
@@ -45,6 +51,8 @@
     pub interference: f64,
     /// Time for which a switch stops the group.
     pub stall: time::Duration,
+    /// Least fall of a layer's skew that counts as a gain, for calm.
+    pub least_gain: f64,
     /// Most bytes of one change.
     pub max_bytes: u64,
     /// Weights of the ends.
@@ -185,7 +193,7 @@
         let shape = view.map.shape();
         let counts = &view.counts[layer];
         let old = view.map.layer(layer);
-        let mut loads = loads::Loads::new(counts.weights(), shape.slots, old);
+        let loads = loads::Loads::new(counts.weights(), shape.slots, old);
         let before = loads.skew();
         let bound = bound::skew(counts.weights(), shape.ranks, shape.slots);
         let mut best = Self {
@@ -200,49 +208,74 @@
             net: 0.0,
             noisy: false,
         };
-        let noise = noise_gain(&loads, &counts.errors(), shape.ranks);
-        let place = loads::Place { layout: view.layout, spread: terms.weights.spread };
-        let mut spent = 0;
-        while let Some(edit) = next(&loads, &place, bound) {
-            spent += edit.moves();
-            if spent > budget {
-                break;
-            }
-            loads.apply(edit);
-            best.consider(&loads, terms, &shape, (spent, noise));
+        let noise = noise_gain(&loads, &counts.errors(), shape.ranks).max(terms.least_gain);
+        if before - bound <= noise {
+            best.noisy = before > bound * GOOD;
+            return best;
+        }
+        let mut gate = Gate { view, terms, layer, noise, budget };
+        gate.climb(loads, EDITS, &mut best);
+        for tolerance in TOLERANCES {
+            let spread = terms.weights.spread > 0.0;
+            let cells =
+                mend::mend(counts.weights(), shape.slots, old, tolerance, view.layout, spread);
+            let loads = loads::Loads::new(counts.weights(), shape.slots, &cells);
+            gate.climb(loads, POLISH, &mut best);
         }
         best
     }
+}
+
+/// What a candidate of one layer must pass.
+struct Gate<'a> {
+    view: View<'a>,
+    terms: &'a Terms,
+    layer: usize,
+    noise: f64,
+    budget: usize,
+}
 
-    fn consider(
-        &mut self,
-        loads: &loads::Loads<'_>,
-        terms: &Terms,
-        shape: &map::Shape,
-        (moves, noise): (usize, f64),
-    ) {
+impl Gate<'_> {
+    /// Lowers the skew edit by edit and keeps the best state on the way in `best`.
+    fn climb(&mut self, mut loads: loads::Loads, edits: usize, best: &mut Layer) {
+        let place =
+            loads::Place { layout: self.view.layout, spread: self.terms.weights.spread };
+        self.consider(&loads, best);
+        for _ in 0..edits {
+            match next(&loads, &place, best.bound) {
+                Some(edit) => loads.apply(edit),
+                None => break,
+            }
+            self.consider(&loads, best);
+        }
+    }
+
+    fn consider(&self, loads: &loads::Loads, best: &mut Layer) {
+        let shape = self.view.map.shape();
+        let old = self.view.map.layer(self.layer);
+        let moves = map::moves(shape.slots, old, loads.cells(), self.layer).len();
         let after = loads.skew();
-        let step = 1.0 - terms.expert_part + terms.expert_part * self.before;
-        let part = terms.expert_part / step / shape.layers as f64;
-        let saving = terms.horizon.as_secs_f64() * part * (self.before - after);
-        let load = moves as f64 * terms.expert_bytes as f64 / terms.rate.max(1.0);
-        let cost = load * terms.interference;
-        let net = terms.weights.skew * saving - terms.weights.cost * cost;
-        self.noisy |= net > self.net && self.before - after <= noise;
-        if net > self.net && self.before - after > noise {
-            self.cells.copy_from_slice(loads.cells());
-            (self.moves, self.after, self.saving, self.cost, self.net) =
+        let step = 1.0 - self.terms.expert_part + self.terms.expert_part * best.before;
+        let part = self.terms.expert_part / step / shape.layers as f64;
+        let saving = self.terms.horizon.as_secs_f64() * part * (best.before - after);
+        let load = moves as f64 * self.terms.expert_bytes as f64 / self.terms.rate.max(1.0);
+        let cost = load * self.terms.interference;
+        let net = self.terms.weights.skew * saving - self.terms.weights.cost * cost;
+        let better = net > best.net && moves <= self.budget;
+        best.noisy |= better && best.before - after <= self.noise;
+        if better && best.before - after > self.noise {
+            best.cells.copy_from_slice(loads.cells());
+            (best.moves, best.after, best.saving, best.cost, best.net) =
                 (moves, after, saving, cost, net);
         }
     }
 }
-
 /// Fall of the skew that fitting a map to noise alone would seem to give.
-fn noise_gain(loads: &loads::Loads<'_>, errors: &[f64], ranks: usize) -> f64 {
+fn noise_gain(loads: &loads::Loads, errors: &[f64], ranks: usize) -> f64 {
     (2.0 * (ranks as f64).ln()).sqrt() * loads.error(errors)
 }
 
-fn next(loads: &loads::Loads<'_>, place: &loads::Place<'_>, bound: f64) -> Option<loads::Edit> {
+fn next(loads: &loads::Loads, place: &loads::Place<'_>, bound: f64) -> Option<loads::Edit> {
     if loads.skew() <= bound * GOOD {
         return None;
     }
