--- a/stand-ins/engine.rs
+++ b/stand-ins/engine.rs
@@ -32,7 +32,7 @@
   restart   cuts all streams, changes the incarnation, turns cold
   slow      stretches the time between tokens N times
   fail      answers the next N requests with status 500; they do not run
-  cut       cuts each stream after its Nth event from now on; 0 for never
+  cut       cuts each stream after its Nth event from now on
   stall     stands still for that many milliseconds from now on";
 
 /// What the engine is started with.
--- a/stand-ins/model.rs
+++ b/stand-ins/model.rs
@@ -197,7 +197,7 @@
     pub fn fate(&self, ticket: &Ticket, sent: u64) -> Option<End> {
         match self.faults.cut {
             _ if ticket.incarnation != self.incarnation => Some(End::Cut),
-            Some(cut) if cut > 0 && sent > cut => Some(End::Cut),
+            Some(cut) if sent > cut => Some(End::Cut),
             _ => self.cancelled.get(&ticket.run).copied(),
         }
     }
--- /dev/null
+++ b/tests/deaths.rs
@@ -0,0 +1,134 @@
+//! Processes that die, freeze and come back while answers are under way.
+
+use std::{thread, time};
+
+use crate::site;
+
+const TOKENS: u64 = 120;
+const PLAN: site::Plan = site::Plan {
+    entries: 1,
+    engines: 2,
+    engine: &["--token-ms", "10"],
+    plains: 0,
+    plain: &[],
+    lag_ms: 200,
+};
+
+/// The engine that has a request in flight.
+fn busy(site: &site::Site) -> usize {
+    site::until("an engine works", || {
+        site.engines.iter().position(|engine| engine.counts()["in_flight"].as_u64() > Some(0))
+    })
+}
+
+/// Streams one answer while `harm` is done to the site in its midst.
+fn harmed(site: &mut site::Site, harm: impl FnOnce(&mut site::Site, usize)) -> site::Answer {
+    let at = site.entries[0].process.at;
+    let caller = thread::spawn(move || site::complete(at, "/writer", "sofa", TOKENS));
+    let engine = busy(site);
+    thread::sleep(time::Duration::from_millis(300));
+    harm(site, engine);
+    caller.join().unwrap()
+}
+
+#[test]
+fn engine_killed() {
+    let mut site = site::Site::start(&PLAN);
+    let answer = harmed(&mut site, |site, engine| site.engines[engine].kill());
+    assert!(answer.whole(), "{answer:?}");
+    assert_eq!(answer.body, site.right("sofa", TOKENS));
+}
+
+#[test]
+fn engine_cut() {
+    let mut site = site::Site::start(&PLAN);
+    site.engines[0].faults(r#"{"cut":0}"#);
+    let answer = site.stream(0, "sofa", TOKENS);
+    assert!(answer.whole(), "{answer:?}");
+    assert_eq!(answer.body, site.right("sofa", TOKENS));
+    site.engines[0].kill();
+}
+
+#[test]
+fn sidecar_killed() {
+    let mut site = site::Site::start(&PLAN);
+    let answer = harmed(&mut site, |site, engine| site.sidecars[engine].process.kill());
+    assert!(answer.whole(), "{answer:?}");
+    assert_eq!(answer.body, site.right("sofa", TOKENS));
+}
+
+#[test]
+fn sidecar_frozen() {
+    let mut site = site::Site::start(&PLAN);
+    let answer = harmed(&mut site, |site, engine| {
+        site.sidecars[engine].process.signal("STOP");
+        thread::sleep(time::Duration::from_secs(4));
+        site.sidecars[engine].process.signal("CONT");
+    });
+    assert!(answer.whole(), "{answer:?}");
+    assert_eq!(answer.body, site.right("sofa", TOKENS));
+}
+
+#[test]
+fn engine_frozen() {
+    let mut site = site::Site::start(&PLAN);
+    let answer = harmed(&mut site, |site, engine| {
+        site.engines[engine].signal("STOP");
+        thread::sleep(time::Duration::from_secs(4));
+        site.engines[engine].signal("CONT");
+    });
+    assert!(answer.whole(), "{answer:?}");
+    assert_eq!(answer.body, site.right("sofa", TOKENS));
+}
+
+#[test]
+fn entry_killed() {
+    let mut site = site::Site::start(&PLAN);
+    let answer = harmed(&mut site, |site, _| site.entries[0].process.kill());
+    assert!(answer.cut, "a short answer looks whole: {answer:?}");
+    assert!(site.right("sofa", TOKENS).starts_with(&answer.body));
+}
+
+#[test]
+fn entry_frozen() {
+    let mut site = site::Site::start(&PLAN);
+    let answer = harmed(&mut site, |site, _| {
+        site.entries[0].process.signal("STOP");
+        thread::sleep(time::Duration::from_secs(2));
+        site.entries[0].process.signal("CONT");
+    });
+    assert!(answer.whole(), "{answer:?}");
+    assert_eq!(answer.body, site.right("sofa", TOKENS));
+}
+
+#[test]
+fn sidecar_restarted() {
+    let mut site = site::Site::start(&site::Plan { engines: 1, ..PLAN });
+    site.sidecars[0].process.kill();
+    let refused = site.stream(0, "bed", 10);
+    assert!(!refused.whole());
+    assert_eq!(site.sum("peak"), 0, "a refused request ran");
+    site.sidecars[0] = site.sidecar(0);
+    let answer = site::until("the service is back", || {
+        Some(site.stream(0, "bed", 10)).filter(site::Answer::whole)
+    });
+    assert_eq!(answer.body, site.right("bed", 10));
+}
+
+#[test]
+fn caller_gone() {
+    let site = site::Site::start(&site::Plan { engines: 1, ..PLAN });
+    let at = site.entries[0].process.at;
+    let body = r#"{"prompt":"gone","stream":true,"max_tokens":100000}"#;
+    let head = format!(
+        "POST /writer/v1/completions HTTP/1.1\r\nHost: x\r\nWorkspace: w\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut caller = std::net::TcpStream::connect(at).unwrap();
+    std::io::Write::write_all(&mut caller, head.as_bytes()).unwrap();
+    std::io::Read::read(&mut caller, &mut [0; 512]).unwrap();
+    drop(caller);
+    site::until("the engine is told", || (site.sum("cancelled") == 1).then_some(()));
+    assert_eq!(site.sum("in_flight"), 0);
+}
--- /dev/null
+++ b/tests/site.rs
@@ -0,0 +1,443 @@
+//! A small site of real processes on loopback: platform, backend servers, sidecars, entries.
+
+use std::{
+    fs,
+    io::{BufRead, BufReader, Read},
+    net, path, process,
+    sync::{Condvar, Mutex, atomic},
+    thread, time,
+};
+
+use knapweedford::{config, daemon};
+
+/// Secret of every process of a site.
+pub const TOKEN: &str = "secret-of-the-site";
+/// Bound on anything that is waited for; generous, since the machine may be busy.
+pub const PATIENCE: time::Duration = time::Duration::from_secs(60);
+/// Sites that may run at once.
+const SITES: usize = 3;
+/// Pause between two looks.
+const LOOK: time::Duration = time::Duration::from_millis(20);
+
+static RUNNING: Mutex<usize> = Mutex::new(0);
+static FREED: Condvar = Condvar::new();
+static COUNT: atomic::AtomicUsize = atomic::AtomicUsize::new(0);
+
+/// A running process; killed by its id when dropped.
+pub struct Process {
+    child: process::Child,
+    /// Address that it announced.
+    pub at: net::SocketAddr,
+}
+
+impl Process {
+    /// Starts a stand-in, which announces its address on its standard output.
+    pub fn stand_in(program: &str, args: &[&str]) -> Self {
+        let mut child = process::Command::new(program)
+            .args(args)
+            .stdout(process::Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+        let at = line.trim().strip_prefix("listening ").unwrap().parse().unwrap();
+        Self { child, at }
+    }
+
+    /// Sends a signal, such as `STOP`.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = process::Command::new("kill").args([&format!("-{name}"), &id]).status();
+        assert!(sent.unwrap().success());
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Whether the process still runs.
+    pub fn runs(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    /// Waits for the process's own end.
+    pub fn ended(&mut self) -> process::ExitStatus {
+        until("the process ends", || self.child.try_wait().unwrap())
+    }
+
+    /// Memory in use, in KiB.
+    pub fn memory(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
+    /// Sets faults of a stand-in.
+    pub fn faults(&self, faults: &str) {
+        let answer = post(self.at, "/faults", &[], faults);
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+
+    /// What a stand-in counted.
+    pub fn counts(&self) -> serde_json::Value {
+        get(self.at, "/counts", &[]).json()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A process of the system.
+pub struct Daemon {
+    /// The process; `at` is the callers' port of an entry, the peers' port of a sidecar.
+    pub process: Process,
+    /// All its addresses.
+    pub ports: daemon::Ports,
+}
+
+impl Daemon {
+    /// The state that the process gives on request; `None` if it does not answer.
+    pub fn dump(&self) -> Option<serde_json::Value> {
+        let bearer = format!("Bearer {TOKEN}");
+        let answer = call("GET", self.ports.operators, "/dump", &[("Authorization", &bearer)], "");
+        (answer.status == 200).then(|| answer.json())
+    }
+}
+
+/// What a caller received.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// HTTP status; 0 if there was no answer.
+    pub status: u16,
+    /// Header `Ran`.
+    pub ran: String,
+    /// Header `Retry-After`.
+    pub retry_after: Option<u64>,
+    /// The bytes of the body.
+    pub body: Vec<u8>,
+    /// Whether the body broke off before its end.
+    pub cut: bool,
+}
+
+impl Answer {
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// The body as JSON.
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).unwrap()
+    }
+
+    /// Whether the whole answer came.
+    pub fn whole(&self) -> bool {
+        self.status == 200 && !self.cut
+    }
+}
+
+/// Sends a GET.
+pub fn get(at: net::SocketAddr, path: &str, headers: &[(&str, &str)]) -> Answer {
+    call("GET", at, path, headers, "")
+}
+
+/// Sends a POST.
+pub fn post(at: net::SocketAddr, path: &str, headers: &[(&str, &str)], body: &str) -> Answer {
+    call("POST", at, path, headers, body)
+}
+
+/// Sends a request and reads the answer to its end.
+pub fn call(
+    method: &str,
+    at: net::SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Answer {
+    let mut req = http::Request::builder().method(method).uri(format!("http://{at}{path}"));
+    for (name, value) in headers {
+        req = req.header(*name, *value);
+    }
+    let agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .proxy(None)
+        .timeout_global(Some(PATIENCE))
+        .build()
+        .new_agent();
+    let nothing =
+        Answer { status: 0, ran: String::new(), retry_after: None, body: Vec::new(), cut: true };
+    let Ok(res) = agent.run(req.body(body.to_owned()).unwrap()) else { return nothing };
+    let header = |name: &str| {
+        let value = res.headers().get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let (status, ran) = (res.status().as_u16(), header("ran"));
+    let retry_after = header("retry-after").parse().ok();
+    let mut body = Vec::new();
+    let cut = res.into_body().into_reader().read_to_end(&mut body).is_err();
+    Answer { status, ran, retry_after, body, cut }
+}
+
+/// Looks until `seen` gives something.
+pub fn until<T>(what: &str, mut seen: impl FnMut() -> Option<T>) -> T {
+    let end = time::Instant::now() + PATIENCE;
+    loop {
+        match seen() {
+            Some(value) => return value,
+            None if time::Instant::now() > end => panic!("waited in vain: {what}"),
+            None => thread::sleep(LOOK),
+        }
+    }
+}
+
+/// How many processes of each kind a site has, and how its stand-ins are started.
+pub struct Plan<'a> {
+    /// Entries.
+    pub entries: usize,
+    /// Model engines, each with a sidecar.
+    pub engines: usize,
+    /// Options of each engine.
+    pub engine: &'a [&'a str],
+    /// Plain servers, each with a sidecar.
+    pub plains: usize,
+    /// Options of each plain server.
+    pub plain: &'a [&'a str],
+    /// Time for which the balancer lags, in milliseconds.
+    pub lag_ms: u64,
+}
+
+impl Default for Plan<'_> {
+    fn default() -> Self {
+        Self { entries: 1, engines: 2, engine: &[], plains: 0, plain: &[], lag_ms: 200 }
+    }
+}
+
+/// A running site.
+pub struct Site {
+    /// The platform's stand-in.
+    pub platform: Process,
+    /// Model engines.
+    pub engines: Vec<Process>,
+    /// Plain servers.
+    pub plains: Vec<Process>,
+    /// Sidecars, first of the engines, then of the plain servers.
+    pub sidecars: Vec<Daemon>,
+    /// Entries.
+    pub entries: Vec<Daemon>,
+    lag_ms: u64,
+    dir: path::PathBuf,
+}
+
+impl Site {
+    /// Starts the processes and waits until the configuration is in force in each.
+    pub fn start(plan: &Plan) -> Self {
+        enter();
+        let number = COUNT.fetch_add(1, atomic::Ordering::Relaxed);
+        let dir = path::Path::new(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("site-{}-{number}", process::id()));
+        fs::create_dir_all(&dir).unwrap();
+        let engine = || Process::stand_in(env!("CARGO_BIN_EXE_stand-in-engine"), plan.engine);
+        let plain = || Process::stand_in(env!("CARGO_BIN_EXE_stand-in-plain"), plan.plain);
+        let mut site = Self {
+            platform: Process::stand_in(env!("CARGO_BIN_EXE_stand-in-platform"), &[]),
+            engines: (0..plan.engines).map(|_| engine()).collect(),
+            plains: (0..plan.plains).map(|_| plain()).collect(),
+            sidecars: Vec::new(),
+            entries: Vec::new(),
+            lag_ms: plan.lag_ms,
+            dir,
+        };
+        for at in 0..plan.engines + plan.plains {
+            let sidecar = site.sidecar(at);
+            site.sidecars.push(sidecar);
+        }
+        for at in 0..plan.entries {
+            let entry = site.entry(at);
+            site.entries.push(entry);
+        }
+        site.commit(1, &config::Out::default());
+        site.ready(1);
+        site
+    }
+
+    /// Starts a sidecar beside backend server `at` and lists it with the platform.
+    pub fn sidecar(&self, at: usize) -> Daemon {
+        let server = self.server(at);
+        let backend = self.engines.iter().chain(&self.plains).nth(at).unwrap().at;
+        let backend = format!("backend:\n  server: {server}\n  url: http://{backend}\n");
+        let daemon = self.daemon(&format!("host-{server}"), at, "sidecar", &backend);
+        let listed = serde_json::json!({
+            "host": format!("host-{server}"), "zone": zone(at),
+            "peers": daemon.ports.peers, "server": server, "state": "live",
+        });
+        self.list(&format!("host-{server}"), &listed);
+        daemon
+    }
+
+    /// Starts entry `at` and lists it with the platform.
+    pub fn entry(&self, at: usize) -> Daemon {
+        let host = format!("host-entry-{at}");
+        let daemon = self.daemon(&host, at, "entry", "callers: 127.0.0.1:0\n");
+        let listed = serde_json::json!({
+            "host": host, "zone": zone(at), "peers": daemon.ports.peers, "state": "live",
+        });
+        self.list(&host, &listed);
+        daemon
+    }
+
+    /// Commits the site's text as `version`, with `out` taken out.
+    pub fn commit(&self, version: u64, out: &config::Out) {
+        config::parse(&self.text()).unwrap();
+        let committed = config::Committed { version, text: self.text(), out: out.clone() };
+        let value = serde_json::to_string(&committed).unwrap();
+        let path = format!("/table/{}", daemon::poll::CONFIG_KEY);
+        let answer = call("PUT", self.platform.at, &path, &[], &value);
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+
+    /// Waits until every process has `version` in force and every sidecar reaches its server.
+    pub fn ready(&self, version: u64) {
+        for daemon in self.sidecars.iter().chain(&self.entries) {
+            until("the configuration is in force", || {
+                let dump = daemon.dump()?;
+                let reaches = dump["role"] == "entry" || dump["reachable"] == true;
+                (dump["version"].as_u64() >= Some(version) && reaches).then_some(())
+            });
+        }
+        for entry in &self.entries {
+            until("the entry is ready", || {
+                (get(entry.process.at, "/readyz", &[]).status == 200).then_some(())
+            });
+        }
+    }
+
+    /// Streams a completion of `tokens` tokens through entry `entry`.
+    pub fn stream(&self, entry: usize, prompt: &str, tokens: u64) -> Answer {
+        complete(self.entries[entry].process.at, "/writer", prompt, tokens)
+    }
+
+    /// The right answer to the same request, from an engine directly.
+    pub fn right(&self, prompt: &str, tokens: u64) -> Vec<u8> {
+        let engine = Process::stand_in(env!("CARGO_BIN_EXE_stand-in-engine"), &["--token-ms", "0"]);
+        let answer = complete(engine.at, "", prompt, tokens);
+        assert!(answer.whole());
+        answer.body
+    }
+
+    /// Posts to the plain service, which must not run it twice, under `key`.
+    pub fn book(&self, entry: usize, key: &str, body: &str) -> Answer {
+        let headers = [("Workspace", "w"), ("Idempotency-Key", key)];
+        post(self.entries[entry].process.at, "/ledger/postings", &headers, body)
+    }
+
+    /// Runs of `key` over all plain servers that are alive.
+    pub fn runs(&self, key: &str) -> u64 {
+        let runs = |plain: &Process| plain.counts()["runs"][key].as_u64().unwrap_or(0);
+        self.plains.iter().map(runs).sum()
+    }
+
+    /// Sum of the count `name` over all engines.
+    pub fn sum(&self, name: &str) -> u64 {
+        self.engines.iter().map(|engine| engine.counts()[name].as_u64().unwrap()).sum()
+    }
+
+    fn server(&self, at: usize) -> String {
+        match at.checked_sub(self.engines.len()) {
+            None => format!("writer-{at}"),
+            Some(at) => format!("ledger-{at}"),
+        }
+    }
+
+    fn text(&self) -> String {
+        let servers: String = (0..self.engines.len() + self.plains.len())
+            .map(|at| {
+                let server = self.server(at);
+                let service = server.split('-').next().unwrap();
+                format!("  {server}: {{service: {service}, zone: {}}}\n", zone(at))
+            })
+            .collect();
+        let writer = if self.engines.is_empty() { "" } else { WRITER };
+        let ledger = if self.plains.is_empty() { "" } else { LEDGER };
+        format!("{ZONES}{writer}{ledger}servers:\n{servers}")
+    }
+
+    fn daemon(&self, host: &str, at: usize, role: &str, rest: &str) -> Daemon {
+        let number = COUNT.fetch_add(1, atomic::Ordering::Relaxed);
+        let base = self.dir.join(format!("{host}-{number}"));
+        let (settings, ports) = (base.with_extension("yaml"), base.with_extension("ports"));
+        let text = format!(
+            "host: {host}\nzone: {}\nrole: {role}\noperators: 127.0.0.1:0\npeers: 127.0.0.1:0\n\
+             platform: http://{}\ntoken: {TOKEN}\nports-file: {}\nbalancer-lag-ms: {}\n{rest}",
+            zone(at),
+            self.platform.at,
+            ports.display(),
+            self.lag_ms,
+        );
+        fs::write(&settings, text).unwrap();
+        let log = fs::File::create(base.with_extension("log")).unwrap();
+        let child = process::Command::new(env!("CARGO_BIN_EXE_knapweedfordd"))
+            .arg(&settings)
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        let ports: daemon::Ports = until("the process listens", || {
+            serde_json::from_str(&fs::read_to_string(&ports).ok()?).ok()
+        });
+        let at = ports.callers.unwrap_or(ports.peers);
+        Daemon { process: Process { child, at }, ports }
+    }
+
+    fn list(&self, host: &str, listed: &serde_json::Value) {
+        let path = format!("/hosts/{host}");
+        let answer = call("PUT", self.platform.at, &path, &[], &listed.to_string());
+        assert!(answer.status < 300, "{}", answer.text());
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        match thread::panicking() {
+            true => eprintln!("logs of the site: {}", self.dir.display()),
+            false => drop(fs::remove_dir_all(&self.dir)),
+        }
+        *RUNNING.lock().unwrap() -= 1;
+        FREED.notify_one();
+    }
+}
+
+/// Availability zone of the `at`th process of a kind.
+pub fn zone(at: usize) -> &'static str {
+    ["north", "east", "south"][at % 3]
+}
+
+/// Streams a completion at `root` of `at`.
+pub fn complete(at: net::SocketAddr, root: &str, prompt: &str, tokens: u64) -> Answer {
+    let body = serde_json::json!({"prompt": prompt, "stream": true, "max_tokens": tokens});
+    post(at, &format!("{root}/v1/completions"), &[("Workspace", "w")], &body.to_string())
+}
+
+fn enter() {
+    let running = RUNNING.lock().unwrap();
+    *FREED.wait_while(running, |running| *running >= SITES).unwrap() += 1;
+}
+
+const ZONES: &str = "zones: {north: {}, east: {}, south: {}}\nservices:\n";
+const WRITER: &str = "  writer:
+    kind: model-group
+    calls:
+      - {method: POST, path: /v1/completions, repeatable: true, deadline-ms: 50000}
+    limits: {in-flight-per-server: 64}
+    group: {ranks: 6, experts: 12, layers: 1, slots-per-rank: 4, expert-bytes: 1000}
+";
+const LEDGER: &str = "  ledger:
+    kind: plain
+    calls:
+      - {method: GET, path: /, repeatable: true, deadline-ms: 20000}
+      - {method: POST, path: /postings, repeatable: false, deadline-ms: 20000}
+    limits: {in-flight-per-server: 64}
+";
--- /dev/null
+++ b/tests/streams.rs
@@ -0,0 +1,30 @@
+//! The whole path: streamed and plain answers through separate processes.
+
+use crate::site;
+
+#[test]
+fn stream_whole() {
+    let site = site::Site::start(&site::Plan::default());
+    let answer = site.stream(0, "how much fat", 40);
+    assert!(answer.whole(), "{answer:?}");
+    assert_eq!(answer.ran, "yes");
+    assert_eq!(answer.body, site.right("how much fat", 40));
+}
+
+#[test]
+fn plain_whole() {
+    let site = site::Site::start(&site::Plan { engines: 0, plains: 1, ..Default::default() });
+    let answer = site.book(0, "k-1", "42 litres");
+    assert!(answer.whole(), "{answer:?}");
+    assert_eq!((answer.ran.as_str(), answer.json()["echo"].as_str()), ("yes", Some("42 litres")));
+    assert_eq!(site.runs("k-1"), 1);
+}
+
+#[test]
+fn unknown_refused() {
+    let site = site::Site::start(&site::Plan { engines: 1, ..Default::default() });
+    let at = site.entries[0].process.at;
+    let answer = site::post(at, "/nobody/x", &[("Workspace", "w")], "");
+    assert_eq!((answer.status, answer.ran.as_str()), (404, "no"));
+    assert_eq!(site.sum("peak"), 0);
+}
