--- a/tests/site.rs
+++ b/tests/site.rs
@@ -1,443 +1,435 @@
-//! A small site of real processes on loopback: platform, backend servers, sidecars, entries.
+//! A small site under virtual time: nodes, a lossy network, a fake platform.
 
 use std::{
-    fs,
-    io::{BufRead, BufReader, Read},
-    net, path, process,
-    sync::{Condvar, Mutex, atomic},
-    thread, time,
+    collections::{BTreeMap, BTreeSet},
+    net,
+    sync::{Mutex, MutexGuard},
+    time::{self, Duration},
 };
 
-use knapweedford::{config, daemon};
-
-/// Secret of every process of a site.
-pub const TOKEN: &str = "secret-of-the-site";
-/// Bound on anything that is waited for; generous, since the machine may be busy.
-pub const PATIENCE: time::Duration = time::Duration::from_secs(60);
-/// Sites that may run at once.
-const SITES: usize = 3;
-/// Pause between two looks.
-const LOOK: time::Duration = time::Duration::from_millis(20);
+use knapweedford::{
+    Error, Result,
+    agree::{
+        change::{Order, Outcome},
+        node::{self, Input, Node, Output},
+        record::{Effective, Op, Target},
+        store,
+    },
+    name, platform,
+    wire::{frame, gossip},
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
 
-static RUNNING: Mutex<usize> = Mutex::new(0);
-static FREED: Condvar = Condvar::new();
-static COUNT: atomic::AtomicUsize = atomic::AtomicUsize::new(0);
+/// The platform in memory.
+#[derive(Default)]
+pub struct Platform {
+    state: Mutex<State>,
+}
 
-/// A running process; killed by its id when dropped.
-pub struct Process {
-    child: process::Child,
-    /// Address that it announced.
-    pub at: net::SocketAddr,
+/// Contents, faults and counts of a [`Platform`].
+pub struct State {
+    pub rows: BTreeMap<String, platform::Row>,
+    pub objects: BTreeMap<String, Vec<u8>>,
+    pub hosts: Vec<platform::Listed>,
+    pub down: bool,
+    pub lose_answer: f64,
+    pub lose_write: f64,
+    pub reads: u64,
+    pub writes: u64,
+    rng: Pcg64,
+    tag: u64,
 }
 
-impl Process {
-    /// Starts a stand-in, which announces its address on its standard output.
-    pub fn stand_in(program: &str, args: &[&str]) -> Self {
-        let mut child = process::Command::new(program)
-            .args(args)
-            .stdout(process::Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut line = String::new();
-        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
-        let at = line.trim().strip_prefix("listening ").unwrap().parse().unwrap();
-        Self { child, at }
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            rows: BTreeMap::new(),
+            objects: BTreeMap::new(),
+            hosts: Vec::new(),
+            down: false,
+            lose_answer: 0.0,
+            lose_write: 0.0,
+            reads: 0,
+            writes: 0,
+            rng: Pcg64::seed_from_u64(7),
+            tag: 0,
+        }
     }
+}
 
-    /// Sends a signal, such as `STOP`.
-    pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let sent = process::Command::new("kill").args([&format!("-{name}"), &id]).status();
-        assert!(sent.unwrap().success());
-    }
+fn down() -> Error {
+    Error::PlatformDown { service: "table", problem: "fake".into() }
+}
 
-    /// Kills the process and waits for its end.
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+impl Platform {
+    /// Contents, faults and counts.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
     }
 
-    /// Whether the process still runs.
-    pub fn runs(&mut self) -> bool {
-        self.child.try_wait().unwrap().is_none()
+    fn open(&self) -> Result<MutexGuard<'_, State>> {
+        let state = self.state();
+        if state.down { Err(down()) } else { Ok(state) }
     }
+}
 
-    /// Waits for the process's own end.
-    pub fn ended(&mut self) -> process::ExitStatus {
-        until("the process ends", || self.child.try_wait().unwrap())
+impl State {
+    fn happens(&mut self, p: f64) -> bool {
+        p > 0.0 && self.rng.random_bool(p)
     }
+}
 
-    /// Memory in use, in KiB.
-    pub fn memory(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
-        line.trim().trim_end_matches(" kB").parse().unwrap()
+impl platform::Table for Platform {
+    fn read(&self, key: &str, _: Duration) -> Result<Option<platform::Row>> {
+        self.state().reads += 1;
+        Ok(self.open()?.rows.get(key).cloned())
     }
 
-    /// Sets faults of a stand-in.
-    pub fn faults(&self, faults: &str) {
-        let answer = post(self.at, "/faults", &[], faults);
-        assert_eq!(answer.status, 200, "{}", answer.text());
+    fn write(
+        &self,
+        key: &str,
+        value: &str,
+        when: &platform::When,
+        _: Duration,
+    ) -> Result<platform::Written> {
+        self.state().writes += 1;
+        let mut state = self.open()?;
+        let p = state.lose_write;
+        if state.happens(p) {
+            return Err(down());
+        }
+        let holds = match (when, state.rows.get(key)) {
+            (platform::When::Absent, None) => true,
+            (platform::When::Unchanged(etag), Some(row)) => row.etag == *etag,
+            _ => false,
+        };
+        let p = state.lose_answer;
+        let lost = state.happens(p);
+        if !holds {
+            return if lost { Err(down()) } else { Ok(platform::Written::Refused) };
+        }
+        state.tag += 1;
+        let etag = platform::Etag(state.tag.to_string());
+        let row = platform::Row { etag: etag.clone(), value: value.into() };
+        state.rows.insert(key.into(), row);
+        if lost { Err(down()) } else { Ok(platform::Written::Done(etag)) }
     }
 
-    /// What a stand-in counted.
-    pub fn counts(&self) -> serde_json::Value {
-        get(self.at, "/counts", &[]).json()
+    fn delete(&self, key: &str, etag: &platform::Etag, _: Duration) -> Result<bool> {
+        self.state().writes += 1;
+        let mut state = self.open()?;
+        let held = state.rows.get(key).is_some_and(|row| row.etag == *etag);
+        if held {
+            state.rows.remove(key);
+        }
+        let p = state.lose_answer;
+        if state.happens(p) { Err(down()) } else { Ok(held) }
     }
 }
 
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.kill();
+impl platform::Hosts for Platform {
+    fn list(&self, _: Duration) -> Result<Vec<platform::Listed>> {
+        self.state().reads += 1;
+        Ok(self.open()?.hosts.clone())
     }
 }
 
-/// A process of the system.
-pub struct Daemon {
-    /// The process; `at` is the callers' port of an entry, the peers' port of a sidecar.
-    pub process: Process,
-    /// All its addresses.
-    pub ports: daemon::Ports,
-}
+impl platform::Objects for Platform {
+    fn get(&self, key: &str, _: Duration) -> Result<Option<Vec<u8>>> {
+        Ok(self.open()?.objects.get(key).cloned())
+    }
 
-impl Daemon {
-    /// The state that the process gives on request; `None` if it does not answer.
-    pub fn dump(&self) -> Option<serde_json::Value> {
-        let bearer = format!("Bearer {TOKEN}");
-        let answer = call("GET", self.ports.operators, "/dump", &[("Authorization", &bearer)], "");
-        (answer.status == 200).then(|| answer.json())
+    fn put(&self, key: &str, data: &[u8], _: Duration) -> Result {
+        self.open()?.objects.insert(key.into(), data.into());
+        Ok(())
     }
 }
 
-/// What a caller received.
 #[derive(Clone, Debug)]
-pub struct Answer {
-    /// HTTP status; 0 if there was no answer.
-    pub status: u16,
-    /// Header `Ran`.
-    pub ran: String,
-    /// Header `Retry-After`.
-    pub retry_after: Option<u64>,
-    /// The bytes of the body.
-    pub body: Vec<u8>,
-    /// Whether the body broke off before its end.
-    pub cut: bool,
+enum Event {
+    Tick(usize, u64),
+    Deliver(usize, gossip::Message),
+    Store(usize, u64, store::Ask),
 }
 
-impl Answer {
-    /// The body as text.
-    pub fn text(&self) -> String {
-        String::from_utf8_lossy(&self.body).into_owned()
-    }
-
-    /// The body as JSON.
-    pub fn json(&self) -> serde_json::Value {
-        serde_json::from_slice(&self.body).unwrap()
-    }
-
-    /// Whether the whole answer came.
-    pub fn whole(&self) -> bool {
-        self.status == 200 && !self.cut
-    }
+/// What one process cost.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cost {
+    /// Messages sent.
+    pub sent: u64,
+    /// Bytes sent and received, frames only.
+    pub bytes: u64,
+    /// Time spent in the state machine; wall clock.
+    pub busy: Duration,
 }
 
-/// Sends a GET.
-pub fn get(at: net::SocketAddr, path: &str, headers: &[(&str, &str)]) -> Answer {
-    call("GET", at, path, headers, "")
+/// One process of the site.
+pub struct Process {
+    /// The state machine; `None` while dead.
+    pub node: Option<Node>,
+    /// When it last adopted something, by version.
+    pub adopted: Vec<(Duration, Effective)>,
+    /// Cost so far.
+    pub cost: Cost,
+    boot: u64,
+    paused_until: Duration,
 }
 
-/// Sends a POST.
-pub fn post(at: net::SocketAddr, path: &str, headers: &[(&str, &str)], body: &str) -> Answer {
-    call("POST", at, path, headers, body)
+/// Processes, network, platform and virtual time.
+pub struct Site {
+    /// Virtual time.
+    pub now: Duration,
+    /// The platform.
+    pub platform: Platform,
+    /// The processes.
+    pub processes: Vec<Process>,
+    /// Answers to operators.
+    pub answers: BTreeMap<Op, Outcome>,
+    /// Probability that a message is lost.
+    pub loss: f64,
+    /// Processes that can reach each other have the same number here.
+    pub side: Vec<u8>,
+    /// Whether frames are encoded to count their bytes, and calls timed.
+    pub count_cost: bool,
+    queue: BTreeMap<(Duration, u64), Event>,
+    serial: u64,
+    rng: Pcg64,
 }
 
-/// Sends a request and reads the answer to its end.
-pub fn call(
-    method: &str,
-    at: net::SocketAddr,
-    path: &str,
-    headers: &[(&str, &str)],
-    body: &str,
-) -> Answer {
-    let mut req = http::Request::builder().method(method).uri(format!("http://{at}{path}"));
-    for (name, value) in headers {
-        req = req.header(*name, *value);
-    }
-    let agent = ureq::Agent::config_builder()
-        .http_status_as_error(false)
-        .proxy(None)
-        .timeout_global(Some(PATIENCE))
-        .build()
-        .new_agent();
-    let nothing =
-        Answer { status: 0, ran: String::new(), retry_after: None, body: Vec::new(), cut: true };
-    let Ok(res) = agent.run(req.body(body.to_owned()).unwrap()) else { return nothing };
-    let header = |name: &str| {
-        let value = res.headers().get(name).and_then(|value| value.to_str().ok());
-        value.unwrap_or_default().to_owned()
-    };
-    let (status, ran) = (res.status().as_u16(), header("ran"));
-    let retry_after = header("retry-after").parse().ok();
-    let mut body = Vec::new();
-    let cut = res.into_body().into_reader().read_to_end(&mut body).is_err();
-    Answer { status, ran, retry_after, body, cut }
-}
+/// One way through the network, at least and at most.
+const LATENCY_MS: std::ops::Range<u64> = 1..20;
 
-/// Looks until `seen` gives something.
-pub fn until<T>(what: &str, mut seen: impl FnMut() -> Option<T>) -> T {
-    let end = time::Instant::now() + PATIENCE;
-    loop {
-        match seen() {
-            Some(value) => return value,
-            None if time::Instant::now() > end => panic!("waited in vain: {what}"),
-            None => thread::sleep(LOOK),
-        }
-    }
+/// One call to the platform.
+const STORE_MS: u64 = 10;
+
+pub fn host(i: usize) -> name::Host {
+    name::Host::new(format!("h{i:03}"))
 }
 
-/// How many processes of each kind a site has, and how its stand-ins are started.
-pub struct Plan<'a> {
-    /// Entries.
-    pub entries: usize,
-    /// Model engines, each with a sidecar.
-    pub engines: usize,
-    /// Options of each engine.
-    pub engine: &'a [&'a str],
-    /// Plain servers, each with a sidecar.
-    pub plains: usize,
-    /// Options of each plain server.
-    pub plain: &'a [&'a str],
-    /// Time for which the balancer lags, in milliseconds.
-    pub lag_ms: u64,
+pub fn address(i: usize) -> net::SocketAddr {
+    net::SocketAddr::from(([10, 0, (i / 250) as u8, (i % 250) as u8], 7))
 }
 
-impl Default for Plan<'_> {
-    fn default() -> Self {
-        Self { entries: 1, engines: 2, engine: &[], plains: 0, plain: &[], lag_ms: 200 }
-    }
+pub fn zone(name: &str) -> Target {
+    Target::Zone(name.into())
 }
 
-/// A running site.
-pub struct Site {
-    /// The platform's stand-in.
-    pub platform: Process,
-    /// Model engines.
-    pub engines: Vec<Process>,
-    /// Plain servers.
-    pub plains: Vec<Process>,
-    /// Sidecars, first of the engines, then of the plain servers.
-    pub sidecars: Vec<Daemon>,
-    /// Entries.
-    pub entries: Vec<Daemon>,
-    lag_ms: u64,
-    dir: path::PathBuf,
+fn listed(i: usize) -> platform::Listed {
+    platform::Listed {
+        host: host(i),
+        zone: name::Zone::new(format!("z{}", i % 3)),
+        peers: address(i),
+        server: (!i.is_multiple_of(3)).then(|| name::Server::new(format!("s{i}"))),
+        state: platform::State::Live,
+    }
 }
 
 impl Site {
-    /// Starts the processes and waits until the configuration is in force in each.
-    pub fn start(plan: &Plan) -> Self {
-        enter();
-        let number = COUNT.fetch_add(1, atomic::Ordering::Relaxed);
-        let dir = path::Path::new(env!("CARGO_TARGET_TMPDIR"))
-            .join(format!("site-{}-{number}", process::id()));
-        fs::create_dir_all(&dir).unwrap();
-        let engine = || Process::stand_in(env!("CARGO_BIN_EXE_stand-in-engine"), plan.engine);
-        let plain = || Process::stand_in(env!("CARGO_BIN_EXE_stand-in-plain"), plan.plain);
+    /// A site of `count` processes that have just started, all listed.
+    pub fn new(count: usize) -> Self {
         let mut site = Self {
-            platform: Process::stand_in(env!("CARGO_BIN_EXE_stand-in-platform"), &[]),
-            engines: (0..plan.engines).map(|_| engine()).collect(),
-            plains: (0..plan.plains).map(|_| plain()).collect(),
-            sidecars: Vec::new(),
-            entries: Vec::new(),
-            lag_ms: plan.lag_ms,
-            dir,
+            now: Duration::ZERO,
+            platform: Platform::default(),
+            processes: Vec::new(),
+            answers: BTreeMap::new(),
+            loss: 0.0,
+            side: vec![0; count],
+            count_cost: false,
+            queue: BTreeMap::new(),
+            serial: 0,
+            rng: Pcg64::seed_from_u64(11),
         };
-        for at in 0..plan.engines + plan.plains {
-            let sidecar = site.sidecar(at);
-            site.sidecars.push(sidecar);
-        }
-        for at in 0..plan.entries {
-            let entry = site.entry(at);
-            site.entries.push(entry);
+        site.platform.state().hosts = (0..count).map(listed).collect();
+        for i in 0..count {
+            site.processes.push(Process {
+                node: None,
+                adopted: Vec::new(),
+                cost: Cost::default(),
+                boot: 0,
+                paused_until: Duration::ZERO,
+            });
+            site.start(i);
         }
-        site.commit(1, &config::Out::default());
-        site.ready(1);
         site
     }
 
-    /// Starts a sidecar beside backend server `at` and lists it with the platform.
-    pub fn sidecar(&self, at: usize) -> Daemon {
-        let server = self.server(at);
-        let backend = self.engines.iter().chain(&self.plains).nth(at).unwrap().at;
-        let backend = format!("backend:\n  server: {server}\n  url: http://{backend}\n");
-        let daemon = self.daemon(&format!("host-{server}"), at, "sidecar", &backend);
-        let listed = serde_json::json!({
-            "host": format!("host-{server}"), "zone": zone(at),
-            "peers": daemon.ports.peers, "server": server, "state": "live",
-        });
-        self.list(&format!("host-{server}"), &listed);
-        daemon
+    /// A site that has run long enough to know itself, with text `one` committed.
+    pub fn settled(count: usize) -> Self {
+        let mut site = Self::new(count);
+        site.run(secs(15));
+        site.order(0, 1, apply("one"));
+        site.run(secs(10));
+        site
     }
 
-    /// Starts entry `at` and lists it with the platform.
-    pub fn entry(&self, at: usize) -> Daemon {
-        let host = format!("host-entry-{at}");
-        let daemon = self.daemon(&host, at, "entry", "callers: 127.0.0.1:0\n");
-        let listed = serde_json::json!({
-            "host": host, "zone": zone(at), "peers": daemon.ports.peers, "state": "live",
-        });
-        self.list(&host, &listed);
-        daemon
+    /// Starts or restarts process `i`, which knows nothing but process 0 and 1 as seeds.
+    pub fn start(&mut self, i: usize) {
+        let boot = self.processes[i].boot + 1;
+        let listed = listed(i);
+        let me = gossip::Member {
+            host: listed.host,
+            zone: listed.zone,
+            peers: listed.peers,
+            server: listed.server,
+            incarnation: 1 + self.now.as_millis() as u64,
+            boot,
+            leaving: false,
+            health: gossip::Health::Alive,
+        };
+        let seeds = vec![address(0), address(1)];
+        let start = node::Start { me, seeds, seed: 100 * boot + i as u64 };
+        let process = &mut self.processes[i];
+        process.boot = boot;
+        process.adopted.clear();
+        process.node = Some(Node::new(start, self.now));
+        let first = self.now + ms(self.rng.random_range(0..100));
+        self.push(first, Event::Tick(i, boot));
     }
 
-    /// Commits the site's text as `version`, with `out` taken out.
-    pub fn commit(&self, version: u64, out: &config::Out) {
-        config::parse(&self.text()).unwrap();
-        let committed = config::Committed { version, text: self.text(), out: out.clone() };
-        let value = serde_json::to_string(&committed).unwrap();
-        let path = format!("/table/{}", daemon::poll::CONFIG_KEY);
-        let answer = call("PUT", self.platform.at, &path, &[], &value);
-        assert_eq!(answer.status, 200, "{}", answer.text());
+    /// Kills process `i`.
+    pub fn kill(&mut self, i: usize) {
+        self.processes[i].node = None;
     }
 
-    /// Waits until every process has `version` in force and every sidecar reaches its server.
-    pub fn ready(&self, version: u64) {
-        for daemon in self.sidecars.iter().chain(&self.entries) {
-            until("the configuration is in force", || {
-                let dump = daemon.dump()?;
-                let reaches = dump["role"] == "entry" || dump["reachable"] == true;
-                (dump["version"].as_u64() >= Some(version) && reaches).then_some(())
-            });
-        }
-        for entry in &self.entries {
-            until("the entry is ready", || {
-                (get(entry.process.at, "/readyz", &[]).status == 200).then_some(())
-            });
+    /// Stops process `i` for `time`; messages wait for it.
+    pub fn pause(&mut self, i: usize, time: Duration) {
+        self.processes[i].paused_until = self.now + time;
+    }
+
+    /// Gives process `i` an operator's order.
+    pub fn order(&mut self, i: usize, op: u64, order: Order) {
+        self.input(i, Input::Operator { op: Op(op), order });
+    }
+
+    /// Runs for `time`.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(((at, _), event)) = self.pop_until(end) {
+            self.now = at;
+            self.event(event);
         }
+        self.now = end;
     }
 
-    /// Streams a completion of `tokens` tokens through entry `entry`.
-    pub fn stream(&self, entry: usize, prompt: &str, tokens: u64) -> Answer {
-        complete(self.entries[entry].process.at, "/writer", prompt, tokens)
+    /// The answer to an order.
+    pub fn answer(&self, op: u64) -> Option<&Outcome> {
+        self.answers.get(&Op(op))
     }
 
-    /// The right answer to the same request, from an engine directly.
-    pub fn right(&self, prompt: &str, tokens: u64) -> Vec<u8> {
-        let engine = Process::stand_in(env!("CARGO_BIN_EXE_stand-in-engine"), &["--token-ms", "0"]);
-        let answer = complete(engine.at, "", prompt, tokens);
-        assert!(answer.whole());
-        answer.body
+    /// The process's state machine.
+    pub fn node(&self, i: usize) -> &Node {
+        self.processes[i].node.as_ref().unwrap()
     }
 
-    /// Posts to the plain service, which must not run it twice, under `key`.
-    pub fn book(&self, entry: usize, key: &str, body: &str) -> Answer {
-        let headers = [("Workspace", "w"), ("Idempotency-Key", key)];
-        post(self.entries[entry].process.at, "/ledger/postings", &headers, body)
+    /// The versions in force, of those alive.
+    pub fn versions(&self) -> BTreeSet<u64> {
+        self.alive().map(|node| node.record().version).collect()
     }
 
-    /// Runs of `key` over all plain servers that are alive.
-    pub fn runs(&self, key: &str) -> u64 {
-        let runs = |plain: &Process| plain.counts()["runs"][key].as_u64().unwrap_or(0);
-        self.plains.iter().map(runs).sum()
+    /// The living.
+    pub fn alive(&self) -> impl Iterator<Item = &Node> {
+        self.processes.iter().filter_map(|process| process.node.as_ref())
     }
 
-    /// Sum of the count `name` over all engines.
-    pub fn sum(&self, name: &str) -> u64 {
-        self.engines.iter().map(|engine| engine.counts()[name].as_u64().unwrap()).sum()
+    /// Whether each living process has the zone out.
+    pub fn all_out(&self, zone: &str) -> bool {
+        self.alive().all(|node| node.effective().out().zones.contains(zone))
     }
 
-    fn server(&self, at: usize) -> String {
-        match at.checked_sub(self.engines.len()) {
-            None => format!("writer-{at}"),
-            Some(at) => format!("ledger-{at}"),
+    /// Hands `input` to process `i` now.
+    pub fn input(&mut self, i: usize, input: Input) {
+        let now = self.now;
+        let process = &mut self.processes[i];
+        let Some(node) = &mut process.node else { return };
+        let began = time::Instant::now();
+        let outputs = node.handle(now, input);
+        if self.count_cost {
+            process.cost.busy += began.elapsed();
+        }
+        for output in outputs {
+            self.output(i, output);
         }
     }
 
-    fn text(&self) -> String {
-        let servers: String = (0..self.engines.len() + self.plains.len())
-            .map(|at| {
-                let server = self.server(at);
-                let service = server.split('-').next().unwrap();
-                format!("  {server}: {{service: {service}, zone: {}}}\n", zone(at))
-            })
-            .collect();
-        let writer = if self.engines.is_empty() { "" } else { WRITER };
-        let ledger = if self.plains.is_empty() { "" } else { LEDGER };
-        format!("{ZONES}{writer}{ledger}servers:\n{servers}")
+    fn output(&mut self, i: usize, output: Output) {
+        match output {
+            Output::Store(ask) => {
+                let boot = self.processes[i].boot;
+                let at = self.now + ms(self.rng.random_range(1..STORE_MS));
+                self.push(at, Event::Store(i, boot, ask));
+            }
+            Output::Send { to, message } => self.send(i, to, message),
+            Output::Adopt(effective) => {
+                let now = self.now;
+                self.processes[i].adopted.push((now, effective));
+            }
+            Output::Members => {}
+            Output::Answer { op, outcome } => {
+                self.answers.insert(op, outcome);
+            }
+        }
+    }
+
+    fn send(&mut self, i: usize, to: net::SocketAddr, message: gossip::Message) {
+        let net::IpAddr::V4(ip) = to.ip() else { panic!("fake addresses are v4") };
+        let target = usize::from(ip.octets()[2]) * 250 + usize::from(ip.octets()[3]);
+        self.processes[i].cost.sent += 1;
+        if self.count_cost {
+            let size = frame::encode(&message).unwrap().len() as u64;
+            self.processes[i].cost.bytes += size;
+            self.processes[target].cost.bytes += size;
+        }
+        if self.side[i] != self.side[target] || self.rng.random_bool(self.loss) {
+            return;
+        }
+        let at = self.now + ms(self.rng.random_range(LATENCY_MS));
+        self.push(at, Event::Deliver(target, message));
     }
 
-    fn daemon(&self, host: &str, at: usize, role: &str, rest: &str) -> Daemon {
-        let number = COUNT.fetch_add(1, atomic::Ordering::Relaxed);
-        let base = self.dir.join(format!("{host}-{number}"));
-        let (settings, ports) = (base.with_extension("yaml"), base.with_extension("ports"));
-        let text = format!(
-            "host: {host}\nzone: {}\nrole: {role}\noperators: 127.0.0.1:0\npeers: 127.0.0.1:0\n\
-             platform: http://{}\ntoken: {TOKEN}\nports-file: {}\nbalancer-lag-ms: {}\n{rest}",
-            zone(at),
-            self.platform.at,
-            ports.display(),
-            self.lag_ms,
-        );
-        fs::write(&settings, text).unwrap();
-        let log = fs::File::create(base.with_extension("log")).unwrap();
-        let child = process::Command::new(env!("CARGO_BIN_EXE_knapweedfordd"))
-            .arg(&settings)
-            .stderr(log)
-            .spawn()
-            .unwrap();
-        let ports: daemon::Ports = until("the process listens", || {
-            serde_json::from_str(&fs::read_to_string(&ports).ok()?).ok()
-        });
-        let at = ports.callers.unwrap_or(ports.peers);
-        Daemon { process: Process { child, at }, ports }
+    fn event(&mut self, event: Event) {
+        let i = match &event {
+            Event::Tick(i, _) | Event::Deliver(i, _) | Event::Store(i, _, _) => *i,
+        };
+        let paused_until = self.processes[i].paused_until;
+        if self.now < paused_until {
+            return self.push(paused_until, event);
+        }
+        match event {
+            Event::Tick(_, boot) if boot != self.processes[i].boot => {}
+            Event::Tick(_, boot) => {
+                self.push(self.now + node::TICK, Event::Tick(i, boot));
+                self.input(i, Input::Tick);
+            }
+            Event::Deliver(_, message) => self.input(i, Input::Message(message)),
+            Event::Store(_, boot, ask) => {
+                let answer = store::serve(&ask, &self.platform, &self.platform);
+                if boot == self.processes[i].boot {
+                    self.input(i, Input::Store(answer));
+                }
+            }
+        }
     }
 
-    fn list(&self, host: &str, listed: &serde_json::Value) {
-        let path = format!("/hosts/{host}");
-        let answer = call("PUT", self.platform.at, &path, &[], &listed.to_string());
-        assert!(answer.status < 300, "{}", answer.text());
+    fn push(&mut self, at: Duration, event: Event) {
+        self.serial += 1;
+        self.queue.insert((at, self.serial), event);
     }
-}
 
-impl Drop for Site {
-    fn drop(&mut self) {
-        match thread::panicking() {
-            true => eprintln!("logs of the site: {}", self.dir.display()),
-            false => drop(fs::remove_dir_all(&self.dir)),
-        }
-        *RUNNING.lock().unwrap() -= 1;
-        FREED.notify_one();
+    fn pop_until(&mut self, end: Duration) -> Option<((Duration, u64), Event)> {
+        let first = self.queue.first_entry()?;
+        (first.key().0 <= end).then(|| first.remove_entry())
     }
 }
 
-/// Availability zone of the `at`th process of a kind.
-pub fn zone(at: usize) -> &'static str {
-    ["north", "east", "south"][at % 3]
+pub fn secs(n: u64) -> Duration {
+    Duration::from_secs(n)
 }
 
-/// Streams a completion at `root` of `at`.
-pub fn complete(at: net::SocketAddr, root: &str, prompt: &str, tokens: u64) -> Answer {
-    let body = serde_json::json!({"prompt": prompt, "stream": true, "max_tokens": tokens});
-    post(at, &format!("{root}/v1/completions"), &[("Workspace", "w")], &body.to_string())
+pub fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
 }
 
-fn enter() {
-    let running = RUNNING.lock().unwrap();
-    *FREED.wait_while(running, |running| *running >= SITES).unwrap() += 1;
+pub fn apply(text: &str) -> Order {
+    Order::Apply { text: text.into(), base: None }
 }
-
-const ZONES: &str = "zones: {north: {}, east: {}, south: {}}\nservices:\n";
-const WRITER: &str = "  writer:
-    kind: model-group
-    calls:
-      - {method: POST, path: /v1/completions, repeatable: true, deadline-ms: 50000}
-    limits: {in-flight-per-server: 64}
-    group: {ranks: 6, experts: 12, layers: 1, slots-per-rank: 4, expert-bytes: 1000}
-";
-const LEDGER: &str = "  ledger:
-    kind: plain
-    calls:
-      - {method: GET, path: /, repeatable: true, deadline-ms: 20000}
-      - {method: POST, path: /postings, repeatable: false, deadline-ms: 20000}
-    limits: {in-flight-per-server: 64}
-";
