End the process as soon as its main thread is told to

Cause: the main loop looked for the shutdown before it ran stakker, not after, and so slept up to 60 s on an empty queue with the I/O thread gone. Seen in tests shutdown::* (SIGTERM under load): every process was still there after 60 s, its io thread ended, its main thread in recv_timeout.

--- a/src/daemon/reactor.rs
+++ b/src/daemon/reactor.rs
@@ -13,9 +13,12 @@
     events: &mpsc::Receiver<E>,
     mut take: impl FnMut(&mut Stakker, E),
 ) {
-    while stakker.not_shutdown() {
+    loop {
         let now = time::Instant::now();
         stakker.run(now, false);
+        if !stakker.not_shutdown() {
+            return;
+        }
         let wait = stakker.next_wait_max(now, IDLE, false);
         match events.recv_timeout(wait) {
             Ok(event) => take(&mut stakker, event),
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -2,6 +2,7 @@
 
 mod agreement;
 mod claims;
+mod cold;
 mod deaths;
 mod frames;
 mod fuzz;
@@ -9,8 +10,13 @@
 mod fuzz_gate;
 mod host_settings;
 mod leases;
+mod load;
+mod once;
+mod outages;
 mod platform;
 mod processes;
+mod shutdown;
 mod site;
 mod streams;
 mod texts;
+mod zones;
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -1,7 +1,7 @@
 //! A small site of real processes on loopback: platform, backend servers, sidecars, entries.
 
 use std::{
-    fs,
+    fmt, fs,
     io::{BufRead, BufReader, Read},
     net, path, process,
     sync::{Condvar, Mutex, atomic},
@@ -110,7 +110,7 @@
 }
 
 /// What a caller received.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Answer {
     /// HTTP status; 0 if there was no answer.
     pub status: u16,
@@ -124,6 +124,15 @@
     pub cut: bool,
 }
 
+impl fmt::Debug for Answer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (Self { status, ran, retry_after, cut, .. }, len) = (self, self.body.len());
+        let text = self.text();
+        let head: String = text.chars().take(200).collect();
+        write!(f, "{status} ran={ran} retry_after={retry_after:?} cut={cut} {len} bytes: {head}")
+    }
+}
+
 impl Answer {
     /// The body as text.
     pub fn text(&self) -> String {
@@ -321,9 +330,14 @@
         complete(self.entries[entry].process.at, "/writer", prompt, tokens)
     }
 
+    /// A further engine, to ask for right answers directly.
+    pub fn engine(&self) -> Process {
+        Process::stand_in(env!("CARGO_BIN_EXE_stand-in-engine"), &["--token-ms", "0"])
+    }
+
     /// The right answer to the same request, from an engine directly.
     pub fn right(&self, prompt: &str, tokens: u64) -> Vec<u8> {
-        let engine = Process::stand_in(env!("CARGO_BIN_EXE_stand-in-engine"), &["--token-ms", "0"]);
+        let engine = self.engine();
         let answer = complete(engine.at, "", prompt, tokens);
         assert!(answer.whole());
         answer.body
@@ -341,6 +355,13 @@
         self.plains.iter().map(runs).sum()
     }
 
+    /// Runs that engine `at` began.
+    pub fn total(&self, at: usize) -> u64 {
+        let counts = self.engines[at].counts();
+        let requests = counts["requests"].as_object().unwrap();
+        requests.values().map(|request| request["runs"].as_u64().unwrap()).sum()
+    }
+
     /// Sum of the count `name` over all engines.
     pub fn sum(&self, name: &str) -> u64 {
         self.engines.iter().map(|engine| engine.counts()[name].as_u64().unwrap()).sum()
--- /dev/null
+++ b/tests/shutdown.rs
@@ -0,0 +1,77 @@
+//! Graceful ends under load: nothing in flight is cut.
+
+use std::{thread, time};
+
+use crate::{load, processes};
+use processes::{Plan, Site};
+
+const TOKENS: u64 = 60;
+const CALLERS: usize = 8;
+const PLAN: Plan = Plan {
+    entries: 2,
+    engines: 2,
+    engine: &["--token-ms", "10"],
+    plains: 0,
+    plain: &[],
+    lag_ms: 1500,
+};
+
+/// Ends processes by SIGTERM under load; every answer must be whole.
+fn ends(site: &mut Site, end: impl FnOnce(&mut Site)) {
+    let entries: Vec<_> = site.entries.iter().map(|entry| entry.process.at).collect();
+    let load = load::Load::streams(CALLERS, &entries, TOKENS);
+    thread::sleep(time::Duration::from_millis(700));
+    end(site);
+    thread::sleep(time::Duration::from_millis(700));
+    let sent = load.stop();
+    let engine = site.engine();
+    load::none_lost(&sent, |name| processes::complete(engine.at, "", name, TOKENS).body);
+}
+
+#[test]
+fn entry_ends() {
+    let mut site = Site::start(&PLAN);
+    ends(&mut site, |site| {
+        site.entries[0].process.signal("TERM");
+        assert!(site.entries[0].process.ended().success());
+    });
+}
+
+#[test]
+fn sidecar_ends() {
+    let mut site = Site::start(&PLAN);
+    ends(&mut site, |site| {
+        site.sidecars[0].process.signal("TERM");
+        assert!(site.sidecars[0].process.ended().success());
+    });
+    assert_eq!(site.sum("cancelled") + site.sum("gone") + site.sum("cut"), 0);
+}
+
+#[test]
+fn both_end() {
+    let mut site = Site::start(&PLAN);
+    ends(&mut site, |site| {
+        site.entries[0].process.signal("TERM");
+        site.sidecars[0].process.signal("TERM");
+        assert!(site.sidecars[0].process.ended().success());
+        assert!(site.entries[0].process.ended().success());
+    });
+    assert_eq!(site.sum("cancelled") + site.sum("gone") + site.sum("cut"), 0);
+}
+
+#[test]
+fn last_sidecar() {
+    let mut site = Site::start(&Plan { entries: 1, engines: 1, ..PLAN });
+    let at = site.entries[0].process.at;
+    let caller = thread::spawn(move || processes::complete(at, "/writer", "last", 100));
+    processes::until("it works", || (site.sum("in_flight") == 1).then_some(()));
+    site.sidecars[0].process.signal("TERM");
+    let refused = processes::until("new work is refused", || {
+        Some(site.stream(0, "new", 1)).filter(|answer| !answer.whole())
+    });
+    assert_eq!((refused.status, refused.ran.as_str()), (503, "no"));
+    assert!(refused.retry_after.is_some());
+    let answer = caller.join().unwrap();
+    assert!(answer.whole(), "{answer:?}");
+    assert!(site.sidecars[0].process.ended().success());
+}
