--- a/tests/operators_port.rs
+++ b/tests/operators_port.rs
@@ -4,13 +4,13 @@
 
 use knapweedford::{Error, tool};
 
-use crate::processes::{self, Cluster};
+use crate::cluster::{self, Cluster};
 
 /// Runs the tool's `line` against the operators' port of `name`.
 fn run(cluster: &Cluster, name: &str, line: &str) -> Result<tool::Report, Error> {
     let env = |var: &str| match var {
         "KNAPWEEDFORD_ADDRESS" => Some(cluster.operators(name).to_string()),
-        "KNAPWEEDFORD_TOKEN" => Some(processes::TOKEN.into()),
+        "KNAPWEEDFORD_TOKEN" => Some(cluster::TOKEN.into()),
         _ => None,
     };
     let args = line.split_whitespace().map(ffi::OsString::from);
@@ -25,7 +25,7 @@
 
 #[test]
 fn tool_drives() {
-    let cluster = processes::small("tool_drives");
+    let cluster = cluster::small("tool_drives");
     let said = |line: &str| run(&cluster, "e1", line).unwrap();
     assert!(said("show").plain().ends_with("# Version 1.\n"));
     assert_eq!(said("zone out z1").plain(), "Committed as version 2.\n");
@@ -37,7 +37,7 @@
         "     1  text applied  through e1\n     2  zone z1 out  through e1\n"
     );
     assert_eq!(run(&cluster, "e2", "zone in z1").unwrap().exit, tool::Exit::Done);
-    let text = processes::TEXT.replace("5000", "6000");
+    let text = cluster::TEXT.replace("5000", "6000");
     let path = file("tool_drives.yaml", &text);
     let diff = said(&format!("diff {}", path.display()));
     assert_eq!(
@@ -51,7 +51,7 @@
 
 #[test]
 fn unknown_names() {
-    let cluster = processes::small("unknown_names");
+    let cluster = cluster::small("unknown_names");
     let err = run(&cluster, "e1", "zone out z9").unwrap_err().to_string();
     assert!(err.contains("has no zone z9"), "{err}");
     let err = run(&cluster, "e1", "server out s9").unwrap_err().to_string();
@@ -60,7 +60,7 @@
 
 #[test]
 fn faults_listed() {
-    let cluster = processes::small("faults_listed");
+    let cluster = cluster::small("faults_listed");
     let (status, body) = cluster.operator("e1", "POST", "/apply", "zones: 3\nsevers: {}\n");
     assert_eq!(status, 422);
     let fault: knapweedford::operators::Fault = serde_json::from_str(&body).unwrap();
@@ -70,7 +70,7 @@
 
 #[test]
 fn dump_and_metrics() {
-    let cluster = processes::small("dump_and_metrics");
+    let cluster = cluster::small("dump_and_metrics");
     let dump = cluster.get("c1", "/dump");
     assert_eq!((&dump["role"], &dump["agreement"]["version"]), (&"sidecar".into(), &1.into()));
     let readable = run(&cluster, "e1", &format!("dump {}", cluster.operators("e1"))).unwrap();
@@ -84,9 +84,9 @@
 
 #[test]
 fn text_dump() {
-    let cluster = processes::small("text_dump");
+    let cluster = cluster::small("text_dump");
     let url = format!("http://{}/dump", cluster.operators("c1"));
-    let bearer = format!("Bearer {}", processes::TOKEN);
+    let bearer = format!("Bearer {}", cluster::TOKEN);
     let req = ureq::get(url).header("authorization", bearer).header("accept", "text/plain");
     let text = req.call().unwrap().body_mut().read_to_string().unwrap();
     assert!(text.lines().any(|line| line == "role: sidecar"), "{text}");
@@ -94,7 +94,7 @@
 
 #[test]
 fn every_path_guarded() {
-    let cluster = processes::small("every_path_guarded");
+    let cluster = cluster::small("every_path_guarded");
     let paths = ["/metrics", "/dump", "/status", "/config", "/history", "/nothing"];
     for path in paths {
         let url = format!("http://{}{path}", cluster.operators("e1"));
