--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -83,7 +83,7 @@
         };
         let settings = format!(
             "host: {name}\nzone: {zone}\n{role}operators: 127.0.0.1:0\npeers: 127.0.0.1:0\n\
-             platform: {}\ntoken: secret\nports-file: {}\nseeds: {}\n",
+             platform: {}\ntoken: a-secret-for-tests\nports-file: {}\nseeds: {}\n",
             self.platform.root,
             ports_file.display(),
             serde_json::to_string(&seeds).unwrap(),
@@ -112,8 +112,8 @@
         let agent: ureq::Agent =
             ureq::Agent::config_builder().http_status_as_error(false).build().into();
         let sent = match method {
-            "GET" => agent.get(&url).header("Authorization", "Bearer secret").call(),
-            _ => agent.post(&url).header("Authorization", "Bearer secret").send(body),
+            "GET" => agent.get(&url).header("Authorization", "Bearer a-secret-for-tests").call(),
+            _ => agent.post(&url).header("Authorization", "Bearer a-secret-for-tests").send(body),
         };
         let mut res = sent.unwrap();
         (res.status().as_u16(), res.body_mut().read_to_string().unwrap())
