Claim keyed calls that may not be repeated, and teach versions on calls

Change: entry::once claims before the session starts, records the whole answer after, frees the key when the call provably did not run, and goes on when the caller goes away, so that a repeat finds the outcome. While the table is away the breaker refuses at once: 503, Ran: no, Retry-After. A newer version on a call or reply makes the process that is behind ask for it.

--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -12,7 +12,7 @@
 use super::{Ports, Switches, agent, courier};
 use crate::{
     Error, Result,
-    entry::{Core, Event, Front},
+    entry::{Core, Event, Front, once},
     http, peer, platform, settings, wire,
 };
 
@@ -100,6 +100,7 @@
     })?;
     let token = cfg.token.clone();
     tokio::task::spawn_local(courier::run(client, token, link.clone(), errands));
+    let heard = link.clone();
     let dump = events.clone();
     let port = super::port::Port {
         token: cfg.token.clone(),
@@ -128,6 +129,10 @@
         ready: on.ready.subscribe(),
         refusing: on.refusing.subscribe(),
         ids: cell::RefCell::new(super::generator(&cfg.host)),
+        claims: once::Claims::new(platform::Client::new(&cfg.platform)),
+        heard: Box::new(move |from, version| {
+            heard.send(agent::Event::Heard(Some(from), version));
+        }),
     };
     http::serve(callers, http::Limits::default(), rc::Rc::new(front), on.stop.subscribe()).await;
     super::send(&events, Event::Drained);
--- a/src/daemon/sidecar.rs
+++ b/src/daemon/sidecar.rs
@@ -127,7 +127,15 @@
 
     let backend = Backend::new(&backend, POOLED);
     tokio::task::spawn_local(health::watch(backend.clone(), on.view.subscribe(), events.clone()));
-    let side = rc::Rc::new(Side { backend, events: events.clone() });
+    let side = rc::Rc::new(Side {
+        backend,
+        events: events.clone(),
+        newest: Default::default(),
+        heard: {
+            let link = link.clone();
+            Box::new(move |version| link.send(agent::Event::Heard(None, version)))
+        },
+    });
     let handle = rc::Rc::new(async move |incoming: peer::Incoming| {
         let handled = match incoming.path.as_str() {
             wire::CALL => rc::Rc::clone(&side).call(incoming).await,
--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -22,6 +22,14 @@
     }
 }
 
+/// Drives `session` to the end of a whole answer.
+pub async fn collect(session: &mut session::Session) -> Result<(session::Head, Bytes), Refusal> {
+    match session.next().await? {
+        session::Step::Head(head) => whole(session, head).await,
+        _ => Err(Refusal::Broken { ran: wire::Ran::Unknown }),
+    }
+}
+
 async fn whole(
     session: &mut session::Session,
     mut head: session::Head,
@@ -67,7 +75,8 @@
     }
 }
 
-fn response(head: &session::Head, body: http::Body) -> http::Response {
+/// An answer of the backend server.
+pub fn response(head: &session::Head, body: http::Body) -> http::Response {
     let mut res = hyper::Response::new(body);
     *res.status_mut() = hyper::StatusCode::from_u16(head.status).unwrap_or_default();
     for header in &head.headers {
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -1,11 +1,11 @@
 //! The callers' port: runs each request through the pipeline.
 
-use std::{cell, rc, sync::Arc, sync::mpsc, time};
+use std::{cell, net, rc, sync::Arc, sync::mpsc, time};
 
 use rand::RngExt;
 use tokio::sync::watch;
 
-use super::{Event, Refusal, accept, answer, classify, session};
+use super::{Event, Refusal, Request, accept, answer, classify, once, request, session};
 use crate::{http, peer, view, wire};
 
 /// What the I/O thread of an entry shares between requests.
@@ -22,6 +22,10 @@
     pub refusing: watch::Receiver<bool>,
     /// Source of request identities.
     pub ids: cell::RefCell<rand_pcg::Pcg64>,
+    /// Claims of calls that may not be repeated.
+    pub claims: once::Claims,
+    /// Takes the configuration version of a sidecar at an address.
+    pub heard: Box<dyn Fn(net::SocketAddr, u64)>,
 }
 
 /// Header with the identity that the entry gave a request.
@@ -43,12 +47,19 @@
 }
 
 impl Front {
+    async fn dispatch(self: &rc::Rc<Self>, req: Request<request::Classified>) -> http::Response {
+        match req.stage.key.clone() {
+            Some(key) if !req.stage.repeatable => once::run(rc::Rc::clone(self), req, key).await,
+            _ => answer::run(session::Session::new(rc::Rc::clone(self), req)).await,
+        }
+    }
+
     async fn pipeline(self: rc::Rc<Self>, req: http::Request) -> http::Response {
         let id = wire::RequestId(self.ids.borrow_mut().random());
         let accepted = accept::run(id, req).await;
         let view = Arc::clone(&self.view.borrow());
         let mut res = match accepted.and_then(|req| classify::run(req, &view)) {
-            Ok(req) => answer::run(session::Session::new(rc::Rc::clone(&self), req)).await,
+            Ok(req) => self.dispatch(req).await,
             Err(refusal) => refusal.response(),
         };
         log::info!("answered req={id} status={}", res.status().as_u16());
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,13 +2,15 @@
 //!
 //! The path is a pipeline: [`accept`] reads a request, [`classify`] says what it
 //! is, [`session`] routes, dispatches and collects, [`answer`] hands out the
-//! result. [`core`] owns the entry's state on the stakker thread.
+//! result. [`once`] stands around the last two for keyed calls that may not be
+//! repeated. [`core`] owns the entry's state on the stakker thread.
 
 pub mod accept;
 pub mod answer;
 pub mod classify;
 pub mod core;
 pub mod front;
+pub mod once;
 pub mod refusal;
 pub mod request;
 pub mod session;
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -238,11 +238,13 @@
         match reply {
             wire::Reply::Refused { why, retry_after_ms, load, version } => {
                 let after = time::Duration::from_millis(retry_after_ms);
+                self.heard(version);
                 self.end(core::Outcome::Refused { why, after, load, version });
                 self.retry(Lost::NotRun)?;
                 Ok(None)
             }
             wire::Reply::Admitted { load, version } => {
+                self.heard(version);
                 self.tell(core::Outcome::Admitted { load, version });
                 Ok(None)
             }
@@ -313,6 +315,16 @@
         }
     }
 
+    /// Passes on a version newer than the one the request was matched against.
+    fn heard(&self, version: u64) {
+        match &self.live {
+            Some(live) if version > self.req.stage.version => {
+                (self.front.heard)(live.routed.address, version);
+            }
+            _ => {}
+        }
+    }
+
     fn tell(&self, outcome: core::Outcome) {
         if let Some(live) = &self.live {
             live.routed.tell(outcome);
--- a/src/sidecar/serve.rs
+++ b/src/sidecar/serve.rs
@@ -1,6 +1,6 @@
 //! Takes calls from entries and passes on their answers.
 
-use std::{rc, sync::Arc, sync::atomic, sync::mpsc, time};
+use std::{cell, rc, sync::Arc, sync::atomic, sync::mpsc, time};
 
 use tokio::sync::{mpsc as frames, oneshot};
 
@@ -22,6 +22,10 @@
     pub backend: Backend,
     /// To the core on the stakker thread.
     pub events: mpsc::Sender<Event>,
+    /// Highest configuration version seen on a call.
+    pub newest: cell::Cell<u64>,
+    /// Takes a version that is higher than all seen on calls before.
+    pub heard: Box<dyn Fn(u64)>,
 }
 
 /// Tells the worker of a call to give up, and the backend server too, when dropped.
@@ -47,6 +51,10 @@
     pub async fn call(self: rc::Rc<Self>, mut incoming: peer::Incoming) -> Result {
         let arrived = time::Instant::now();
         let call: wire::Call = incoming.message()?;
+        if call.version > self.newest.get() {
+            self.newest.set(call.version);
+            (self.heard)(call.version);
+        }
         let left = time::Duration::from_millis(call.left_ms);
         let Some(verdict) = self.admit(&call, left).await else { return Ok(()) };
         let (slot, admitted) = match verdict {
--- a/tests/agreement.rs
+++ b/tests/agreement.rs
@@ -5,10 +5,10 @@
 use knapweedford::{
     agree::change::{Order, Outcome},
     agree::node::Input,
-    wire::gossip::Health,
+    wire::gossip::{Body, Digest, Health, Message},
 };
 
-use crate::site::{Site, apply, host, ms, secs, zone};
+use crate::site::{Site, address, apply, host, ms, secs, zone};
 
 fn committed(outcome: Option<&Outcome>) -> u64 {
     match outcome {
@@ -308,3 +308,44 @@
     assert!(sent <= 60 * 30 * 3, "{sent} messages");
     site.run(ms(1));
 }
+
+#[test]
+fn late_document() {
+    let mut site = Site::settled(4);
+    let old = site.node(2).record().clone();
+    site.order(0, 2, apply("two"));
+    site.run(secs(4));
+    let message = Message {
+        from: site.node(2).members()[2].clone(),
+        digest: Digest { version: 1, ..Digest::default() },
+        updates: Vec::new(),
+        body: Body::Document(Box::new(old)),
+    };
+    site.input(1, Input::Message(message));
+    assert_eq!(site.node(1).record().version, 2);
+    assert_eq!(site.node(1).effective().committed.text, "two");
+}
+
+#[test]
+fn stale_table() {
+    let mut site = Site::settled(4);
+    let old = site.platform.state().rows.clone();
+    site.order(0, 2, apply("two"));
+    site.run(secs(4));
+    site.platform.state().rows = old;
+    site.run(secs(60));
+    assert_eq!(site.versions(), [2].into());
+}
+
+#[test]
+fn call_teaches() {
+    let mut site = Site::settled(6);
+    site.side[5] = 1;
+    site.order(0, 2, apply("two"));
+    site.run(secs(1));
+    assert_eq!(site.node(5).record().version, 1);
+    site.side[5] = 0;
+    site.input(5, Input::Heard { from: Some(address(0)), version: 2 });
+    site.run(ms(100));
+    assert_eq!(site.node(5).record().version, 2);
+}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -8,6 +8,7 @@
 mod fuzz_gate;
 mod host_settings;
 mod leases;
+mod once;
 mod platform;
 mod processes;
 mod site;
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -31,7 +31,7 @@
 /// One daemon, killed when dropped.
 pub struct Daemon {
     child: process::Child,
-    ports: Ports,
+    pub ports: Ports,
     name: String,
 }
 
@@ -56,9 +56,9 @@
 
 /// Daemons over one stand-in platform.
 pub struct Cluster {
-    platform: StandIn,
+    pub platform: StandIn,
     dir: path::PathBuf,
-    daemons: BTreeMap<String, Daemon>,
+    pub daemons: BTreeMap<String, Daemon>,
 }
 
 impl Cluster {
@@ -124,7 +124,8 @@
         serde_json::from_str(&self.operator(name, "GET", path, "").1).unwrap()
     }
 
-    fn all(&self, what: &str, check: impl Fn(&serde_json::Value) -> bool) {
+    /// Waits until `check` holds for the configuration of each daemon.
+    pub fn all(&self, what: &str, check: impl Fn(&serde_json::Value) -> bool) {
         wait(what, || {
             let holds = |d: &Daemon| check(&self.get(&d.name, "/config"));
             self.daemons.values().all(holds).then_some(())
