--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -13,6 +13,7 @@
 mod fuzz_gate;
 mod gate;
 mod host_settings;
+mod keyed;
 mod leases;
 mod load;
 mod once;
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -269,7 +269,7 @@
             let entry = site.entry(at);
             site.entries.push(entry);
         }
-        site.commit(1, &config::Out::default());
+        site.apply();
         site.ready(1);
         site
     }
@@ -299,14 +299,20 @@
         daemon
     }
 
-    /// Commits the site's text as `version`, with `out` taken out.
-    pub fn commit(&self, version: u64, out: &config::Out) {
+    /// An operator's request to entry `entry`.
+    pub fn order(&self, entry: usize, path: &str, body: &str) -> Answer {
+        let bearer = format!("Bearer {TOKEN}");
+        let at = self.entries[entry].ports.operators;
+        call("POST", at, path, &[("Authorization", &bearer)], body)
+    }
+
+    /// Applies the site's text through the first entry.
+    fn apply(&self) {
         config::parse(&self.text()).unwrap();
-        let committed = config::Committed { version, text: self.text(), out: out.clone() };
-        let value = serde_json::to_string(&committed).unwrap();
-        let path = format!("/table/{}", daemon::poll::CONFIG_KEY);
-        let answer = call("PUT", self.platform.at, &path, &[], &value);
-        assert_eq!(answer.status, 200, "{}", answer.text());
+        until("the text is accepted", || {
+            let answer = self.order(0, "/apply", &self.text());
+            (answer.status == 200).then_some(())
+        });
     }
 
     /// Waits until every process has `version` in force and every sidecar reaches its server.
