Make an entry ready once it can route, not when it merely has a configuration

Cause: the agreement gives a view as soon as a configuration or a member is known; an entry then told the balancer that it was ready while it knew no sidecar, and refused its first requests (seen in streams::plain_whole, shutdown::last_sidecar, deaths::entry_frozen under load). Change: ready when a backend server of each service is placed, or 5 s after the first configuration, so that one dead service does not hold the others back.

--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -16,6 +16,10 @@
     http, metrics, peer, platform, settings, wire,
 };
 
+/// Longest time for which an entry with a configuration waits to know a backend
+/// server of each service before it is ready.
+const PATIENCE: Duration = Duration::from_secs(5);
+
 /// Time between refusing new requests and closing the ports, so that callers on
 /// kept connections get an answer.
 const REFUSING: Duration = Duration::from_secs(1);
@@ -44,12 +48,13 @@
     switches: Switches,
     metrics: metrics::Entry,
     lag: Duration,
+    version: u64,
     ending: bool,
 }
 
 impl Entry {
     fn init(_: CX![], switches: Switches, metrics: metrics::Entry, lag: Duration) -> Option<Self> {
-        Some(Self { core: Core::new(), switches, metrics, lag, ending: false })
+        Some(Self { core: Core::new(), switches, metrics, lag, version: 0, ending: false })
     }
 
     fn event(&mut self, cx: CX![], event: Event) {
@@ -57,9 +62,14 @@
             Event::View(view) => {
                 self.core.view(Arc::clone(&view));
                 self.metrics.page.version(view.version);
-                self.metrics.page.ready(!self.ending);
-                self.switches.view.send_replace(view);
-                self.switches.ready.send_replace(!self.ending);
+                self.switches.view.send_replace(Arc::clone(&view));
+                match () {
+                    () if view.version == 0 || self.ending => {}
+                    () if view.placed() => self.serve(cx),
+                    () if self.version == 0 => drop(after!(PATIENCE, [cx], serve())),
+                    () => {}
+                }
+                self.version = view.version;
             }
             Event::Route(ask) => self.core.route(*ask),
             Event::News { server, outcome, over } => {
@@ -83,6 +93,12 @@
         }
     }
 
+    /// Tells the balancer that requests can be sent here.
+    fn serve(&mut self, _: CX![]) {
+        self.metrics.page.ready(!self.ending);
+        self.switches.ready.send_replace(!self.ending);
+    }
+
     fn refuse(&mut self, cx: CX![]) {
         log::info!("ending: refusing new requests");
         self.switches.refusing.send_replace(true);
--- a/src/view.rs
+++ b/src/view.rs
@@ -30,6 +30,16 @@
         known.is_some_and(|known| self.out.allows(server, &known.zone))
     }
 
+    /// Whether a backend server of each service is placed.
+    pub fn placed(&self) -> bool {
+        let servers = &self.config.servers;
+        let placed = |service: &name::Service| {
+            let mut of = servers.iter().filter(|(_, known)| known.service == *service);
+            of.any(|(name, _)| self.places.contains_key(name))
+        };
+        self.config.services.keys().all(placed)
+    }
+
     /// Backend servers of `service` that are known, placed and not out.
     pub fn candidates<'a>(
         &'a self,
