--- /dev/null
+++ b/src/entry/front.rs
@@ -0,0 +1,79 @@
+//! The callers' port: runs each request through the pipeline.
+
+use std::{cell, net, rc, sync::Arc, sync::mpsc, time};
+
+use rand::RngExt;
+use tokio::sync::watch;
+
+use super::{Event, Refusal, Request, accept, answer, classify, once, request, session};
+use crate::{http, metrics, peer, view, wire};
+
+/// What the I/O thread of an entry shares between requests.
+pub struct Front {
+    /// The configuration in force.
+    pub view: watch::Receiver<Arc<view::View>>,
+    /// To the core on the stakker thread.
+    pub events: mpsc::Sender<Event>,
+    /// Connections to sidecars.
+    pub pool: rc::Rc<peer::Pool>,
+    /// Whether the balancer should send requests here.
+    pub ready: watch::Receiver<bool>,
+    /// Whether new requests are refused because the process is ending.
+    pub refusing: watch::Receiver<bool>,
+    /// Source of request identities.
+    pub ids: cell::RefCell<rand_pcg::Pcg64>,
+    /// Counts of requests.
+    pub metrics: metrics::Entry,
+    /// Claims of calls that may not be repeated.
+    pub claims: once::Claims,
+    /// Takes the configuration version of a sidecar at an address.
+    pub heard: Box<dyn Fn(net::SocketAddr, u64)>,
+}
+
+/// Header with the identity that the entry gave a request.
+const ID_HEADER: &str = "x-request-id";
+
+/// When a caller finds another entry through the balancer.
+const ELSEWHERE: time::Duration = time::Duration::from_secs(1);
+
+impl http::Handler for Front {
+    async fn handle(self: rc::Rc<Self>, req: http::Request) -> http::Response {
+        match req.uri().path() {
+            "/healthz" => http::answer::text(200, "alive\n"),
+            "/readyz" if *self.ready.borrow() => http::answer::text(200, "ready\n"),
+            "/readyz" => http::answer::text(503, "not ready\n"),
+            _ if *self.refusing.borrow() => Refusal::Unavailable { after: ELSEWHERE }.response(),
+            _ => self.pipeline(req).await,
+        }
+    }
+}
+
+impl Front {
+    async fn dispatch(self: &rc::Rc<Self>, req: Request<request::Classified>) -> http::Response {
+        let flight = self.metrics.begin(req.stage.service.as_str(), req.arrived);
+        match req.stage.key.clone() {
+            Some(key) if !req.stage.repeatable => {
+                once::run(rc::Rc::clone(self), req, key, flight).await
+            }
+            _ => answer::run(session::Session::new(rc::Rc::clone(self), req), flight).await,
+        }
+    }
+
+    async fn pipeline(self: rc::Rc<Self>, req: http::Request) -> http::Response {
+        let id = wire::RequestId(self.ids.borrow_mut().random());
+        let accepted = accept::run(id, req).await;
+        let view = Arc::clone(&self.view.borrow());
+        let mut res = match accepted.and_then(|req| classify::run(req, &view)) {
+            Ok(req) => self.dispatch(req).await,
+            Err(refusal) => {
+                self.metrics.refused(refusal.label());
+                refusal.response()
+            }
+        };
+        log::info!(req:% = id, status = res.status().as_u16(); "answered");
+        if let Ok(value) = hyper::header::HeaderValue::try_from(id.to_string()) {
+            res.headers_mut().insert(ID_HEADER, value);
+        }
+        res
+    }
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -7,10 +7,17 @@
 use crate::{config, name};
 
 pub mod frame;
+pub mod gossip;
 
 /// Version of these messages; both ends must have the same.
 pub const VERSION: u32 = 1;
 
+/// Path of the exchange that carries a [`Call`] and its [`Reply`] frames.
+pub const CALL: &str = "/call";
+
+/// Path of the exchange that carries one [`gossip::Message`] and the answers to it.
+pub const GOSSIP: &str = "/gossip";
+
 /// Identity of one caller's request, unique over all entries.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct RequestId(pub u128);
@@ -32,12 +39,16 @@
     pub server: name::Server,
     /// Service called.
     pub service: name::Service,
+    /// What kind of back end serves it; a model engine's stream must end with `[DONE]`.
+    pub kind: config::Kind,
     /// Caller's workspace.
     pub workspace: name::Workspace,
     /// Interactive or batch.
     pub priority: config::Priority,
     /// Time left to the caller's deadline, in milliseconds.
     pub left_ms: u64,
+    /// Whether the call may be sent again.
+    pub repeatable: bool,
     /// HTTP method.
     pub method: String,
     /// Path and query.
@@ -127,16 +138,24 @@
         /// Highest configuration version the sidecar knows.
         version: u64,
     },
+    /// The gate took the call; the backend server is asked next.
+    Admitted {
+        /// Load now.
+        load: Load,
+        /// Highest configuration version the sidecar knows.
+        version: u64,
+    },
+    /// The sidecar still waits for the backend server.
+    Alive {
+        /// Load now.
+        load: Load,
+    },
     /// Status line and headers of the backend server's answer.
     Head {
         /// HTTP status.
         status: u16,
         /// Headers passed through.
         headers: Vec<Header>,
-        /// Load now.
-        load: Load,
-        /// Highest configuration version the sidecar knows.
-        version: u64,
     },
     /// A piece of the answer's body.
     Piece {
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -1,8 +1,32 @@
 //! Integration tests: one module a feature.
 
+mod agreement;
+mod claims;
+mod cluster;
+mod cold;
 mod collecting;
+mod deaths;
 mod fairness;
 mod frames;
+mod fuzz;
+mod fuzz_answers;
+mod fuzz_gate;
 mod gate;
+mod host_settings;
+mod keyed;
+mod leases;
+mod load;
+mod once;
+mod operators_port;
+mod outages;
+mod platform;
+mod processes;
 mod retries;
 mod routes;
+mod shutdown;
+mod site;
+mod streams;
+mod telemetry;
+mod texts;
+mod tool;
+mod zones;
