Keep a cold server within what it can carry, and a begun answer until its deadline

Cause, from the dump during tests cold::*: the gate grew from 2 to 3 by the good pace of an engine that was still cold; at 3 the engine fell over, the restart chilled the gate, and so on for ever (480 falls in 12 s at one engine). And a stream cut by a restart was given up when every other server was full just then. Ruled out: that the gate was not told of progress (its windows turned). Change: the limit does not grow while the engine says that it is cold; a fall before warmth lengthens the windows without growth; a failure counts as cold until two looks show the incarnation unchanged; paces under 10 ms are never held against a server (not shown necessary: a precaution against a noisy machine); the gate looks for stalls with each health answer; a begun answer waits for room until its deadline instead of being cut.

--- a/src/daemon/sidecar.rs
+++ b/src/daemon/sidecar.rs
@@ -67,7 +67,7 @@
             Event::Admit(ask) => self.core.admit(*ask, now),
             Event::Progress { slot, events } => self.core.progress(slot, events, now),
             Event::Over { slot, ending } => self.core.over(slot, ending, now),
-            Event::Health(health) => self.core.health(health),
+            Event::Health(health) => self.core.health(health, now),
             Event::Load(tx) => {
                 let _ = tx.send(self.core.load());
             }
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -15,6 +15,12 @@
 /// Longest silence of a sidecar before a repeatable call goes elsewhere.
 const SILENCE: time::Duration = time::Duration::from_secs(2);
 
+/// Pause before a begun answer asks for a backend server again.
+const PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// HTTP status of a request whose deadline has passed.
+const LATE: u16 = 504;
+
 /// First HTTP status that blames the server.
 const SERVER_ERROR: u16 = 500;
 
@@ -90,6 +96,7 @@
     collect: Collect,
     whole: bool,
     ran: wire::Ran,
+    losses: u32,
 }
 
 impl Session {
@@ -106,6 +113,7 @@
             collect,
             whole: false,
             ran: wire::Ran::No,
+            losses: 0,
         }
     }
 
@@ -154,7 +162,13 @@
 
     /// Routes and dispatches until a sidecar has the call.
     async fn start(&mut self) -> Result<(), Refusal> {
-        let routed = self.route().await?;
+        let routed = match self.route().await {
+            Ok(routed) => routed,
+            Err(refusal) if self.ran == wire::Ran::No || refusal.status() == LATE => {
+                return Err(refusal);
+            }
+            Err(_) => return self.pause().await,
+        };
         self.attempt += 1;
         self.collect.next(self.attempt);
         self.tried.push(routed.server.clone());
@@ -181,6 +195,18 @@
         Ok(())
     }
 
+    /// Waits for room: a request that may have run goes on until its deadline,
+    /// since giving up would cut an answer that the caller has begun to get.
+    async fn pause(&mut self) -> Result<(), Refusal> {
+        self.tried.clear();
+        let until = (time::Instant::now() + PAUSE).min(self.req.stage.deadline);
+        tokio::time::sleep_until(until.into()).await;
+        match time::Instant::now() >= self.req.stage.deadline {
+            true => Err(Refusal::Late { ran: self.ran }),
+            false => Ok(()),
+        }
+    }
+
     async fn route(&self) -> Result<core::Routed, Refusal> {
         let (tx, rx) = oneshot::channel();
         let stage = &self.req.stage;
@@ -282,7 +308,7 @@
     ) -> Result<Option<Step>, Refusal> {
         headers.retain(|h| !HOP_HEADERS.contains(&h.name.as_str()));
         let head = Head { status, headers };
-        let again = self.req.stage.repeatable && self.attempt < ATTEMPTS;
+        let again = self.req.stage.repeatable && self.losses + 1 < ATTEMPTS;
         match self.head.as_ref().filter(|first| first.streamed()) {
             Some(first) if first.same(&head) => Ok(None),
             Some(_) => self.lose(Lost::Unknown).map(|()| None),
@@ -346,12 +372,15 @@
     fn retry(&mut self, lost: Lost) -> Result<(), Refusal> {
         if let Lost::Unknown = lost {
             self.ran = wire::Ran::Unknown;
+            self.losses += 1;
         }
         match lost {
             Lost::Unknown if !self.req.stage.repeatable => {
                 Err(Refusal::Broken { ran: wire::Ran::Unknown })
             }
-            Lost::NotRun | Lost::Unknown if self.attempt < ATTEMPTS => Ok(()),
+            Lost::NotRun if self.ran != wire::Ran::No => Ok(()),
+            Lost::Unknown if self.losses < ATTEMPTS => Ok(()),
+            Lost::NotRun if self.attempt < ATTEMPTS => Ok(()),
             Lost::NotRun => Err(Refusal::Unavailable { after: time::Duration::from_secs(1) }),
             Lost::Unknown => Err(Refusal::Broken { ran: wire::Ran::Unknown }),
         }
--- a/src/policy/gate.rs
+++ b/src/policy/gate.rs
@@ -3,7 +3,9 @@
 //! The limit starts at [`COLD_LIMIT`] and grows only by what the server showed
 //! at the present limit: as many whole answers as the limit, most of them
 //! in flight while the gate was full, at a healthy pace. Time alone never
-//! raises it. A change of incarnation, a run of failures, a stall or a collapse
+//! raises it, and it does not grow while the server says that it is cold. After
+//! a failure the server counts as cold until its incarnation was seen unchanged.
+//! A change of incarnation, a run of failures, a stall or a collapse
 //! of the pace drops it to [`COLD_LIMIT`] at once; it is never zero, so that a
 //! server can always show that it recovered.
 
@@ -17,10 +19,16 @@
 const SLOW: f64 = 2.5;
 /// Pace over that of the window before at which the limit does not grow yet.
 const STRAINED: f64 = 1.15;
+/// Least reference, in seconds an event: a server this quick is never slow by noise alone.
+const REFERENCE_FLOOR: f64 = 0.010;
 /// Pace over the reference that counts as a collapse.
 const COLLAPSE: f64 = 4.0;
 /// Samples in a row beyond [`COLLAPSE`] that drop the limit.
 const COLLAPSE_SAMPLES: u32 = 4;
+/// Looks at a server's incarnation that clear a doubt; the first may have begun before it.
+const DOUBT: u32 = 2;
+/// Most restarts in a row that lengthen the hold.
+const FALLS: u32 = 6;
 /// Failures in a row that drop the limit to [`COLD_LIMIT`].
 const FAILURES: u32 = 3;
 /// Windows without growth after the server was too slow at a limit.
@@ -106,6 +114,12 @@
     settled: bool,
     /// Windows left without growth.
     hold: u32,
+    /// Whether the server itself says that it is cold.
+    told_cold: bool,
+    /// Restarts in a row before the server was warm.
+    falls: u32,
+    /// Looks at the server that must show it unchanged before the limit counts again.
+    doubt: u32,
     /// When the server last showed progress, or was last idle.
     progress: time::Duration,
     /// Best pace seen, in seconds an event.
@@ -133,6 +147,9 @@
             leaving: false,
             settled: false,
             hold: 0,
+            told_cold: false,
+            falls: 0,
+            doubt: 0,
             progress: time::Duration::ZERO,
             reference: None,
             before: None,
@@ -149,7 +166,7 @@
             () if self.leaving => {
                 Err(Refusal { why: wire::Refusal::Leaving, retry_after: RETRY_AFTER.0 })
             }
-            () if self.in_flight >= self.limit => {
+            () if self.in_flight >= self.allowed() => {
                 Err(Refusal { why: wire::Refusal::Full, retry_after: self.next_free() })
             }
             () => {
@@ -158,7 +175,7 @@
                 }
                 self.in_flight += 1;
                 let filled = self.filled;
-                self.filled += u64::from(self.in_flight >= self.limit);
+                self.filled += u64::from(self.in_flight >= self.allowed());
                 Ok(Permit { incarnation: self.incarnation, filled, at: now, last: now, events: 0 })
             }
         }
@@ -191,12 +208,31 @@
     }
 
     /// Takes the server's incarnation as its health answer gave it; a change makes it cold.
+    ///
+    /// A server that restarts again before it was warm fell over: each such
+    /// fall doubles the windows in which the limit does not grow.
     pub fn incarnation(&mut self, seen: u64) {
-        if seen != self.incarnation {
-            self.incarnation = seen;
-            self.reference = None;
+        self.doubt = self.doubt.saturating_sub(1);
+        if seen == self.incarnation {
+            return;
+        }
+        self.falls = match self.warm() || self.incarnation == 0 {
+            true => 0,
+            false => (self.falls + 1).min(FALLS),
+        };
+        self.incarnation = seen;
+        self.doubt = 0;
+        self.reference = None;
+        self.chill();
+        self.hold = (HOLD << self.falls) - HOLD;
+    }
+
+    /// Takes what the server says of its own warmth; while it is cold the limit does not grow.
+    pub fn warmth(&mut self, warm: bool) {
+        if !warm && !self.told_cold {
             self.chill();
         }
+        self.told_cold = !warm;
     }
 
     /// Looks for a stall: requests in flight and no progress of any of them.
@@ -241,7 +277,7 @@
         wire::Load {
             incarnation: self.incarnation,
             in_flight: self.in_flight,
-            limit: self.limit,
+            limit: self.allowed(),
             tokens: self.tokens,
             warm: self.warm(),
             leaving: self.leaving,
@@ -249,7 +285,7 @@
     }
 
     fn warm(&self) -> bool {
-        self.settled || self.limit >= self.ceiling
+        !self.told_cold && (self.settled || self.limit >= self.ceiling)
     }
 
     fn next_free(&self) -> time::Duration {
@@ -277,6 +313,15 @@
             FAILURES.. => self.chill(),
             _ => self.shrink(),
         }
+        self.doubt = DOUBT;
+    }
+
+    /// The limit in force: after a failure the server counts as cold until it was seen unchanged.
+    fn allowed(&self) -> u32 {
+        match self.doubt {
+            0 => self.limit,
+            _ => self.limit.min(COLD_LIMIT),
+        }
     }
 
     fn sample(&mut self, pace: f64) {
@@ -297,9 +342,11 @@
             Some(best) if !relearn => best.min(pace),
             _ => pace,
         };
+        let reference = reference.max(REFERENCE_FLOOR);
         self.reference = Some(reference);
         self.hold = self.hold.saturating_sub(1);
-        let strained = self.before.is_some_and(|before| pace > STRAINED * before);
+        let strained =
+            self.before.is_some_and(|before| pace > STRAINED * before.max(REFERENCE_FLOOR));
         self.before = Some(pace);
         match () {
             () if pace > SLOW * reference => {
@@ -307,7 +354,7 @@
                 self.hold = HOLD;
                 self.shrink();
             }
-            () if self.hold > 0 || strained => {}
+            () if strained || self.frozen() => {}
             () if window.full * 2 >= window.whole => {
                 self.limit = (self.limit + self.step()).min(self.ceiling)
             }
@@ -315,6 +362,11 @@
         }
     }
 
+    /// Whether the limit may not grow now, whatever the server shows.
+    fn frozen(&self) -> bool {
+        self.hold > 0 || self.told_cold || self.doubt > 0
+    }
+
     fn step(&self) -> u32 {
         (self.limit / 4).max(1)
     }
--- a/src/sidecar/core.rs
+++ b/src/sidecar/core.rs
@@ -188,10 +188,12 @@
     }
 
     /// Takes the backend server's health.
-    pub fn health(&mut self, health: Option<health::Health>) {
+    pub fn health(&mut self, health: Option<health::Health>, now: time::Duration) {
         self.reachable = health.is_some();
+        self.gate.tick(now);
         if let Some(health) = health {
             self.gate.incarnation(health.incarnation);
+            self.gate.warmth(health.warm.unwrap_or(true));
             self.gate.tokens(health.tokens);
         }
         self.show();
--- a/src/sidecar/health.rs
+++ b/src/sidecar/health.rs
@@ -18,6 +18,8 @@
 pub struct Health {
     /// Changes with each start of the backend server; 0 if it names none.
     pub incarnation: u64,
+    /// Whether it says that it is past its cold start; `None` if it does not say.
+    pub warm: Option<bool>,
     /// Tokens in flight as it last reported; 0 if it reports none.
     pub tokens: u64,
 }
@@ -27,6 +29,7 @@
 #[serde(default)]
 struct Named {
     incarnation: u64,
+    warm: Option<bool>,
 }
 
 /// The part of `GET /load` that is used; it lags.
@@ -63,5 +66,5 @@
         false => None,
     };
     let Reported { tokens } = reported.unwrap_or_default();
-    Some(Health { incarnation: named.incarnation, tokens })
+    Some(Health { incarnation: named.incarnation, warm: named.warm, tokens })
 }
