--- a/src/daemon/sidecar.rs
+++ b/src/daemon/sidecar.rs
@@ -32,10 +32,10 @@
     let switches = Switches::new();
     let told = tx.clone();
     super::signals::watch(move || super::send(&told, Event::Terminate))?;
-    let stop = switches.stop.clone();
+    let shared = switches.clone();
     let core = Core::new(backend.server.clone());
     let page = core.metrics().page.clone();
-    let io = super::spawn_io(async move || serve(cfg, backend, tx, stop, page).await)?;
+    let io = super::spawn_io(async move || serve(cfg, backend, tx, shared, page).await)?;
     let mut stakker = Stakker::new(time::Instant::now());
     let actor = actor!(stakker, Sidecar::init(core, switches), ret_nop!());
     super::reactor::run(stakker, &rx, |stakker, event| {
@@ -102,7 +102,7 @@
     cfg: settings::Settings,
     backend: settings::Backend,
     events: mpsc::Sender<Event>,
-    stop: tokio::sync::watch::Sender<bool>,
+    on: Switches,
     page: metrics::Page,
 ) -> Result {
     let (operators, operators_at) = super::listen(cfg.operators).await?;
@@ -124,11 +124,12 @@
         link: link.clone(),
         page,
     };
-    let port = http::serve(operators, http::Limits::default(), rc::Rc::new(port), stop.subscribe());
+    let port =
+        http::serve(operators, http::Limits::default(), rc::Rc::new(port), on.stop.subscribe());
     tokio::task::spawn_local(port);
 
     let backend = Backend::new(&backend, POOLED);
-    tokio::task::spawn_local(health::watch(backend.clone(), events.clone()));
+    tokio::task::spawn_local(health::watch(backend.clone(), on.view.subscribe(), events.clone()));
     let side = rc::Rc::new(Side { backend, events: events.clone() });
     let handle = rc::Rc::new(async move |incoming: peer::Incoming| {
         let handled = match incoming.path.as_str() {
@@ -140,7 +141,7 @@
             log::info!("{err}");
         }
     });
-    peer::serve(peers, cfg.token.as_str().into(), handle, stop.subscribe()).await;
+    peer::serve(peers, cfg.token.as_str().into(), handle, on.stop.subscribe()).await;
     super::send(&events, Event::Drained);
     Ok(())
 }
--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -13,8 +13,8 @@
 pub async fn run(mut session: session::Session, flight: metrics::Flight) -> http::Response {
     match session.next().await {
         Ok(session::Step::Head(head)) if head.streamed() => streamed(session, &head, flight),
-        Ok(session::Step::Head(head)) => match whole(&mut session).await {
-            Ok(body) => {
+        Ok(session::Step::Head(head)) => match whole(&mut session, head).await {
+            Ok((head, body)) => {
                 flight.end(metrics::Ending::Whole);
                 response(&head, http::Body::whole(body))
             }
@@ -38,14 +38,19 @@
     });
 }
 
-async fn whole(session: &mut session::Session) -> Result<Bytes, Refusal> {
+async fn whole(
+    session: &mut session::Session,
+    mut head: session::Head,
+) -> Result<(session::Head, Bytes), Refusal> {
     let mut body = BytesMut::new();
     loop {
         match session.next().await? {
             session::Step::Data(data) => body.extend_from_slice(&data),
-            session::Step::Restart => body.clear(),
-            session::Step::End => return Ok(body.freeze()),
-            session::Step::Head(_) => {}
+            session::Step::End => return Ok((head, body.freeze())),
+            session::Step::Head(further) => {
+                head = further;
+                body.clear();
+            }
         }
     }
 }
