Drive the process tests through the operators' port

Cause: the daemon now learns its configuration by agreement, no longer by polling a row that the tests wrote.

Change: tests apply the text and turn zones by POST at the operators' port, and wait until each entry knows every process.

--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -101,6 +101,12 @@
 }
 
 impl Daemon {
+    /// Gives the operators' port an order.
+    pub fn order(&self, path: &str, body: &str) -> Answer {
+        let bearer = format!("Bearer {TOKEN}");
+        post(self.ports.operators, path, &[("Authorization", &bearer)], body)
+    }
+
     /// The state that the process gives on request; `None` if it does not answer.
     pub fn dump(&self) -> Option<serde_json::Value> {
         let bearer = format!("Bearer {TOKEN}");
@@ -269,7 +275,11 @@
             let entry = site.entry(at);
             site.entries.push(entry);
         }
-        site.commit(1, &config::Out::default());
+        let text = site.text();
+        config::parse(&text).unwrap();
+        until("the text is accepted", || {
+            (site.order(0, "/apply", &text).status == 200).then_some(())
+        });
         site.ready(1);
         site
     }
@@ -299,14 +309,18 @@
         daemon
     }
 
-    /// Commits the site's text as `version`, with `out` taken out.
-    pub fn commit(&self, version: u64, out: &config::Out) {
-        config::parse(&self.text()).unwrap();
-        let committed = config::Committed { version, text: self.text(), out: out.clone() };
-        let value = serde_json::to_string(&committed).unwrap();
-        let path = format!("/table/{}", daemon::poll::CONFIG_KEY);
-        let answer = call("PUT", self.platform.at, &path, &[], &value);
-        assert_eq!(answer.status, 200, "{}", answer.text());
+    /// Gives the operators' port of entry `entry` an order.
+    pub fn order(&self, entry: usize, path: &str, body: &str) -> Answer {
+        self.entries[entry].order(path, body)
+    }
+
+    /// Whether every process holds `zone` to be out.
+    pub fn all_out(&self, zone: &str) -> bool {
+        let out = |daemon: &Daemon| {
+            let zones = daemon.dump().map(|dump| dump["out"]["zones"].clone());
+            zones.is_some_and(|zones| zones.as_array().unwrap().iter().any(|out| out == zone))
+        };
+        self.sidecars.iter().chain(&self.entries).all(out)
     }
 
     /// Waits until every process has `version` in force and every sidecar reaches its server.
@@ -318,9 +332,12 @@
                 (dump["version"].as_u64() >= Some(version) && reaches).then_some(())
             });
         }
+        let all = (self.sidecars.len() + self.entries.len()) as u64;
         for entry in &self.entries {
-            until("the entry is ready", || {
-                (get(entry.process.at, "/readyz", &[]).status == 200).then_some(())
+            until("the entry is ready and knows all", || {
+                let ready = get(entry.process.at, "/readyz", &[]).status == 200;
+                let members = entry.dump()?["agreement"]["members"]["alive"].as_u64();
+                (ready && members >= Some(all)).then_some(())
             });
         }
     }
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -2,8 +2,6 @@
 
 use std::{thread, time};
 
-use knapweedford::config;
-
 use crate::{load, processes};
 use processes::{Plan, Site};
 
@@ -16,17 +14,16 @@
     let load = load::Load::streams(8, &entries, TOKENS);
     processes::until("the zone works", || (site.total(0) > 3).then_some(()));
 
-    let mut out = config::Out::default();
-    out.zones.insert(processes::zone(0).into());
-    site.commit(2, &out);
-    site.ready(2);
+    let zone = processes::zone(0);
+    assert_eq!(site.order(0, &format!("/zones/{zone}/out"), "").status, 200);
+    processes::until("the zone is out", || site.all_out(zone).then_some(()));
+    thread::sleep(time::Duration::from_millis(200));
     let before = site.total(0);
     let others = site.total(1) + site.total(2);
     processes::until("others work", || (site.total(1) + site.total(2) > others + 20).then_some(()));
     assert_eq!(site.total(0), before, "a zone that is out got new work");
 
-    site.commit(3, &config::Out::default());
-    site.ready(3);
+    assert_eq!(site.order(1, &format!("/zones/{zone}/in"), "").status, 200);
     processes::until("the zone works again", || (site.total(0) > before).then_some(()));
     thread::sleep(time::Duration::from_millis(200));
     let sent = load.stop();
