--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -12,7 +12,7 @@
 use super::{Ports, Switches, agent, courier};
 use crate::{
     Error, Result,
-    entry::{Core, Event, Front},
+    entry::{Core, Event, Front, once},
     http, metrics, peer, platform, settings, wire,
 };
 
@@ -115,6 +115,7 @@
     })?;
     let token = cfg.token.clone();
     tokio::task::spawn_local(courier::run(client, token, link.clone(), errands));
+    let heard = link.clone();
     let dump = events.clone();
     let port = super::port::Port {
         token: cfg.token.clone(),
@@ -145,6 +146,10 @@
         refusing: on.refusing.subscribe(),
         ids: cell::RefCell::new(super::generator(&cfg.host)),
         metrics,
+        claims: once::Claims::new(platform::Client::new(&cfg.platform)),
+        heard: Box::new(move |from, version| {
+            heard.send(agent::Event::Heard(Some(from), version));
+        }),
     };
     http::serve(callers, http::Limits::default(), rc::Rc::new(front), on.stop.subscribe()).await;
     super::send(&events, Event::Drained);
--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -25,7 +25,8 @@
     }
 }
 
-fn refuse(refusal: &Refusal, flight: metrics::Flight) -> http::Response {
+/// The answer for `refusal`, counted.
+pub fn refuse(refusal: &Refusal, flight: metrics::Flight) -> http::Response {
     count(refusal, flight);
     refusal.response()
 }
@@ -38,6 +39,14 @@
     });
 }
 
+/// Drives `session` to the end of a whole answer.
+pub async fn collect(session: &mut session::Session) -> Result<(session::Head, Bytes), Refusal> {
+    match session.next().await? {
+        session::Step::Head(head) => whole(session, head).await,
+        _ => Err(Refusal::Broken { ran: wire::Ran::Unknown }),
+    }
+}
+
 async fn whole(
     session: &mut session::Session,
     mut head: session::Head,
@@ -95,7 +104,8 @@
     }
 }
 
-fn response(head: &session::Head, body: http::Body) -> http::Response {
+/// An answer of the backend server.
+pub fn response(head: &session::Head, body: http::Body) -> http::Response {
     let mut res = hyper::Response::new(body);
     *res.status_mut() = hyper::StatusCode::from_u16(head.status).unwrap_or_default();
     for header in &head.headers {
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -36,7 +36,7 @@
 /// One daemon, killed when dropped.
 pub struct Daemon {
     child: process::Child,
-    ports: Ports,
+    pub ports: Ports,
     name: String,
 }
 
@@ -64,9 +64,9 @@
 
 /// Daemons over one stand-in platform.
 pub struct Cluster {
-    platform: StandIn,
+    pub platform: StandIn,
     dir: path::PathBuf,
-    daemons: BTreeMap<String, Daemon>,
+    pub daemons: BTreeMap<String, Daemon>,
 }
 
 impl Cluster {
@@ -137,7 +137,8 @@
         serde_json::from_str(&self.operator(name, "GET", path, "").1).unwrap()
     }
 
-    fn all(&self, what: &str, check: impl Fn(&serde_json::Value) -> bool) {
+    /// Waits until `check` holds for the configuration of each daemon.
+    pub fn all(&self, what: &str, check: impl Fn(&serde_json::Value) -> bool) {
         wait(what, || {
             let holds = |d: &Daemon| check(&self.get(&d.name, "/config"));
             self.daemons.values().all(holds).then_some(())
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -13,6 +13,8 @@
 mod fuzz_gate;
 mod gate;
 mod host_settings;
+mod hostile;
+mod keyed;
 mod leases;
 mod load;
 mod once;
