--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -9,6 +9,7 @@
 mod fairness;
 mod frames;
 mod fuzz;
+mod fuzz_agreement;
 mod fuzz_answers;
 mod fuzz_gate;
 mod gate;
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -35,6 +35,8 @@
     pub down: bool,
     pub lose_answer: f64,
     pub lose_write: f64,
+    /// Whether conditions are ignored, to show that tests need them.
+    pub lax: bool,
     pub reads: u64,
     pub writes: u64,
     rng: Pcg64,
@@ -50,6 +52,7 @@
             down: false,
             lose_answer: 0.0,
             lose_write: 0.0,
+            lax: false,
             reads: 0,
             writes: 0,
             rng: Pcg64::seed_from_u64(7),
@@ -100,6 +103,7 @@
             return Err(down());
         }
         let holds = match (when, state.rows.get(key)) {
+            _ if state.lax => true,
             (platform::When::Absent, None) => true,
             (platform::When::Unchanged(etag), Some(row)) => row.etag == *etag,
             _ => false,
