--- a/tests/deaths.rs
+++ b/tests/deaths.rs
@@ -2,10 +2,10 @@
 
 use std::{thread, time};
 
-use crate::processes::{self, Site};
+use crate::processes::{self, Plan, Site};
 
 const TOKENS: u64 = 120;
-const PLAN: processes::Plan = processes::Plan {
+const PLAN: Plan = Plan {
     entries: 1,
     engines: 2,
     engine: &["--token-ms", "10"],
@@ -39,6 +39,15 @@
     assert_eq!(answer.body, site.right("sofa", TOKENS));
 }
 
+#[test]
+fn no_other() {
+    let mut site = Site::start(&Plan { engines: 1, ..PLAN });
+    let answer = harmed(&mut site, |site, engine| site.engines[engine].kill());
+    assert!(answer.cut, "a short answer looks whole: {answer:?}");
+    assert!(!answer.body.is_empty());
+    assert!(site.right("sofa", TOKENS).starts_with(&answer.body));
+}
+
 #[test]
 fn engine_cut() {
     let mut site = Site::start(&PLAN);
@@ -103,7 +112,7 @@
 
 #[test]
 fn sidecar_restarted() {
-    let mut site = Site::start(&processes::Plan { engines: 1, ..PLAN });
+    let mut site = Site::start(&Plan { engines: 1, ..PLAN });
     site.sidecars[0].process.kill();
     let refused = site.stream(0, "bed", 10);
     assert!(!refused.whole());
@@ -117,7 +126,7 @@
 
 #[test]
 fn caller_gone() {
-    let site = Site::start(&processes::Plan { engines: 1, ..PLAN });
+    let site = Site::start(&Plan { engines: 1, ..PLAN });
     let at = site.entries[0].process.at;
     let body = r#"{"prompt":"gone","stream":true,"max_tokens":100000}"#;
     let head = format!(
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -23,6 +23,7 @@
 mod outages;
 mod platform;
 mod processes;
+mod replays;
 mod retries;
 mod routes;
 mod shutdown;
--- /dev/null
+++ b/tests/replays.rs
@@ -0,0 +1,139 @@
+//! Recorded traces of a site's bad days, replayed through the agreement's code.
+//!
+//! A trace is text: `processes N`, then `at SECONDS STEP`, in order of time.
+//! Steps: `apply P TEXT [BASE]`, `out P ZONE`, `in P ZONE`, `kill P`,
+//! `start P`, `side P N`, `store up|down|lossy PERCENT`, and what must hold
+//! at that time: `expect version N`, `expect out ZONE`, `expect back ZONE`,
+//! `expect durable`, `expect answer N OUTCOME` and `expect one-won N...`, where
+//! N counts the orders from 1.
+
+use knapweedford::agree::change::{Order, Outcome};
+
+use crate::site::{self, Site};
+
+struct Replay {
+    site: Site,
+    orders: u64,
+}
+
+impl Replay {
+    fn order(&mut self, at: usize, order: Order) {
+        self.orders += 1;
+        self.site.order(at, self.orders, order);
+    }
+
+    fn step(&mut self, words: &[&str]) {
+        match words {
+            ["apply", at, text] => self.order(number(at), site::apply(text)),
+            ["apply", at, text, base] => {
+                let base = Some(number(base) as u64);
+                self.order(number(at), Order::Apply { text: (*text).into(), base });
+            }
+            ["out", at, zone] => self.order(number(at), Order::Out(site::zone(zone))),
+            ["in", at, zone] => self.order(number(at), Order::In(site::zone(zone))),
+            ["kill", at] => self.site.kill(number(at)),
+            ["start", at] => self.site.start(number(at)),
+            ["side", at, side] => self.site.side[number(at)] = number(side) as u8,
+            ["store", "down"] => self.site.platform.state().down = true,
+            ["store", "lossy", percent] => {
+                self.site.platform.state().lose_answer = number(percent) as f64 / 100.0;
+            }
+            ["store", "up"] => {
+                let mut state = self.site.platform.state();
+                (state.down, state.lose_answer) = (false, 0.0);
+            }
+            ["expect", expected @ ..] => self.expect(expected),
+            _ => panic!("no such step"),
+        }
+    }
+
+    fn expect(&self, expected: &[&str]) {
+        match expected {
+            ["version", version] => {
+                assert_eq!(self.site.versions(), [number(version) as u64].into());
+            }
+            ["out", zone] => assert!(self.site.all_out(zone)),
+            ["back", zone] => {
+                let out = |node: &&_| is_out(node, zone);
+                assert_eq!(self.site.alive().filter(out).count(), 0);
+            }
+            ["durable"] => {
+                assert!(self.site.alive().all(|node| node.effective().pending.is_empty()));
+            }
+            ["answer", order, outcome] => assert_eq!(self.outcome(order), *outcome),
+            ["one-won", orders @ ..] => {
+                let won = orders.iter().filter(|order| self.outcome(order) == "committed");
+                assert_eq!(won.count(), 1);
+            }
+            _ => panic!("no such expectation"),
+        }
+    }
+
+    fn outcome(&self, order: &str) -> &'static str {
+        match self.site.answer(number(order) as u64) {
+            Some(Outcome::Committed { .. }) => "committed",
+            Some(Outcome::NotDurable { .. }) => "not-durable",
+            Some(Outcome::Conflict { .. }) => "conflict",
+            Some(Outcome::Unavailable { .. }) => "unavailable",
+            Some(Outcome::Unknown { .. }) => "unknown",
+            None => "none",
+        }
+    }
+}
+
+fn is_out(node: &knapweedford::agree::node::Node, zone: &str) -> bool {
+    node.effective().out().zones.contains(zone)
+}
+
+fn number(word: &str) -> usize {
+    word.parse().unwrap()
+}
+
+fn replay(trace: &str) {
+    let lines = trace.lines().enumerate().filter(|(_, line)| !line.starts_with('#'));
+    let mut replay = Replay { site: Site::new(0), orders: 0 };
+    for (at, line) in lines {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        eprintln!("line {}: {line}", at + 1);
+        match words.as_slice() {
+            ["processes", count] => {
+                replay.site = Site::new(number(count));
+                replay.site.run(site::secs(SETTLE_S));
+            }
+            ["at", second, step @ ..] => {
+                let until = site::secs(SETTLE_S + number(second) as u64);
+                replay.site.run(until.saturating_sub(replay.site.now));
+                replay.step(step);
+            }
+            _ => panic!("no such line"),
+        }
+    }
+}
+
+/// Time for the processes to find each other before a trace begins, in seconds.
+const SETTLE_S: u64 = 15;
+
+#[test]
+fn store_outage() {
+    replay(include_str!("traces/store-outage.trace"));
+}
+
+#[test]
+fn operators_racing() {
+    replay(include_str!("traces/operators-racing.trace"));
+}
+
+#[test]
+fn rolling_restart() {
+    replay(include_str!("traces/rolling-restart.trace"));
+}
+
+#[test]
+fn rack_lost() {
+    replay(include_str!("traces/rack-lost.trace"));
+}
+
+#[test]
+fn regions_apart() {
+    replay(include_str!("traces/regions-apart.trace"));
+}
