--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -101,6 +101,12 @@
 }
 
 impl Daemon {
+    /// Gives the operators' port an order.
+    pub fn order(&self, path: &str, body: &str) -> Answer {
+        let bearer = format!("Bearer {TOKEN}");
+        post(self.ports.operators, path, &[("Authorization", &bearer)], body)
+    }
+
     /// The state that the process gives on request; `None` if it does not answer.
     pub fn dump(&self) -> Option<serde_json::Value> {
         let bearer = format!("Bearer {TOKEN}");
@@ -269,7 +275,11 @@
             let entry = site.entry(at);
             site.entries.push(entry);
         }
-        site.apply();
+        let text = site.text();
+        config::parse(&text).unwrap();
+        until("the text is accepted", || {
+            (site.order(0, "/apply", &text).status == 200).then_some(())
+        });
         site.ready(1);
         site
     }
@@ -299,20 +309,18 @@
         daemon
     }
 
-    /// An operator's request to entry `entry`.
+    /// Gives the operators' port of entry `entry` an order.
     pub fn order(&self, entry: usize, path: &str, body: &str) -> Answer {
-        let bearer = format!("Bearer {TOKEN}");
-        let at = self.entries[entry].ports.operators;
-        call("POST", at, path, &[("Authorization", &bearer)], body)
+        self.entries[entry].order(path, body)
     }
 
-    /// Applies the site's text through the first entry.
-    fn apply(&self) {
-        config::parse(&self.text()).unwrap();
-        until("the text is accepted", || {
-            let answer = self.order(0, "/apply", &self.text());
-            (answer.status == 200).then_some(())
-        });
+    /// Whether every process holds `zone` to be out.
+    pub fn all_out(&self, zone: &str) -> bool {
+        let out = |daemon: &Daemon| {
+            let zones = daemon.dump().map(|dump| dump["out"]["zones"].clone());
+            zones.is_some_and(|zones| zones.as_array().unwrap().iter().any(|out| out == zone))
+        };
+        self.sidecars.iter().chain(&self.entries).all(out)
     }
 
     /// Waits until every process has `version` in force and every sidecar reaches its server.
@@ -324,9 +332,12 @@
                 (dump["version"].as_u64() >= Some(version) && reaches).then_some(())
             });
         }
+        let all = (self.sidecars.len() + self.entries.len()) as u64;
         for entry in &self.entries {
-            until("the entry is ready", || {
-                (get(entry.process.at, "/readyz", &[]).status == 200).then_some(())
+            until("the entry is ready and knows all", || {
+                let ready = get(entry.process.at, "/readyz", &[]).status == 200;
+                let members = entry.dump()?["agreement"]["members"]["alive"].as_u64();
+                (ready && members >= Some(all)).then_some(())
             });
         }
     }
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -14,16 +14,16 @@
     let load = load::Load::streams(8, &entries, TOKENS);
     processes::until("the zone works", || (site.total(0) > 3).then_some(()));
 
-    let order = |turn: &str| format!("/zones/{}/{turn}", processes::zone(0));
-    assert_eq!(site.order(0, &order("out"), "").status, 200);
-    site.ready(2);
+    let zone = processes::zone(0);
+    assert_eq!(site.order(0, &format!("/zones/{zone}/out"), "").status, 200);
+    processes::until("the zone is out", || site.all_out(zone).then_some(()));
+    thread::sleep(time::Duration::from_millis(200));
     let before = site.total(0);
     let others = site.total(1) + site.total(2);
     processes::until("others work", || (site.total(1) + site.total(2) > others + 20).then_some(()));
     assert_eq!(site.total(0), before, "a zone that is out got new work");
 
-    assert_eq!(site.order(1, &order("in"), "").status, 200);
-    site.ready(3);
+    assert_eq!(site.order(1, &format!("/zones/{zone}/in"), "").status, 200);
     processes::until("the zone works again", || (site.total(0) > before).then_some(()));
     thread::sleep(time::Duration::from_millis(200));
     let sent = load.stop();
