--- a/src/group/controller.rs
+++ b/src/group/controller.rs
@@ -197,7 +197,10 @@
         }
         self.resend = now + REPORT;
         self.report += 1;
-        (0..self.ranks).map(|rank| self.send(rank, order::Order::Report(self.report))).collect()
+        let reports = (0..self.ranks).map(|rank| self.send(rank, order::Order::Report(self.report)));
+        let mut effects: Vec<Effect> = reports.collect();
+        effects.extend(self.store(Effect::Read));
+        effects
     }
 
     /// The row was read: `Ok(None)` if there is none, `Err` if the table did not answer.
@@ -209,7 +212,7 @@
         self.pending = false;
         let Ok(found) = read else { return };
         let (row, etag) = found.map_or((row::Row::default(), None), |(row, etag)| (row, Some(etag)));
-        if self.state != State::Reading {
+        if !matches!(self.state, State::Reading | State::Idle) {
             return;
         }
         self.row = row;
@@ -220,6 +223,7 @@
                 self.enter(now, State::Loading(id));
             }
             Some(id) => self.enter(now, State::Aborting(id)),
+            None if self.state == State::Idle => {}
             None => self.enter(now, State::Idle),
         }
     }
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -1,3 +1,4 @@
 //! Integration tests: one module a feature.
 
 mod frames;
+mod maps_fuzz;
--- /dev/null
+++ b/tests/maps_fuzz.rs
@@ -0,0 +1,488 @@
+//! One expert map a step: a rank group, two controllers and the table under every failure.
+
+use std::{collections, time};
+
+use knapweedford::group::{controller, map, order, rank, row};
+use knapweedford::platform;
+use proptest::{prelude::*, test_runner};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+
+const RANKS: usize = 3;
+const SEED: u64 = 6;
+const LEASE: time::Duration = time::Duration::from_secs(40);
+const LOAD_WITHIN: time::Duration = time::Duration::from_secs(6);
+const DEFAULT: map::Id = map::Id { version: 0, digest: 0 };
+
+/// The mechanism that a run goes without.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Off {
+    Nothing,
+    /// Acknowledgements of all ranks but rank 0 are made up.
+    Acks,
+    /// Rank 0 believes every list of incarnations.
+    Incarnations,
+    /// An abort is taken as done without asking rank 0.
+    LeaderFirst,
+    /// Rank 0 forgets which versions are dead.
+    Floor,
+    /// A restarted rank reads the table itself instead of asking rank 0.
+    OneName,
+    /// The table takes every write.
+    CompareAndSet,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Deliver(usize),
+    Repeat(usize),
+    Lose(usize),
+    LoseAnswer(usize),
+    Tick(u64),
+    Step,
+    Restart(usize),
+    Pause(usize),
+    Resume(usize),
+    TakeOver(usize),
+    Propose(usize, u64),
+    Abort(usize),
+    Store(bool),
+}
+
+/// The oracle: contents that may ever be in use, and what kind of engine runs them.
+#[derive(Clone, Debug)]
+struct Oracle {
+    off: Off,
+    checks_fences: bool,
+    digests: collections::BTreeSet<u64>,
+}
+
+fn oracle(off: Off) -> BoxedStrategy<Oracle> {
+    any::<bool>()
+        .prop_map(move |checks_fences| Oracle {
+            off,
+            checks_fences,
+            digests: collections::BTreeSet::from([DEFAULT.digest]),
+        })
+        .boxed()
+}
+
+struct Machine;
+
+impl ReferenceStateMachine for Machine {
+    type State = Oracle;
+    type Transition = Event;
+
+    fn init_state() -> BoxedStrategy<Oracle> {
+        oracle(Off::Nothing)
+    }
+
+    fn transitions(_: &Oracle) -> BoxedStrategy<Event> {
+        prop_oneof![
+            40 => any::<usize>().prop_map(Event::Deliver),
+            6 => any::<usize>().prop_map(Event::Repeat),
+            3 => any::<usize>().prop_map(Event::Lose),
+            2 => any::<usize>().prop_map(Event::LoseAnswer),
+            14 => (1u64..3000).prop_map(Event::Tick),
+            14 => Just(Event::Step),
+            3 => (0..RANKS).prop_map(Event::Restart),
+            1 => (0usize..2).prop_map(Event::Pause),
+            2 => (0usize..2).prop_map(Event::Resume),
+            2 => (0usize..2).prop_map(Event::TakeOver),
+            8 => (0usize..2, 1u64..1000).prop_map(|(c, digest)| Event::Propose(c, digest)),
+            3 => (0usize..2).prop_map(Event::Abort),
+            1 => any::<bool>().prop_map(Event::Store),
+            1 => Just(Event::Store(true)),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut state: Oracle, event: &Event) -> Oracle {
+        if let Event::Propose(_, digest) = event {
+            state.digests.insert(*digest);
+        }
+        state
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Packet {
+    Order(usize, order::Addressed),
+    Answer(usize, order::Answer),
+    Read(usize),
+    Write(usize, row::Row, platform::When),
+}
+
+struct Node {
+    machine: controller::Controller,
+    paused: bool,
+    /// Counts up with each new controller; answers to an earlier one are lost.
+    epoch: usize,
+}
+
+struct World {
+    oracle: Oracle,
+    now: time::Duration,
+    ranks: Vec<rank::Rank>,
+    incarnations: Vec<u64>,
+    nodes: Vec<Node>,
+    fence: u64,
+    net: Vec<(usize, Packet)>,
+    table: Option<(row::Row, u64)>,
+    store: bool,
+    used: collections::BTreeSet<u64>,
+}
+
+impl World {
+    fn new(oracle: &Oracle) -> Self {
+        let incarnations = vec![1; RANKS];
+        let mut ranks: Vec<rank::Rank> =
+            (0..RANKS).map(|r| rank::Rank::new(r, 1, DEFAULT, order::Fence(0))).collect();
+        ranks.iter_mut().for_each(|rank| rank.form(&incarnations, DEFAULT));
+        let node = |fence| Node { machine: machine(fence, time::Duration::ZERO), paused: false, epoch: 0 };
+        Self {
+            oracle: oracle.clone(),
+            now: time::Duration::ZERO,
+            ranks,
+            incarnations,
+            nodes: vec![node(1), node(2)],
+            fence: 2,
+            net: Vec::new(),
+            table: None,
+            store: true,
+            used: collections::BTreeSet::new(),
+        }
+    }
+
+    fn apply(&mut self, event: &Event) {
+        match *event {
+            Event::Deliver(i) => self.with_packet(i, |world, i| {
+                let (epoch, packet) = world.net.swap_remove(i);
+                world.deliver(epoch, packet, true);
+            }),
+            Event::Repeat(i) => self.with_packet(i, |world, i| {
+                let (epoch, packet) = world.net[i].clone();
+                if let Packet::Order(..) | Packet::Answer(..) = packet {
+                    world.net.push((epoch, packet));
+                }
+            }),
+            Event::Lose(i) => self.with_packet(i, |world, i| {
+                let (epoch, packet) = world.net.swap_remove(i);
+                world.lose(epoch, &packet);
+            }),
+            Event::LoseAnswer(i) => self.with_packet(i, |world, i| {
+                let (epoch, packet) = world.net.swap_remove(i);
+                world.deliver(epoch, packet, false);
+            }),
+            Event::Tick(ms) => self.tick(ms),
+            Event::Step => self.step(),
+            Event::Restart(rank) => self.restart(rank),
+            Event::Pause(c) => self.nodes[c].paused = true,
+            Event::Resume(c) => self.nodes[c].paused = false,
+            Event::TakeOver(c) => self.take_over(c),
+            Event::Propose(c, digest) if !self.nodes[c].paused => {
+                self.nodes[c].machine.propose(self.now, digest);
+            }
+            Event::Abort(c) if !self.nodes[c].paused => self.nodes[c].machine.abort(self.now),
+            Event::Store(up) => self.store = up,
+            _ => {}
+        }
+    }
+
+    fn with_packet(&mut self, i: usize, f: impl FnOnce(&mut Self, usize)) {
+        match self.net.len() {
+            0 => {}
+            len => f(self, i % len),
+        }
+    }
+
+    fn tick(&mut self, ms: u64) {
+        self.now += time::Duration::from_millis(ms);
+        for c in 0..self.nodes.len() {
+            if self.nodes[c].paused {
+                continue;
+            }
+            let epoch = self.nodes[c].epoch;
+            for effect in self.nodes[c].machine.poll(self.now) {
+                let packet = match effect {
+                    controller::Effect::Send(order) => self.tampered(c, order),
+                    controller::Effect::Read => Packet::Read(c),
+                    controller::Effect::Write(row, when) => Packet::Write(c, row, when),
+                };
+                self.net.push((epoch, packet));
+            }
+        }
+    }
+
+    fn tampered(&self, c: usize, mut addressed: order::Addressed) -> Packet {
+        let made_up = |order: &order::Order, held: Vec<map::Id>| order::Answer {
+            rank: addressed.rank,
+            incarnation: self.incarnations[addressed.rank],
+            order: order.clone(),
+            verdict: order::Verdict::Done,
+            using: DEFAULT,
+            held,
+            fence: addressed.fence,
+        };
+        match (&mut addressed.order, self.oracle.off) {
+            (order::Order::Load(id), Off::Acks) if addressed.rank != rank::LEADER => {
+                Packet::Answer(c, made_up(&order::Order::Load(*id), vec![*id]))
+            }
+            (order::Order::Abort(id), Off::LeaderFirst) => {
+                Packet::Answer(c, made_up(&order::Order::Abort(*id), Vec::new()))
+            }
+            (order::Order::Switch { loaded, .. }, Off::Incarnations) => {
+                loaded.clone_from(&self.incarnations);
+                Packet::Order(c, addressed)
+            }
+            _ => Packet::Order(c, addressed),
+        }
+    }
+
+    fn deliver(&mut self, epoch: usize, packet: Packet, answered: bool) {
+        match packet {
+            Packet::Order(c, mut addressed) => {
+                if let (order::Order::Switch { loaded, .. }, Off::Incarnations) =
+                    (&mut addressed.order, self.oracle.off)
+                {
+                    loaded.clone_from(&self.incarnations);
+                }
+                let answer = self.order(&addressed);
+                if answered {
+                    self.net.push((epoch, Packet::Answer(c, answer)));
+                }
+            }
+            Packet::Answer(c, answer) if self.nodes[c].epoch == epoch => {
+                let now = self.now;
+                self.nodes[c].machine.answer(now, &answer);
+            }
+            Packet::Read(c) => {
+                let read = match self.store && answered {
+                    true => Ok(self.table.map(|(row, etag)| (row, tag(etag)))),
+                    false => Err(()),
+                };
+                self.read(epoch, c, read);
+            }
+            Packet::Write(c, row, when) => {
+                let end = self.write(row, &when);
+                let end = if answered { end } else { controller::Written::Unknown };
+                self.written(epoch, c, end);
+            }
+            Packet::Answer(..) => {}
+        }
+    }
+
+    fn lose(&mut self, epoch: usize, packet: &Packet) {
+        match packet {
+            Packet::Read(c) => self.read(epoch, *c, Err(())),
+            Packet::Write(c, ..) => self.written(epoch, *c, controller::Written::Unknown),
+            _ => {}
+        }
+    }
+
+    fn read(
+        &mut self,
+        epoch: usize,
+        c: usize,
+        read: Result<Option<(row::Row, platform::Etag)>, ()>,
+    ) {
+        if self.nodes[c].epoch == epoch {
+            let now = self.now;
+            self.nodes[c].machine.row(now, read);
+        }
+    }
+
+    fn written(&mut self, epoch: usize, c: usize, end: controller::Written) {
+        if self.nodes[c].epoch == epoch {
+            let now = self.now;
+            self.nodes[c].machine.written(now, end);
+        }
+    }
+
+    fn write(&mut self, row: row::Row, when: &platform::When) -> controller::Written {
+        let etag = self.table.map(|(_, etag)| etag);
+        let holds = match when {
+            platform::When::Absent => etag.is_none(),
+            platform::When::Unchanged(known) => etag.map(tag).as_ref() == Some(known),
+        };
+        match () {
+            () if !self.store => controller::Written::Unknown,
+            () if !holds && self.oracle.off != Off::CompareAndSet => controller::Written::Refused,
+            () => {
+                let etag = etag.unwrap_or(0) + 1;
+                self.table = Some((row, etag));
+                controller::Written::Done(tag(etag))
+            }
+        }
+    }
+
+    fn order(&mut self, addressed: &order::Addressed) -> order::Answer {
+        let fence = if self.oracle.checks_fences { addressed.fence } else { order::Fence(0) };
+        let rank = &mut self.ranks[addressed.rank];
+        let answer = rank.order(fence, &addressed.order);
+        let forgets = self.oracle.off == Off::Floor && addressed.rank == rank::LEADER;
+        if forgets && matches!(addressed.order, order::Order::Abort(_)) {
+            let held: Vec<map::Id> = rank.held().iter().copied().collect();
+            let using = rank.using();
+            *rank = rank::Rank::new(addressed.rank, rank.incarnation(), using, answer.fence);
+            rank.form(&self.incarnations, using);
+            held.into_iter().for_each(|id| {
+                rank.order(answer.fence, &order::Order::Load(id));
+            });
+        }
+        answer
+    }
+
+    fn step(&mut self) {
+        let step = self.ranks[rank::LEADER].start();
+        for (r, rank) in self.ranks.iter_mut().enumerate() {
+            assert!(rank.step(step), "rank {r} cannot run a step with {:?}: {rank:?}", step.map);
+            assert_eq!(rank.using(), step.map, "rank {r} runs another map");
+        }
+        self.used.insert(step.map.digest);
+    }
+
+    fn restart(&mut self, r: usize) {
+        self.incarnations[r] += 1;
+        let named = self.table.filter(|_| self.store).map_or(DEFAULT, |(row, _)| row.current);
+        let map = if r == rank::LEADER { named } else { self.ranks[rank::LEADER].using() };
+        let own = if self.oracle.off == Off::OneName { named } else { map };
+        self.ranks[r] = rank::Rank::new(r, self.incarnations[r], own, order::Fence(0));
+        for (other, rank) in self.ranks.iter_mut().enumerate() {
+            rank.form(&self.incarnations, if other == r { own } else { map });
+        }
+    }
+
+    fn take_over(&mut self, c: usize) {
+        self.fence += 1;
+        let epoch = self.nodes[c].epoch + 1;
+        self.nodes[c] = Node { machine: machine(self.fence, self.now), paused: false, epoch };
+    }
+
+    /// Everything heals; one controller is left and must bring all to rest on one map.
+    fn settle(&mut self) {
+        self.store = true;
+        self.nodes[1].paused = true;
+        self.take_over(0);
+        for _ in 0..400 {
+            let now = self.now;
+            self.nodes[0].machine.renew(now + LEASE);
+            self.tick(500);
+            while let Some((epoch, packet)) = self.net.pop() {
+                self.deliver(epoch, packet, true);
+            }
+            self.step();
+            if self.at_rest() {
+                return;
+            }
+        }
+        if self.oracle.off == Off::Nothing {
+            panic!("no rest: {:?} {:?} {:?}", self.table, self.nodes[0].machine, self.ranks);
+        }
+    }
+
+    fn at_rest(&self) -> bool {
+        let using = self.ranks[rank::LEADER].using();
+        let named = self.table.map_or(DEFAULT, |(row, _)| row.current);
+        let alone = |rank: &rank::Rank| rank.held().iter().eq([&using]);
+        let open = self.table.is_some_and(|(row, _)| row.next.is_some());
+        named == using && !open && self.ranks.iter().all(alone) && self.nodes[0].machine.is_idle()
+    }
+}
+
+fn machine(fence: u64, now: time::Duration) -> controller::Controller {
+    let lease = controller::Lease { fence: order::Fence(fence), until: now + LEASE };
+    controller::Controller::new(lease, RANKS, LOAD_WITHIN)
+}
+
+fn tag(etag: u64) -> platform::Etag {
+    platform::Etag(etag.to_string())
+}
+
+impl StateMachineTest for Machine {
+    type SystemUnderTest = World;
+    type Reference = Machine;
+
+    fn init_test(oracle: &Oracle) -> World {
+        World::new(oracle)
+    }
+
+    fn apply(mut world: World, _: &Oracle, event: Event) -> World {
+        world.apply(&event);
+        world
+    }
+
+    fn check_invariants(world: &World, oracle: &Oracle) {
+        assert!(world.used.is_subset(&oracle.digests), "a map was used that nobody proposed");
+    }
+
+    fn teardown(mut world: World, _: Oracle) {
+        world.settle();
+    }
+}
+
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 0,
+        rng_seed: test_runner::RngSeed::Fixed(SEED),
+        ..ProptestConfig::default()
+    }
+}
+
+/// Runs the machine without one mechanism; gives the failure, if any.
+fn run(off: Off, cases: u32) -> Result<(), String> {
+    let cfg = config(cases);
+    let events = proptest::collection::vec(Machine::transitions(&no_oracle()), 1..400);
+    let strategy = (oracle(off), events);
+    let mut runner = test_runner::TestRunner::new(cfg.clone());
+    let test = |(oracle, events): (Oracle, Vec<Event>)| {
+        <Machine as StateMachineTest>::test_sequential(cfg.clone(), oracle, events, None);
+        Ok(())
+    };
+    runner.run(&strategy, test).map_err(|err| err.to_string())
+}
+
+fn no_oracle() -> Oracle {
+    Oracle { off: Off::Nothing, checks_fences: false, digests: collections::BTreeSet::new() }
+}
+
+#[test]
+fn one_map() {
+    run(Off::Nothing, 4000).unwrap();
+}
+
+fn breaks(off: Off) {
+    let err = run(off, 4000).expect_err("the mechanism is not needed");
+    assert!(err.contains("cannot run a step") || err.contains("runs another map"), "{err}");
+}
+
+#[test]
+fn without_acks() {
+    breaks(Off::Acks);
+}
+
+#[test]
+fn without_incarnations() {
+    breaks(Off::Incarnations);
+}
+
+#[test]
+fn without_leader_first() {
+    breaks(Off::LeaderFirst);
+}
+
+#[test]
+fn without_floor() {
+    breaks(Off::Floor);
+}
+
+#[test]
+fn without_one_name() {
+    breaks(Off::OneName);
+}
+
+#[test]
+fn without_compare_and_set() {
+    breaks(Off::CompareAndSet);
+}
