maps: what was proposed before a rank started is dead to it

Ruled out: a lost acknowledgement (incarnations were right). Change: a starting rank reads the highest proposed version from the table and takes no older proposal; without the table it takes none until it can read.

--- a/src/group/controller.rs
+++ b/src/group/controller.rs
@@ -288,6 +288,9 @@
             () if ack.is_some_and(|incarnation| incarnation < answer.incarnation) => *ack = None,
             () => {}
         }
+        if answer.order == order::Order::Load(id) && answer.verdict == order::Verdict::Dead {
+            return self.enter(now, State::Aborting(id));
+        }
         let loaded: order::Incarnations = self.acks.iter().copied().flatten().collect();
         if loaded.len() == self.ranks {
             self.enter(now, State::Switching(id, loaded));
--- a/src/group/rank.rs
+++ b/src/group/rank.rs
@@ -10,6 +10,9 @@
 /// Rank that starts each step.
 pub const LEADER: usize = 0;
 
+/// Floor of a rank that could not read the table when it started.
+const UNKNOWN: u64 = u64::MAX;
+
 /// What rank 0 says at the start of a step.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Step {
@@ -25,16 +28,34 @@
     fence: order::Fence,
     using: map::Id,
     held: BTreeSet<map::Id>,
-    /// Versions up to here are never loaded or switched to again, except the one in use.
+    /// Versions up to here are never loaded or switched to.
     floor: u64,
     formed: order::Incarnations,
 }
 
 impl Rank {
     /// A rank that has just started and holds only the map that its group was formed with.
-    pub fn new(rank: usize, incarnation: u64, using: map::Id, fence: order::Fence) -> Self {
-        let held = BTreeSet::from([using]);
-        Self { rank, incarnation, fence, using, held, floor: using.version, formed: Vec::new() }
+    ///
+    /// `last` is the highest version proposed so far, as the table says; all
+    /// proposals from before the start are dead to it. While the table does not
+    /// answer it is `None`, and every proposal is.
+    pub fn new(rank: usize, incarnation: u64, using: map::Id, last: Option<u64>) -> Self {
+        Self {
+            rank,
+            incarnation,
+            fence: order::Fence::default(),
+            using,
+            held: BTreeSet::from([using]),
+            floor: last.unwrap_or(UNKNOWN),
+            formed: Vec::new(),
+        }
+    }
+
+    /// The table answered after a start without it.
+    pub fn learn(&mut self, last: u64) {
+        if self.floor == UNKNOWN {
+            self.floor = last;
+        }
     }
 
     /// Incarnation.
--- a/tests/maps_fuzz.rs
+++ b/tests/maps_fuzz.rs
@@ -25,6 +25,8 @@
     LeaderFirst,
     /// Rank 0 forgets which versions are dead.
     Floor,
+    /// A restarted rank takes proposals from before its start.
+    StartFloor,
     /// A restarted rank reads the table itself instead of asking rank 0.
     OneName,
     /// The table takes every write.
@@ -136,7 +138,7 @@
     fn new(oracle: &Oracle) -> Self {
         let incarnations = vec![1; RANKS];
         let mut ranks: Vec<rank::Rank> =
-            (0..RANKS).map(|r| rank::Rank::new(r, 1, DEFAULT, order::Fence(0))).collect();
+            (0..RANKS).map(|r| rank::Rank::new(r, 1, DEFAULT, Some(0))).collect();
         ranks.iter_mut().for_each(|rank| rank.form(&incarnations, DEFAULT));
         let node = |fence| Node { machine: machine(fence, time::Duration::ZERO), paused: false, epoch: 0 };
         Self {
@@ -323,7 +325,8 @@
         if forgets && matches!(addressed.order, order::Order::Abort(_)) {
             let held: Vec<map::Id> = rank.held().iter().copied().collect();
             let using = rank.using();
-            *rank = rank::Rank::new(addressed.rank, rank.incarnation(), using, answer.fence);
+            let floor = Some(using.version);
+            *rank = rank::Rank::new(addressed.rank, rank.incarnation(), using, floor);
             rank.form(&self.incarnations, using);
             held.into_iter().for_each(|id| {
                 rank.order(answer.fence, &order::Order::Load(id));
@@ -333,6 +336,10 @@
     }
 
     fn step(&mut self) {
+        if self.store {
+            let last = self.table.map_or(0, |(row, _)| row.last);
+            self.ranks.iter_mut().for_each(|rank| rank.learn(last));
+        }
         let step = self.ranks[rank::LEADER].start();
         for (r, rank) in self.ranks.iter_mut().enumerate() {
             assert!(rank.step(step), "rank {r} cannot run a step with {:?}: {rank:?}", step.map);
@@ -346,7 +353,9 @@
         let named = self.table.filter(|_| self.store).map_or(DEFAULT, |(row, _)| row.current);
         let map = if r == rank::LEADER { named } else { self.ranks[rank::LEADER].using() };
         let own = if self.oracle.off == Off::OneName { named } else { map };
-        self.ranks[r] = rank::Rank::new(r, self.incarnations[r], own, order::Fence(0));
+        let last = self.store.then(|| self.table.map_or(0, |(row, _)| row.last));
+        let last = if self.oracle.off == Off::StartFloor { Some(own.version) } else { last };
+        self.ranks[r] = rank::Rank::new(r, self.incarnations[r], own, last);
         for (other, rank) in self.ranks.iter_mut().enumerate() {
             rank.form(&self.incarnations, if other == r { own } else { map });
         }
@@ -375,7 +384,7 @@
                 return;
             }
         }
-        if self.oracle.off == Off::Nothing {
+        if matches!(self.oracle.off, Off::Nothing | Off::CompareAndSet) {
             panic!("no rest: {:?} {:?} {:?}", self.table, self.nodes[0].machine, self.ranks);
         }
     }
@@ -449,40 +458,49 @@
 
 #[test]
 fn one_map() {
-    run(Off::Nothing, 4000).unwrap();
+    run(Off::Nothing, 10_000).unwrap();
+}
+
+fn breaks(off: Off) -> String {
+    run(off, 40_000).expect_err("the mechanism is not needed")
 }
 
-fn breaks(off: Off) {
-    let err = run(off, 4000).expect_err("the mechanism is not needed");
+fn splits(off: Off) {
+    let err = breaks(off);
     assert!(err.contains("cannot run a step") || err.contains("runs another map"), "{err}");
 }
 
 #[test]
 fn without_acks() {
-    breaks(Off::Acks);
+    splits(Off::Acks);
 }
 
 #[test]
 fn without_incarnations() {
-    breaks(Off::Incarnations);
+    splits(Off::Incarnations);
 }
 
 #[test]
 fn without_leader_first() {
-    breaks(Off::LeaderFirst);
+    splits(Off::LeaderFirst);
 }
 
 #[test]
 fn without_floor() {
-    breaks(Off::Floor);
+    splits(Off::Floor);
+}
+
+#[test]
+fn without_start_floor() {
+    splits(Off::StartFloor);
 }
 
 #[test]
 fn without_one_name() {
-    breaks(Off::OneName);
+    splits(Off::OneName);
 }
 
 #[test]
 fn without_compare_and_set() {
-    breaks(Off::CompareAndSet);
+    assert!(breaks(Off::CompareAndSet).contains("no rest"));
 }
