--- a/measure/maps/mod.rs
+++ b/measure/maps/mod.rs
@@ -45,7 +45,9 @@
     println!("maps: seed {seed}, Zipf {ZIPF}, noise {NOISE}, lag 2 periods of {} s", play::PERIOD);
     let sites = [("piensaime", plan::Weights::PIENSAIME), ("hsinchu", plan::Weights::HSINCHU)];
     let mut met = true;
-    for shape in [shape_today(), shape_target()] {
+    let only: Option<usize> = args.get(1).and_then(|arg| arg.parse().ok());
+    let shapes = [shape_today(), shape_target()];
+    for shape in shapes.into_iter().filter(|shape| only.is_none_or(|ranks| ranks == shape.ranks)) {
         for drift in drift::ALL {
             let case = |weights| play::Case {
                 shape,
--- a/src/group/plan.rs
+++ b/src/group/plan.rs
@@ -272,7 +272,7 @@
 }
 /// Fall of the skew that fitting a map to noise alone would seem to give.
 fn noise_gain(loads: &loads::Loads, errors: &[f64], ranks: usize) -> f64 {
-    (2.0 * (ranks as f64).ln()).sqrt() * loads.error(errors)
+    2.0 * (ranks as f64).ln().sqrt() * loads.error(errors)
 }
 
 fn next(loads: &loads::Loads, place: &loads::Place<'_>, bound: f64) -> Option<loads::Edit> {
