--- a/src/error.rs
+++ b/src/error.rs
@@ -1,6 +1,8 @@
 //! Every error of the crate, each with a message that names the remedy.
 
-use std::io;
+use std::{io, net};
+
+use crate::yaml;
 
 /// A typed failure; the message is a full sentence that says what to do.
 #[derive(Debug, thiserror::Error)]
@@ -14,17 +16,13 @@
         /// What the operating system said.
         source: io::Error,
     },
-    /// A YAML file does not have the expected shape.
-    #[error("{path}:{line}:{column}: {problem}.")]
-    Yaml {
+    /// A YAML file does not say what it must.
+    #[error("{}", place(path, findings))]
+    Text {
         /// The file, as the user named it.
         path: String,
-        /// Line, from 1.
-        line: u64,
-        /// Column, from 1.
-        column: u64,
-        /// What is wrong and what to write instead.
-        problem: String,
+        /// Every fault in it.
+        findings: yaml::Findings,
     },
     /// A frame on a peer connection was larger than allowed.
     #[error("A peer sent a frame of {size} bytes, over the limit of {limit}; upgrade both ends.")]
@@ -76,4 +74,68 @@
         /// What is wrong with the arguments.
         problem: String,
     },
+    /// A process did not take the operator's token.
+    #[error(
+        "The process at {address} does not take the token; \
+         set KNAPWEEDFORD_TOKEN_FILE to a file with the token of its settings."
+    )]
+    Token {
+        /// The process.
+        address: net::SocketAddr,
+    },
+    /// A process refused an operator's request.
+    #[error("The process at {address} refused with status {status}: {problem}")]
+    Refused {
+        /// The process.
+        address: net::SocketAddr,
+        /// HTTP status.
+        status: u16,
+        /// What it said, with the remedy.
+        problem: String,
+    },
+    /// An order carried a fence older than one already seen.
+    #[error("The order's fence {fence} is older than {highest}; another holds the lease now.")]
+    OldFence {
+        /// Fence of the order.
+        fence: u64,
+        /// Highest fence seen.
+        highest: u64,
+    },
+    /// An order arrived after its lease had lapsed.
+    #[error("The order's lease has lapsed; renew it and decide again.")]
+    LapsedLease,
+    /// The lease's row has not been read since this process started.
+    #[error("The fence of {lease} has not been read from the table yet; send the order again.")]
+    UnreadFence {
+        /// The lease's name.
+        lease: String,
+    },
+    /// An idempotency key is empty or too long.
+    #[error("The idempotency key has {size} bytes; use 1 to {limit}.")]
+    IdempotencyKey {
+        /// Its size.
+        size: usize,
+        /// Largest size.
+        limit: usize,
+    },
+    /// A thread or a signal handler could not be started.
+    #[error("Could not start a thread: {source}. Raise the limits of the process.")]
+    Thread {
+        /// What the operating system said.
+        source: io::Error,
+    },
+    /// A thread ended by a panic.
+    #[error("A thread of the process panicked; report the log, and restart the process.")]
+    Panicked,
+    /// The settings do not fit the role.
+    #[error("{problem}; add it to the settings.")]
+    Settings {
+        /// What is missing.
+        problem: &'static str,
+    },
+}
+
+/// Each finding on a line of its own, after the file it is in.
+fn place(path: &str, findings: &yaml::Findings) -> String {
+    findings.iter().map(|finding| format!("{path}:{finding}")).collect::<Vec<_>>().join("\n")
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,15 +5,24 @@
 
 pub mod agree;
 pub mod config;
+pub mod daemon;
 pub mod entry;
 pub mod error;
 pub mod group;
+pub mod http;
+pub mod logging;
+pub mod metrics;
 pub mod name;
+pub mod operators;
+pub mod peer;
 pub mod platform;
 pub mod policy;
 pub mod settings;
 pub mod sidecar;
+pub mod tool;
+pub mod view;
 pub mod wire;
+pub mod yaml;
 
 pub use error::Error;
 
