--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -8,6 +8,8 @@
 mod deaths;
 mod fairness;
 mod frames;
+mod maps;
+mod maps_fuzz;
 mod fuzz;
 mod fuzz_agreement;
 mod fuzz_answers;
