Measure processor time and memory of the request path against streams

Cause: docs/CAPACITY.md needs slopes of entry and sidecar from real processes; the path measurement gave only latency and idle memory. Not run yet on a quiet machine; no figure is claimed.

--- a/measure/path/bench.rs
+++ b/measure/path/bench.rs
@@ -8,7 +8,7 @@
 use super::{stream, until};
 
 /// Model engines, each behind a sidecar.
-const ENGINES: usize = 4;
+pub const ENGINES: usize = 4;
 /// Time between two tokens of an engine, in milliseconds.
 const TOKEN_MS: &str = "20";
 /// Streams per engine that warm it up.
@@ -16,6 +16,15 @@
 /// Answers each of them reads.
 const WARM_ROUNDS: usize = 20;
 
+/// Place of the entry among the processes; each engine and its sidecar follow.
+const ENTRY: usize = 1;
+
+/// Place of the user time, which the system time follows, among the fields of
+/// a process's `stat` behind its name.
+const USER_TIME: usize = 11;
+/// Length of a clock tick of `stat`, in microseconds.
+const TICK_US: u64 = 10_000;
+
 /// A process that ends with its owner.
 struct Child(process::Child);
 
@@ -89,14 +98,14 @@
         Ok(())
     }
 
-    /// Resident memory of the entry, in KiB.
-    pub fn entry_memory(&self) -> anyhow::Result<u64> {
-        memory(&self.children[1])
+    /// What the entry has used so far.
+    pub fn entry_usage(&self) -> anyhow::Result<Usage> {
+        Usage::of(&self.children[ENTRY])
     }
 
-    /// Resident memory of the first sidecar, in KiB.
-    pub fn sidecar_memory(&self) -> anyhow::Result<u64> {
-        memory(&self.children[3])
+    /// What the sidecar of each engine has used so far.
+    pub fn sidecar_usages(&self) -> anyhow::Result<Vec<Usage>> {
+        (0..ENGINES).map(|number| Usage::of(&self.children[ENTRY + 2 * (number + 1)])).collect()
     }
 
     fn callers(&self) -> std::net::SocketAddr {
@@ -181,8 +190,26 @@
     Ok(env::current_exe()?.with_file_name(name))
 }
 
-fn memory(child: &Child) -> anyhow::Result<u64> {
-    let status = fs::read_to_string(format!("/proc/{}/status", child.0.id()))?;
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    Ok(line.context("no VmRSS")?.trim().trim_end_matches(" kB").parse()?)
+/// Processor time and memory of one process.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    /// Processor time since its start, in microseconds.
+    pub busy_us: u64,
+    /// Resident memory, in KiB.
+    pub memory_kib: u64,
+}
+
+impl Usage {
+    fn of(child: &Child) -> anyhow::Result<Self> {
+        let dir = format!("/proc/{}", child.0.id());
+        let status = fs::read_to_string(format!("{dir}/status"))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let memory_kib = line.context("no VmRSS")?.trim().trim_end_matches(" kB").parse()?;
+        let stat = fs::read_to_string(format!("{dir}/stat"))?;
+        let (_, fields) = stat.rsplit_once(')').context("no stat")?;
+        let ticks = fields.split_whitespace().skip(USER_TIME).take(2);
+        let ticks = ticks.map(str::parse::<u64>).sum::<Result<u64, _>>()?;
+        let busy_us = ticks * TICK_US;
+        Ok(Self { busy_us, memory_kib })
+    }
 }
--- a/measure/path/mod.rs
+++ b/measure/path/mod.rs
@@ -4,8 +4,8 @@
 
 use anyhow::Context;
 
-mod bench;
-mod stream;
+pub mod bench;
+pub mod stream;
 
 /// Streams at once, one row of the table each.
 const STREAMS: [usize; 3] = [1, 10, 100];
@@ -48,8 +48,8 @@
 
 fn measure() -> anyhow::Result<()> {
     let bench = bench::Bench::start()?;
-    println!("resident memory of an idle entry: {} KiB", bench.entry_memory()?);
-    println!("resident memory of an idle sidecar: {} KiB", bench.sidecar_memory()?);
+    println!("resident memory of an idle entry: {} KiB", bench.entry_usage()?.memory_kib);
+    println!("resident memory of an idle sidecar: {} KiB", bench.sidecar_usages()?[0].memory_kib);
     bench.warm()?;
     println!("microseconds; added = through the path less direct, at the same percentile");
     println!("streams what  direct-p50 path-p50 added-p50 direct-p99 path-p99 added-p99");
@@ -58,8 +58,8 @@
         row(streams, "first", &direct.first, &path.first);
         row(streams, "gap", &direct.gap, &path.gap);
     }
-    println!("resident memory of the entry after: {} KiB", bench.entry_memory()?);
-    println!("resident memory of a sidecar after: {} KiB", bench.sidecar_memory()?);
+    println!("resident memory of the entry after: {} KiB", bench.entry_usage()?.memory_kib);
+    println!("resident memory of a sidecar after: {} KiB", bench.sidecar_usages()?[0].memory_kib);
     Ok(())
 }
 
--- a/measure/path/stream.rs
+++ b/measure/path/stream.rs
@@ -27,24 +27,40 @@
     format!(r#"{{"prompt":"stream {stream} pair {pair}","stream":true,"max_tokens":{tokens}}}"#)
 }
 
-/// Sends `body` to `url`; an answer other than 200 is an error.
-pub fn read(agent: &ureq::Agent, url: &str, body: &str) -> anyhow::Result<Seen> {
-    let begun = time::Instant::now();
+/// Sends `body` to `url` and hands over each event, until `more` says no.
+/// An answer other than 200 is an error.
+pub fn each(
+    agent: &ureq::Agent,
+    url: &str,
+    body: &str,
+    mut more: impl FnMut(&str) -> bool,
+) -> anyhow::Result<()> {
     let res = agent.post(url).header("workspace", "vidzeme-dairy").send(body)?;
     anyhow::ensure!(res.status() == 200, "{url} answered {}", res.status());
-    let mut seen = Seen { first: time::Duration::ZERO, gaps: Vec::new(), data: String::new() };
-    let mut last = begun;
     for line in io::BufReader::with_capacity(1, res.into_body().into_reader()).lines() {
         let line = line?;
+        if line.starts_with("data: ") && !more(&line) {
+            break;
+        }
+    }
+    Ok(())
+}
+
+/// Sends `body` to `url` and times the events.
+pub fn read(agent: &ureq::Agent, url: &str, body: &str) -> anyhow::Result<Seen> {
+    let begun = time::Instant::now();
+    let mut seen = Seen { first: time::Duration::ZERO, gaps: Vec::new(), data: String::new() };
+    let mut last = begun;
+    each(agent, url, body, |event| {
         let now = time::Instant::now();
-        match line.starts_with("data: ") {
-            true if seen.data.is_empty() => seen.first = now - begun,
-            true => seen.gaps.push(now - last),
-            false => continue,
+        match seen.data.is_empty() {
+            true => seen.first = now - begun,
+            false => seen.gaps.push(now - last),
         }
         last = now;
-        seen.data.push_str(&line);
-    }
+        seen.data.push_str(event);
+        true
+    })?;
     Ok(seen)
 }
 
