Spread a changed text as an edit, poll the table by its tag

Ruled out: compressing the text (still grows with the site); splitting the row (a change would no longer be one compare-and-set). Change: a process keeps the latest edits (one region each, checked by the checksum of the text after) and sends those to a peer whose text they lead from; a peer that cannot use them asks for the whole. Polls carry the row's ETag and the host list is read the same way, so that the platform answers 304. After: edits_spread and polls_conditional pass; each failed with its mechanism off, foreign_edit with the checksum off (text became "onx"). Conclusion: what a change costs a process no longer grows with the text.

--- a/src/agree/mod.rs
+++ b/src/agree/mod.rs
@@ -8,6 +8,7 @@
 pub mod change;
 pub mod claim;
 pub mod desk;
+pub mod edit;
 pub mod event;
 pub mod guard;
 pub mod lease;
--- a/src/agree/node.rs
+++ b/src/agree/node.rs
@@ -9,6 +9,7 @@
     agree::{
         change::{self, Job, Order, Outcome},
         desk::{Desk, Finished},
+        edit::{self, Edit, Edits},
         overlay::Overlay,
         probe::{self, Probes, Relay},
         record::{Effective, Op, Pending, Record, Target},
@@ -16,7 +17,7 @@
         status::{self, Status},
         store::{self, Ask, Pace},
     },
-    name,
+    name, platform,
     wire::gossip::{self, Body, Digest, Health, Member, Message},
 };
 
@@ -59,6 +60,8 @@
     seeds: Vec<net::SocketAddr>,
     rng: Pcg64,
     record: Record,
+    edits: Edits,
+    polled: Option<platform::Etag>,
     overlay: Overlay,
     roster: Roster,
     probes: Probes,
@@ -82,6 +85,8 @@
         Self {
             seeds: start.seeds,
             record: Record::default(),
+            edits: Edits::default(),
+            polled: None,
             overlay: Overlay::new(start.me.host.clone()),
             roster: Roster::new(start.me, now),
             probes: Probes::new(now, &mut rng),
@@ -198,7 +203,7 @@
             self.list.hurry(now, LIST_ALONE, &mut self.rng);
         }
         if self.poll.start(now) {
-            self.out.push(Output::Store(Ask::Poll));
+            self.out.push(Output::Store(Ask::Poll { known: self.polled.clone() }));
         }
         if self.list.start(now) {
             self.out.push(Output::Store(Ask::List));
@@ -268,8 +273,11 @@
             }
             Body::News if doubted.is_some() => self.send_with(to, Body::News, doubted),
             Body::News => {}
-            Body::Want => self.send_document(to),
+            Body::Want { whole: false } => self.send_newer(to, digest.version),
+            Body::Want { whole: true } => self.send_document(to),
             Body::Document(record) => self.learn(*record),
+            Body::Edited { rest, .. } if rest.version <= self.record.version => {}
+            Body::Edited { edits, rest } => self.edit(to, &edits, *rest),
             Body::Join => {
                 self.send_document(to);
                 let members = self.roster.members().collect();
@@ -306,7 +314,7 @@
         let asked = self.want.is_some_and(|at| now < at + WANT_TIMEOUT);
         if version > self.record.version && !asked {
             self.want = Some(now);
-            self.send(from, Body::Want);
+            self.send(from, Body::Want { whole: false });
         }
     }
 
@@ -318,7 +326,7 @@
             None => {
                 self.want = Some(now);
                 for to in self.roster.sample(FANOUT, &mut self.rng) {
-                    self.send(to, Body::Want);
+                    self.send(to, Body::Want { whole: false });
                 }
             }
         }
@@ -339,6 +347,23 @@
         }
     }
 
+    fn send_newer(&mut self, to: net::SocketAddr, version: u64) {
+        match self.edits.since(&self.record, version) {
+            Some(edits) => {
+                let rest = Box::new(self.record.without_text());
+                self.send(to, Body::Edited { edits, rest });
+            }
+            None => self.send_document(to),
+        }
+    }
+
+    fn edit(&mut self, from: net::SocketAddr, edits: &[Edit], rest: Record) {
+        match edit::replay(&self.record, edits, rest) {
+            Some(record) => self.learn(record),
+            None => self.send(from, Body::Want { whole: true }),
+        }
+    }
+
     fn sync(&mut self, now: time::Duration, to: net::SocketAddr, theirs: u64) {
         if now < self.next_sync || theirs == self.roster.checksum() {
             return;
@@ -375,8 +400,8 @@
         match answer {
             store::Answer::Poll(row) => {
                 self.poll.end(now, row.is_ok(), self.period(now), &mut self.rng);
-                if let Some(record) = row.ok().and_then(|row| change::parse(row.as_ref())) {
-                    self.learn(record);
+                if let Ok(platform::Newer::Row(row)) = row {
+                    self.polled(row.as_ref());
                 }
             }
             store::Answer::List(list) => {
@@ -393,6 +418,13 @@
         }
     }
 
+    fn polled(&mut self, row: Option<&platform::Row>) {
+        if let Some(record) = change::parse(row) {
+            self.polled = row.map(|row| row.etag.clone());
+            self.learn(record);
+        }
+    }
+
     fn period(&self, now: time::Duration) -> time::Duration {
         match self.probes.is_isolated(now) {
             true => POLL_ISOLATED,
@@ -443,6 +475,7 @@
         if record.version <= self.record.version {
             return;
         }
+        self.edits.note(&self.record, &record);
         self.record = record;
         self.want = None;
         self.overlay.settle(&self.record);
--- a/src/agree/record.rs
+++ b/src/agree/record.rs
@@ -99,11 +99,31 @@
         config::Committed { version: self.version, text: self.text.clone(), out: self.out.clone() }
     }
 
+    /// The row but for its text.
+    pub fn without_text(&self) -> Self {
+        Self {
+            text: String::new(),
+            out: self.out.clone(),
+            history: self.history.clone(),
+            settled: self.settled.clone(),
+            ..*self
+        }
+    }
+
     /// The version in which `op` was committed, if the history still has it.
     pub fn version_of(&self, op: Op) -> Option<u64> {
         self.history.iter().find(|change| change.op == op).map(|change| change.version)
     }
 
+    /// The version in which the text of `version` last changed, if the history tells.
+    pub fn text_version_at(&self, version: u64) -> Option<u64> {
+        if version >= self.text_version {
+            return Some(self.text_version);
+        }
+        let until = self.history.iter().rev().filter(|change| change.version <= version);
+        until.into_iter().find(|change| change.what == What::Apply).map(|change| change.version)
+    }
+
     /// Whether the order to take out is in the row, or overridden by a later one.
     pub fn is_settled(&self, op: Op) -> bool {
         self.settled.contains(&op) || self.version_of(op).is_some()
--- a/src/agree/store.rs
+++ b/src/agree/store.rs
@@ -14,7 +14,10 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Ask {
     /// Read the configuration row, because it was due.
-    Poll,
+    Poll {
+        /// Tag of the row as last polled.
+        known: Option<platform::Etag>,
+    },
     /// Read the configuration row, for a change.
     Read,
     /// Write the configuration row, for a change.
@@ -32,7 +35,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Answer {
     /// To [`Ask::Poll`].
-    Poll(Result<Option<platform::Row>, Unavailable>),
+    Poll(Result<platform::Newer, Unavailable>),
     /// To [`Ask::Read`].
     Read(Result<Option<platform::Row>, Unavailable>),
     /// To [`Ask::Write`].
@@ -48,7 +51,10 @@
 /// Makes the call; blocks for at most [`WITHIN`].
 pub fn serve(ask: &Ask, table: &dyn platform::Table, hosts: &dyn platform::Hosts) -> Answer {
     match ask {
-        Ask::Poll => Answer::Poll(table.read(record::KEY, WITHIN).map_err(|_| Unavailable)),
+        Ask::Poll { known } => {
+            let newer = table.read_newer(record::KEY, known.as_ref(), WITHIN);
+            Answer::Poll(newer.map_err(|_| Unavailable))
+        }
         Ask::Read => Answer::Read(table.read(record::KEY, WITHIN).map_err(|_| Unavailable)),
         Ask::Write { value, when } => {
             let written = table.write(record::KEY, value, when, WITHIN);
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -1,6 +1,9 @@
 //! The platform over HTTP: conditional requests of RFC 9110 through `ureq`.
 
-use std::time;
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time,
+};
 
 use serde::de;
 use ureq::http;
@@ -22,6 +25,14 @@
 pub struct Client {
     agent: ureq::Agent,
     root: String,
+    listed: Arc<Mutex<Option<Listing>>>,
+}
+
+/// The host list as last read, and its tag.
+#[derive(Clone, Debug)]
+struct Listing {
+    etag: String,
+    hosts: Vec<platform::Listed>,
 }
 
 impl Client {
@@ -32,7 +43,11 @@
             .max_redirects(0)
             .max_idle_connections(IDLE_CONNECTIONS)
             .build();
-        Self { agent: cfg.into(), root: root.trim_end_matches('/').into() }
+        Self { agent: cfg.into(), root: root.trim_end_matches('/').into(), listed: Arc::default() }
+    }
+
+    fn listing(&self) -> MutexGuard<'_, Option<Listing>> {
+        self.listed.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn url(&self, service: &str, key: &str) -> String {
@@ -40,7 +55,23 @@
     }
 
     fn get(&self, url: &str, service: &'static str, within: time::Duration) -> Result<Answer> {
-        let req = self.agent.get(url).config().timeout_global(Some(within)).build();
+        self.get_newer(url, None, service, within)
+    }
+
+    /// Reads `url` unless it still has the tag `known`; then the status is 304.
+    fn get_newer(
+        &self,
+        url: &str,
+        known: Option<&str>,
+        service: &'static str,
+        within: time::Duration,
+    ) -> Result<Answer> {
+        let req = self.agent.get(url);
+        let req = match known {
+            Some(etag) => req.header("If-None-Match", etag),
+            None => req,
+        };
+        let req = req.config().timeout_global(Some(within)).build();
         Answer::collect(req.call(), service)
     }
 }
@@ -55,6 +86,25 @@
         }
     }
 
+    fn read_newer(
+        &self,
+        key: &str,
+        known: Option<&platform::Etag>,
+        within: time::Duration,
+    ) -> Result<platform::Newer> {
+        let known = known.map(|etag| etag.0.as_str());
+        let answer = self.get_newer(&self.url("table", key), known, TABLE, within)?;
+        match answer.status {
+            304 => Ok(platform::Newer::Unchanged),
+            404 => Ok(platform::Newer::Row(None)),
+            200 => {
+                let row = platform::Row { etag: answer.etag()?, value: answer.text()? };
+                Ok(platform::Newer::Row(Some(row)))
+            }
+            _ => Err(answer.unexpected()),
+        }
+    }
+
     fn write(
         &self,
         key: &str,
@@ -111,11 +161,17 @@
 
 impl platform::Hosts for Client {
     fn list(&self, within: time::Duration) -> Result<Vec<platform::Listed>> {
-        let answer = self.get(&format!("{}/hosts", self.root), HOSTS, within)?;
-        match answer.status {
-            200 => answer.json(),
-            _ => Err(answer.unexpected()),
-        }
+        let kept = self.listing().clone();
+        let known = kept.as_ref().map(|kept| kept.etag.as_str());
+        let answer = self.get_newer(&format!("{}/hosts", self.root), known, HOSTS, within)?;
+        let hosts = match (answer.status, kept) {
+            (304, Some(kept)) => return Ok(kept.hosts),
+            (200, _) => answer.json::<Vec<platform::Listed>>()?,
+            _ => return Err(answer.unexpected()),
+        };
+        let keep = |etag| Listing { etag, hosts: hosts.clone() };
+        *self.listing() = answer.etag.map(keep);
+        Ok(hosts)
     }
 }
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -36,6 +36,15 @@
     Unchanged(Etag),
 }
 
+/// What a conditional read gave.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Newer {
+    /// The row still has the tag that the reader knows.
+    Unchanged,
+    /// The row as it is now; `None` if there is none.
+    Row(Option<Row>),
+}
+
 /// How a conditional write ended, as far as the table said.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Written {
@@ -52,6 +61,8 @@
 pub trait Table: Send + Sync {
     /// Reads one row; `None` if there is none.
     fn read(&self, key: &str, within: time::Duration) -> Result<Option<Row>>;
+    /// Reads one row unless it still has the tag `known`.
+    fn read_newer(&self, key: &str, known: Option<&Etag>, within: time::Duration) -> Result<Newer>;
     /// Writes one row if `when` holds.
     fn write(&self, key: &str, value: &str, when: &When, within: time::Duration)
     -> Result<Written>;
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -8,7 +8,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{agree::record, name};
+use crate::{
+    agree::{edit, record},
+    name,
+};
 
 /// One message between two processes.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -63,9 +66,19 @@
     /// The digest says it all.
     News,
     /// Send the configuration.
-    Want,
+    Want {
+        /// Whether edits of the text that the sender has will not do.
+        whole: bool,
+    },
     /// The configuration as committed.
     Document(Box<record::Record>),
+    /// The configuration as committed, for a process that has a text before it.
+    Edited {
+        /// What leads from the receiver's text to the latest.
+        edits: Vec<edit::Edit>,
+        /// Everything else; its text is empty.
+        rest: Box<record::Record>,
+    },
     /// Send everything; the sender has just started.
     Join,
     /// Checksums of the parts of the sender's roster.
--- a/stand-ins/platform.rs
+++ b/stand-ins/platform.rs
@@ -14,6 +14,7 @@
 use rand_pcg::Pcg64;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use xxhash_rust::xxh3;
 
 /// Threads that serve requests, also slow ones.
 const THREADS: usize = 32;
@@ -99,6 +100,15 @@
         Self { status: 200, headers, body }
     }
 
+    /// The answer without its body if the reader knows the tag.
+    fn unless(self, condition: &Condition) -> Self {
+        let tag = self.headers.iter().find(|(name, _)| *name == "ETag").map(|(_, tag)| tag);
+        match tag.is_some() && tag == condition.known.as_ref() {
+            true => Self::status(304),
+            false => self,
+        }
+    }
+
     fn tagged(status: u16, tag: &str, body: Vec<u8>) -> Self {
         Self { status, headers: vec![("ETag", tag.into())], body }
     }
@@ -108,6 +118,7 @@
 struct Condition {
     absent: bool,
     tag: Option<String>,
+    known: Option<String>,
 }
 
 impl Condition {
@@ -118,7 +129,10 @@
                 name if name.eq_ignore_ascii_case("if-match") => {
                     condition.tag = Some(header.value.to_string());
                 }
-                name if name.eq_ignore_ascii_case("if-none-match") => condition.absent = true,
+                name if name.eq_ignore_ascii_case("if-none-match") => {
+                    condition.absent = header.value == "*";
+                    condition.known = Some(header.value.to_string());
+                }
                 _ => {}
             }
         }
@@ -219,7 +233,9 @@
     fn list_hosts(&mut self) -> Answer {
         self.counts.lists += 1;
         self.settle_hosts();
-        Answer::json(&self.hosts.values().collect::<Vec<_>>())
+        let answer = Answer::json(&self.hosts.values().collect::<Vec<_>>());
+        let tag = format!("\"{:x}\"", xxh3::xxh3_64(&answer.body));
+        Answer::tagged(200, &tag, answer.body)
     }
 
     fn set_host(&mut self, host: &str, value: Option<Value>) -> Answer {
@@ -258,7 +274,7 @@
                 self.counts.unavailable += 1;
                 Answer::status(503)
             }
-            ("GET", "table", key) => self.read_row(key),
+            ("GET", "table", key) => self.read_row(key).unless(condition),
             ("PUT", "table", key) => self.write_row(key, condition, body),
             ("DELETE", "table", key) => self.delete_row(key, condition),
             ("GET", "objects", key) => {
@@ -273,7 +289,7 @@
                 self.objects.insert(key.into(), body);
                 self.maybe_lost(Answer::status(204))
             }
-            ("GET", "hosts", "") => self.list_hosts(),
+            ("GET", "hosts", "") => self.list_hosts().unless(condition),
             ("GET", "weights", _) => self.weight(),
             _ => Answer::status(404),
         }
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -6,6 +6,7 @@
 mod cold;
 mod collecting;
 mod deaths;
+mod edits;
 mod fairness;
 mod frames;
 mod fuzz;
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -39,6 +39,8 @@
     pub lax: bool,
     pub reads: u64,
     pub writes: u64,
+    /// Bytes of rows read by conditional reads.
+    pub read_bytes: u64,
     rng: Pcg64,
     tag: u64,
 }
@@ -55,6 +57,7 @@
             lax: false,
             reads: 0,
             writes: 0,
+            read_bytes: 0,
             rng: Pcg64::seed_from_u64(7),
             tag: 0,
         }
@@ -89,6 +92,22 @@
         Ok(self.open()?.rows.get(key).cloned())
     }
 
+    fn read_newer(
+        &self,
+        key: &str,
+        known: Option<&platform::Etag>,
+        _: Duration,
+    ) -> Result<platform::Newer> {
+        self.state().reads += 1;
+        let mut state = self.open()?;
+        let row = state.rows.get(key).cloned();
+        if known.is_some() && row.as_ref().map(|row| &row.etag) == known {
+            return Ok(platform::Newer::Unchanged);
+        }
+        state.read_bytes += row.as_ref().map_or(0, |row| row.value.len() as u64);
+        Ok(platform::Newer::Row(row))
+    }
+
     fn write(
         &self,
         key: &str,
