Measure what the operators' text costs, hold its parsed form once

Cause: 32 MB a node for control must hold with 35,000 workspaces; the view cloned the whole parsed text each time anything changed. Change: measure capacity text gives time and memory of a parse and of real processes against workspaces listed; the view shares the parsed text.

--- a/measure/path/bench.rs
+++ b/measure/path/bench.rs
@@ -24,6 +24,8 @@
 const USER_TIME: usize = 11;
 /// Length of a clock tick of `stat`, in microseconds.
 const TICK_US: u64 = 10_000;
+/// Token of the operators' ports.
+const TOKEN: &str = "0123456789abcdef0123456789abcdef";
 
 /// A process that ends with its owner.
 struct Child(process::Child);
@@ -53,6 +55,11 @@
 impl Bench {
     /// Starts everything and waits until the entry is ready.
     pub fn start() -> anyhow::Result<Self> {
+        Self::start_with("")
+    }
+
+    /// Starts everything with `more` at the end of the operators' text.
+    pub fn start_with(more: &str) -> anyhow::Result<Self> {
         let dir = env::temp_dir().join(format!("knapweedford-path-{}", process::id()));
         fs::create_dir_all(&dir)?;
         let ports = daemon::Ports {
@@ -62,7 +69,7 @@
         };
         let mut bench = Self { dir, children: Vec::new(), engines: Vec::new(), entry: ports };
         let platform = format!("http://{}", bench.stand_in("stand-in-platform", &[])?);
-        bench.commit(&platform)?;
+        bench.commit(&platform, more)?;
         bench.entry = bench.daemon("entry-1", "entry", &platform, "callers: 127.0.0.1:0")?;
         for number in 0..ENGINES {
             bench.server(number, &platform)?;
@@ -108,19 +115,25 @@
         (0..ENGINES).map(|number| Usage::of(&self.children[ENTRY + 2 * (number + 1)])).collect()
     }
 
+    /// Puts the text with `more` at its end in force everywhere.
+    pub fn apply(&self, more: &str) -> anyhow::Result<()> {
+        let text = text(more);
+        let url = format!("http://{}", self.entry.operators);
+        let bearer = format!("Bearer {TOKEN}");
+        ureq::post(format!("{url}/apply")).header("authorization", &bearer).send(text)?;
+        until("the text in force", || {
+            let asked = ureq::get(format!("{url}/status")).header("authorization", &bearer).call();
+            let status: serde_json::Value = asked.ok()?.body_mut().read_json().ok()?;
+            status["behind"].as_array().is_some_and(Vec::is_empty).then_some(())
+        })
+    }
+
     fn callers(&self) -> std::net::SocketAddr {
         self.entry.callers.unwrap_or(self.entry.operators)
     }
 
-    fn commit(&self, platform: &str) -> anyhow::Result<()> {
-        let mut text = String::from(
-            "zones:\n  z1: {}\nservices:\n  writer:\n    kind: plain\n    calls:\n      \
-             - {method: POST, path: /v1/completions, repeatable: true, deadline-ms: 60000}\n    \
-             limits: {in-flight-per-server: 64}\nservers:\n",
-        );
-        for number in 0..ENGINES {
-            text.push_str(&format!("  writer-{number}: {{service: writer, zone: z1}}\n"));
-        }
+    fn commit(&self, platform: &str, more: &str) -> anyhow::Result<()> {
+        let text = text(more);
         let row = record::Record { version: 1, text_version: 1, text, ..Default::default() };
         let url = format!("{platform}/table/{}", record::KEY);
         ureq::put(url).header("if-none-match", "*").send(serde_json::to_string(&row)?)?;
@@ -156,7 +169,7 @@
         let settings = self.dir.join(format!("{host}.yaml"));
         let text = format!(
             "host: {host}\nzone: z1\nrole: {role}\noperators: 127.0.0.1:0\npeers: 127.0.0.1:0\n\
-             platform: {platform}\ntoken: 0123456789abcdef0123456789abcdef\n\
+             platform: {platform}\ntoken: {TOKEN}\n\
              ports-file: {}\n{more}\n",
             ports.display()
         );
@@ -186,6 +199,18 @@
     }
 }
 
+fn text(more: &str) -> String {
+    let mut text = String::from(
+        "zones:\n  z1: {}\nservices:\n  writer:\n    kind: plain\n    calls:\n      \
+         - {method: POST, path: /v1/completions, repeatable: true, deadline-ms: 60000}\n    \
+         limits: {in-flight-per-server: 64}\nservers:\n",
+    );
+    for number in 0..ENGINES {
+        text.push_str(&format!("  writer-{number}: {{service: writer, zone: z1}}\n"));
+    }
+    text + more
+}
+
 fn program(name: &str) -> anyhow::Result<path::PathBuf> {
     Ok(env::current_exe()?.with_file_name(name))
 }
@@ -197,19 +222,23 @@
     pub busy_us: u64,
     /// Resident memory, in KiB.
     pub memory_kib: u64,
+    /// Most resident memory since its start, in KiB.
+    pub peak_kib: u64,
 }
 
 impl Usage {
     fn of(child: &Child) -> anyhow::Result<Self> {
         let dir = format!("/proc/{}", child.0.id());
         let status = fs::read_to_string(format!("{dir}/status"))?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let memory_kib = line.context("no VmRSS")?.trim().trim_end_matches(" kB").parse()?;
+        let kib = |field| -> anyhow::Result<u64> {
+            let line = status.lines().find_map(|line| line.strip_prefix(field));
+            Ok(line.context(field)?.trim().trim_end_matches(" kB").parse()?)
+        };
         let stat = fs::read_to_string(format!("{dir}/stat"))?;
         let (_, fields) = stat.rsplit_once(')').context("no stat")?;
         let ticks = fields.split_whitespace().skip(USER_TIME).take(2);
         let ticks = ticks.map(str::parse::<u64>).sum::<Result<u64, _>>()?;
         let busy_us = ticks * TICK_US;
-        Ok(Self { busy_us, memory_kib })
+        Ok(Self { busy_us, memory_kib: kib("VmRSS:")?, peak_kib: kib("VmHWM:")? })
     }
 }
--- a/src/daemon/agent.rs
+++ b/src/daemon/agent.rs
@@ -119,12 +119,19 @@
     Start { me, seeds: cfg.seeds.clone(), seed: rng.random() }
 }
 
+/// The text that was parsed last, and what it says.
+#[derive(Default)]
+struct Parsed {
+    text: String,
+    config: Arc<config::Config>,
+}
+
 struct Agent {
     node: agree::Node,
     started: time::Instant,
     rng: Pcg64,
-    parsed: (String, config::Config),
-    adopted: view::View,
+    parsed: Parsed,
+    adopted: Arc<view::View>,
     waiting: BTreeMap<Op, oneshot::Sender<Outcome>>,
     adopt: Box<dyn Fn(Arc<view::View>) + Send>,
     out: errands::UnboundedSender<Errand>,
@@ -145,7 +152,7 @@
             started: cx.now(),
             rng,
             parsed: Default::default(),
-            adopted: view::View::default(),
+            adopted: Arc::default(),
             waiting: BTreeMap::new(),
             adopt,
             out,
@@ -240,25 +247,25 @@
         }
         let view = view::View {
             version,
-            config: self.parsed.1.clone(),
+            config: Arc::clone(&self.parsed.config),
             out: effective.out(),
             places: self.places(),
         };
-        if view != self.adopted {
+        if view != *self.adopted {
             log::info!("in force version={version} places={}", view.places.len());
-            self.adopted = view.clone();
-            (self.adopt)(Arc::new(view));
+            self.adopted = Arc::new(view);
+            (self.adopt)(Arc::clone(&self.adopted));
         }
     }
 
     fn parse(&mut self, effective: &Effective) -> bool {
         let text = &effective.committed.text;
-        if self.parsed.0 == *text {
+        if self.parsed.text == *text {
             return true;
         }
         match config::parse(text) {
-            Ok(parsed) => {
-                self.parsed = (text.clone(), parsed);
+            Ok(config) => {
+                self.parsed = Parsed { text: text.clone(), config: Arc::new(config) };
                 true
             }
             Err(err) => {
--- a/src/view.rs
+++ b/src/view.rs
@@ -1,6 +1,6 @@
 //! What one process holds to be in force.
 
-use std::{collections, net};
+use std::{collections, net, sync::Arc};
 
 use crate::{config, name};
 
@@ -10,7 +10,7 @@
     /// Version of the configuration; 0 before the first is known.
     pub version: u64,
     /// The operators' text as parsed.
-    pub config: config::Config,
+    pub config: Arc<config::Config>,
     /// Zones and servers out of service, with orders not yet durable.
     pub out: config::Out,
     /// Address of the sidecar of each backend server.
