--- a/src/daemon/agent.rs
+++ b/src/daemon/agent.rs
@@ -12,6 +12,7 @@
 use rand_pcg::Pcg64;
 use stakker::{CX, Stakker, actor, after, call, ret_nop};
 use tokio::sync::{mpsc as errands, oneshot};
+use xxhash_rust::xxh3;
 
 use crate::{
     Error, Result,
@@ -119,10 +120,10 @@
     Start { me, seeds: cfg.seeds.clone(), seed: rng.random() }
 }
 
-/// The text that was parsed last, and what it says.
+/// Checksum of the text that was parsed last, and what the text says.
 #[derive(Default)]
 struct Parsed {
-    text: String,
+    check: u64,
     config: Arc<config::Config>,
 }
 
@@ -260,12 +261,13 @@
 
     fn parse(&mut self, effective: &Effective) -> bool {
         let text = &effective.committed.text;
-        if self.parsed.text == *text {
+        let check = xxh3::xxh3_64(text.as_bytes());
+        if self.parsed.check == check {
             return true;
         }
         match config::parse(text) {
             Ok(config) => {
-                self.parsed = Parsed { text: text.clone(), config: Arc::new(config) };
+                self.parsed = Parsed { check, config: Arc::new(config) };
                 true
             }
             Err(err) => {
--- a/src/yaml/mark.rs
+++ b/src/yaml/mark.rs
@@ -9,9 +9,9 @@
 #[serde(deny_unknown_fields)]
 pub struct Mark {
     /// Line, from 1.
-    pub line: u64,
+    pub line: u32,
     /// Column, in characters from 1.
-    pub column: u64,
+    pub column: u32,
 }
 
 impl Mark {
@@ -21,7 +21,8 @@
 
 impl From<serde_saphyr::Location> for Mark {
     fn from(at: serde_saphyr::Location) -> Self {
-        Self { line: at.line().max(1), column: at.column().max(1) }
+        let from_one = |at: u64| u32::try_from(at).unwrap_or(u32::MAX).max(1);
+        Self { line: from_one(at.line()), column: from_one(at.column()) }
     }
 }
 
--- a/src/yaml/node.rs
+++ b/src/yaml/node.rs
@@ -238,6 +238,7 @@
         while let Some(item) = from.next_element()? {
             items.push(item);
         }
+        items.shrink_to_fit();
         Ok(Value::List(items))
     }
 
@@ -247,6 +248,7 @@
             let key = Key { mark: key.referenced.into(), name: key.value };
             entries.push((key, from.next_value()?));
         }
+        entries.shrink_to_fit();
         Ok(Value::Map(entries))
     }
 }
--- a/tests/texts.rs
+++ b/tests/texts.rs
@@ -303,7 +303,7 @@
         let text = format!("{}{noise}{}", &SMALL[..from], &SMALL[to..]);
         let lines = text.lines().count() as u64 + 1;
         if let Err(findings) = config::parse(&text) {
-            assert!(findings.iter().all(|finding| finding.mark.line <= lines));
+            assert!(findings.iter().all(|finding| u64::from(finding.mark.line) <= lines));
             assert!(!findings.is_empty());
         }
     }
