Mend four faults that failing tests showed: a silent sidecar, a silent engine, a call without its caller, a sidecar without configuration

Ruled out: a lost frame and a lost claim; the calls were seen at the servers. faults::two_at_once adds seeded pairs of faults over real processes.

--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -154,6 +154,7 @@
     let token = cfg.token.as_str().into();
     tokio::task::spawn_local(peer::serve(peers, token, handle, on.stop.subscribe()));
 
+    let (open, mut closed) = tokio::sync::mpsc::channel(1);
     let front = Front {
         view: on.view.subscribe(),
         events: events.clone(),
@@ -163,11 +164,13 @@
         ids: cell::RefCell::new(super::generator(&cfg.host)),
         metrics,
         claims: once::Claims::new(platform::Client::new(&cfg.platform)),
+        open,
         heard: Box::new(move |from, version| {
             heard.send(agent::Event::Heard(Some(from), version));
         }),
     };
     http::serve(callers, http::Limits::default(), rc::Rc::new(front), on.stop.subscribe()).await;
+    closed.recv().await;
     super::send(&events, Event::Drained);
     Ok(())
 }
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -26,6 +26,8 @@
     pub metrics: metrics::Entry,
     /// Claims of calls that may not be repeated.
     pub claims: once::Claims,
+    /// Closed once the last call has ended, even if its caller has gone.
+    pub open: tokio::sync::mpsc::Sender<()>,
     /// Takes the configuration version of a sidecar at an address.
     pub heard: Box<dyn Fn(net::SocketAddr, u64)>,
 }
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -136,14 +136,11 @@
             if self.whole {
                 return Ok(Step::End);
             }
+            let wait = self.patience();
             let Some(live) = self.live.as_mut() else {
                 self.start().await?;
                 continue;
             };
-            let wait = self.req.stage.deadline.min(match self.req.stage.repeatable {
-                true => time::Instant::now() + SILENCE,
-                false => self.req.stage.deadline,
-            });
             let reply = match tokio::time::timeout_at(wait.into(), live.source.next()).await {
                 Ok(Ok(Some(reply))) => reply,
                 Err(_) if time::Instant::now() >= self.req.stage.deadline => {
@@ -174,9 +171,13 @@
         self.tried.push(routed.server.clone());
         let call = self.call(&routed);
         let sending = self.front.pool.exchange(routed.address, wire::CALL, &call);
-        let sent = match tokio::time::timeout_at(self.req.stage.deadline.into(), sending).await {
+        let wait = self.patience();
+        let sent = match tokio::time::timeout_at(wait.into(), sending).await {
             Ok(sent) => sent,
-            Err(_) => return Err(Refusal::Late { ran: wire::Ran::Unknown }),
+            Err(_) if time::Instant::now() >= self.req.stage.deadline => {
+                return Err(Refusal::Late { ran: wire::Ran::Unknown });
+            }
+            Err(_) => Err(peer::pool::Failure::silent(routed.address)),
         };
         match sent {
             Ok(source) => self.live = Some(Live { source, routed }),
@@ -259,6 +260,15 @@
         if begun { self.collect.resume() } else { None }
     }
 
+    /// Until when a sidecar that says nothing is waited for.
+    fn patience(&self) -> time::Instant {
+        let stage = &self.req.stage;
+        match stage.repeatable {
+            true => stage.deadline.min(time::Instant::now() + SILENCE),
+            false => stage.deadline,
+        }
+    }
+
     /// Takes one frame of the live attempt.
     fn take(&mut self, reply: wire::Reply) -> Result<Option<Step>, Refusal> {
         match reply {
--- a/src/peer/pool.rs
+++ b/src/peer/pool.rs
@@ -21,6 +21,13 @@
     Sent(Error),
 }
 
+impl Failure {
+    /// The peer took the request and said nothing.
+    pub fn silent(peer: net::SocketAddr) -> Self {
+        Self::Sent(lost(peer, "it does not answer"))
+    }
+}
+
 /// One connection to each peer in use.
 #[derive(Default)]
 pub struct Pool {
--- a/src/sidecar/core.rs
+++ b/src/sidecar/core.rs
@@ -151,7 +151,9 @@
         match () {
             () if ask.server != self.server => self.refuse(wire::Refusal::WrongServer, AFTER),
             () if self.leaving || self.out => self.refuse(wire::Refusal::Leaving, AFTER),
-            () if !self.reachable => self.refuse(wire::Refusal::Unreachable, AFTER),
+            () if !self.reachable || self.view.version == 0 => {
+                self.refuse(wire::Refusal::Unreachable, AFTER)
+            }
             () if ask.left.is_zero() => self.refuse(wire::Refusal::TooLate, AFTER),
             () => match self.gate.admit(now) {
                 Ok(permit) => self.admitted(permit),
--- a/src/sidecar/serve.rs
+++ b/src/sidecar/serve.rs
@@ -15,6 +15,9 @@
 const FRAMES: usize = 64;
 /// Pause after which an entry hears that the call is still worked on.
 const ALIVE: time::Duration = time::Duration::from_millis(500);
+/// Such pauses in a row, with the backend server out of reach, after which a
+/// repeatable call may go elsewhere.
+const SILENT: u32 = 4;
 
 /// What the I/O thread of a sidecar shares between calls.
 pub struct Side {
@@ -33,6 +36,7 @@
     cancelled: Arc<atomic::AtomicBool>,
     backend: Backend,
     id: wire::RequestId,
+    repeatable: bool,
     over: bool,
 }
 
@@ -93,7 +97,13 @@
         let (done, ended) = oneshot::channel();
         let cancelled = Arc::new(atomic::AtomicBool::new(false));
         let backend = self.backend.clone();
-        let watch = Watch { cancelled: cancelled.clone(), backend, id: call.id, over: false };
+        let watch = Watch {
+            cancelled: cancelled.clone(),
+            backend,
+            id: call.id,
+            repeatable: call.repeatable,
+            over: false,
+        };
         let (backend, events) = (self.backend.clone(), self.events.clone());
         tokio::task::spawn_blocking(move || {
             let how = backend.run(&call, deadline, &cancelled, &tx);
@@ -120,15 +130,25 @@
         ended: oneshot::Receiver<Ended>,
     ) -> Result {
         let mut seen = None;
+        let mut silent = 0;
         loop {
             let frame = tokio::select! {
                 frame = rx.recv() => frame,
                 () = reply.gone() => return Ok(()),
                 () = tokio::time::sleep(ALIVE) => {
-                    Some(wire::Reply::Alive { load: self.load().await })
+                    let load = self.load().await;
+                    silent = if load.limit == 0 { silent + 1 } else { 0 };
+                    Some(wire::Reply::Alive { load })
                 }
             };
             match frame {
+                Some(wire::Reply::Alive { load }) if watch.repeatable && silent >= SILENT => {
+                    let problem = "the backend server is out of reach".into();
+                    let ran = wire::Ran::Unknown;
+                    reply.send(&wire::Reply::Broken { ran, problem, load }).await?;
+                    reply.finish();
+                    return Ok(());
+                }
                 Some(frame) => {
                     seen = self.progress(slot, seen, &frame);
                     reply.send(&frame).await?;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -109,7 +109,7 @@
     WrongServer,
     /// The deadline cannot be met.
     TooLate,
-    /// The backend server did not take a connection.
+    /// The backend server did not take a connection, or no configuration is known yet.
     Unreachable,
 }
 
--- /dev/null
+++ b/tests/admission.rs
@@ -0,0 +1,74 @@
+//! What a sidecar admits before it knows enough.
+
+use std::{collections::BTreeMap, sync::Arc, time};
+
+use knapweedford::{
+    config,
+    sidecar::{core, health},
+    view, wire,
+};
+use tokio::sync::oneshot;
+
+const NOW: time::Duration = time::Duration::ZERO;
+const TEXT: &str = "zones: {north: {}}
+services:
+  ledger: {kind: plain, calls: [{method: GET, path: /, repeatable: true, deadline-ms: 1000}]}
+servers:
+  ledger-0: {service: ledger, zone: north}
+";
+
+/// A sidecar whose backend server is healthy.
+fn healthy() -> core::Core {
+    let mut core = core::Core::new("ledger-0".into());
+    core.health(Some(health::Health { incarnation: 1, ..Default::default() }), NOW);
+    core
+}
+
+fn known(out: config::Out) -> Arc<view::View> {
+    let config = config::parse(TEXT).unwrap();
+    Arc::new(view::View { version: 1, config, out, places: BTreeMap::new() })
+}
+
+fn admit(core: &mut core::Core) -> core::Verdict {
+    let (tx, mut rx) = oneshot::channel();
+    let left = time::Duration::from_secs(1);
+    core.admit(core::Ask { server: "ledger-0".into(), left, tx }, NOW);
+    rx.try_recv().unwrap()
+}
+
+fn why(verdict: core::Verdict) -> Option<wire::Refusal> {
+    match verdict {
+        core::Verdict::Refused { why, .. } => Some(why),
+        core::Verdict::Admitted { .. } => None,
+    }
+}
+
+#[test]
+fn no_configuration() {
+    let mut core = healthy();
+    assert_eq!(why(admit(&mut core)), Some(wire::Refusal::Unreachable));
+    core.view(known(config::Out::default()));
+    assert_eq!(why(admit(&mut core)), None);
+}
+
+#[test]
+fn zone_out() {
+    let mut core = healthy();
+    let zones = ["north".into()].into();
+    core.view(known(config::Out { zones, ..Default::default() }));
+    assert_eq!(why(admit(&mut core)), Some(wire::Refusal::Leaving));
+    core.view(known(config::Out::default()));
+    assert_eq!(why(admit(&mut core)), None);
+}
+
+#[test]
+fn leaving() {
+    let mut core = healthy();
+    core.view(known(config::Out::default()));
+    assert_eq!(why(admit(&mut core)), None);
+    core.leave();
+    assert_eq!(why(admit(&mut core)), Some(wire::Refusal::Leaving));
+    assert!(core.load().leaving);
+    core.view(known(config::Out::default()));
+    assert_eq!(why(admit(&mut core)), Some(wire::Refusal::Leaving));
+}
--- a/tests/deaths.rs
+++ b/tests/deaths.rs
@@ -90,6 +90,26 @@
     assert_eq!(answer.body, site.right("sofa", TOKENS));
 }
 
+#[test]
+fn engine_stopped() {
+    let mut site = Site::start(&PLAN);
+    let answer = harmed(&mut site, |site, engine| site.engines[engine].signal("STOP"));
+    assert!(answer.whole(), "{answer:?}");
+    assert_eq!(answer.body, site.right("sofa", TOKENS));
+}
+
+#[test]
+fn sidecar_stopped() {
+    let site = Site::start(&PLAN);
+    let warm: Vec<_> = (0..8).map(|at| site.stream(0, &format!("warm {at}"), 1)).collect();
+    assert!(warm.iter().all(processes::Answer::whole), "{warm:?}");
+    site.sidecars[0].process.signal("STOP");
+    for at in 0..4 {
+        let answer = site.stream(0, &format!("sofa {at}"), 4);
+        assert!(answer.whole(), "{answer:?}");
+    }
+}
+
 #[test]
 fn entry_killed() {
     let mut site = Site::start(&PLAN);
--- /dev/null
+++ b/tests/faults.rs
@@ -0,0 +1,169 @@
+//! Seeded faults of real processes, two at once, again and again, under load.
+//!
+//! `KNAPWEEDFORD_SEED` and `KNAPWEEDFORD_CASES` change the seed and the rounds.
+
+use std::{collections::BTreeSet, thread, time};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+use crate::{fuzz, load, processes};
+use load::Load;
+use processes::{Plan, Process, Site};
+
+const TOKENS: u64 = 100;
+const CALLERS: usize = 4;
+const ROUNDS: u64 = 6;
+const PLAN: Plan = Plan {
+    entries: 2,
+    engines: 2,
+    engine: &["--token-ms", "10"],
+    plains: 2,
+    plain: &["--delay-ms", "100"],
+    lag_ms: 200,
+};
+/// The entry that may be killed; the other one is frozen at most.
+const MORTAL: usize = 1;
+/// Longest that a fault lasts, in milliseconds.
+const LASTS_MS: u64 = 2500;
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Fault {
+    KillSidecar(usize),
+    StopSidecar(usize),
+    StopEngine(usize),
+    StopPlain(usize),
+    StopEntry(usize),
+    KillEntry,
+    StopPlatform,
+    Down,
+    LoseAnswers,
+}
+
+impl Fault {
+    fn draw(rng: &mut Pcg64) -> Self {
+        let pair = rng.random_range(0..2);
+        match rng.random_range(0..10) {
+            0 | 1 => Self::KillSidecar(rng.random_range(0..4)),
+            2 => Self::StopSidecar(rng.random_range(0..4)),
+            3 => Self::StopEngine(pair),
+            4 => Self::StopPlain(pair),
+            5 => Self::StopEntry(pair),
+            6 => Self::KillEntry,
+            7 => Self::StopPlatform,
+            8 => Self::Down,
+            _ => Self::LoseAnswers,
+        }
+    }
+
+    fn begin(self, site: &mut Site) {
+        match self {
+            Self::KillSidecar(at) => site.sidecars[at].process.kill(),
+            Self::KillEntry => site.entries[MORTAL].process.kill(),
+            Self::Down => site.platform.faults(r#"{"down":true}"#),
+            Self::LoseAnswers => site.platform.faults(r#"{"lose_answer":0.5,"seed":9}"#),
+            _ => self.process(site).signal("STOP"),
+        }
+    }
+
+    fn end(self, site: &mut Site) {
+        match self {
+            Self::KillSidecar(at) => site.sidecars[at] = site.sidecar(at),
+            Self::KillEntry => site.entries[MORTAL] = site.entry(MORTAL),
+            Self::Down | Self::LoseAnswers => site.platform.faults("{}"),
+            _ => self.process(site).signal("CONT"),
+        }
+    }
+
+    fn process(self, site: &Site) -> &Process {
+        match self {
+            Self::StopEngine(at) => &site.engines[at],
+            Self::StopPlain(at) => &site.plains[at],
+            Self::StopSidecar(at) | Self::KillSidecar(at) => &site.sidecars[at].process,
+            Self::StopEntry(at) => &site.entries[at].process,
+            Self::KillEntry => &site.entries[MORTAL].process,
+            Self::StopPlatform | Self::Down | Self::LoseAnswers => &site.platform,
+        }
+    }
+}
+
+/// Two faults that do not concern the same process.
+fn pair(site: &Site, rng: &mut Pcg64) -> Vec<Fault> {
+    let mut faults: Vec<Fault> = Vec::new();
+    let mut hit = BTreeSet::new();
+    while faults.len() < 2 {
+        let fault = Fault::draw(rng);
+        if hit.insert(fault.process(site).at) {
+            faults.push(fault);
+        }
+    }
+    faults
+}
+
+fn post(at: std::net::SocketAddr, key: &str) -> processes::Answer {
+    let headers = [("Workspace", "w"), ("Idempotency-Key", key)];
+    processes::post(at, "/ledger/postings", &headers, "x")
+}
+
+/// Panics unless the answer to the posting `key` agrees with how often it ran.
+fn agrees(site: &Site, key: &str, answer: &processes::Answer) {
+    let runs = site.runs(key);
+    match answer.ran.as_str() {
+        "no" => assert_eq!(runs, 0, "{key} was refused and ran: {answer:?}"),
+        "yes" => assert_eq!(runs, 1, "{key}: {answer:?}"),
+        _ => assert!(runs <= 1, "{key} ran {runs} times: {answer:?}"),
+    }
+}
+
+#[test]
+fn two_at_once() {
+    let seed = fuzz::setting("KNAPWEEDFORD_SEED", fuzz::SEED);
+    let rounds = fuzz::setting("KNAPWEEDFORD_CASES", ROUNDS);
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let mut site = Site::start(&PLAN);
+    let steady = site.entries[0].process.at;
+    let mortal = site.entries[MORTAL].process.at;
+    let streams =
+        |at| Load::start(CALLERS, move |name| processes::complete(at, "/writer", name, TOKENS));
+    let posts =
+        |at, host| Load::start(CALLERS, move |name: &str| post(at, &format!("{host}-{name}")));
+    let loads = [streams(steady), streams(mortal)];
+    let postings = [posts(steady, "steady"), posts(mortal, "mortal")];
+
+    for round in 0..rounds {
+        let faults = pair(&site, &mut rng);
+        eprintln!("KNAPWEEDFORD_SEED={seed} round {round}: {faults:?}");
+        faults.iter().for_each(|fault| fault.begin(&mut site));
+        let lasts = rng.random_range(1..LASTS_MS);
+        thread::sleep(time::Duration::from_millis(lasts));
+        faults.iter().for_each(|fault| fault.end(&mut site));
+        thread::sleep(time::Duration::from_millis(rng.random_range(1..LASTS_MS)));
+    }
+
+    let [steady, mortal] = loads.map(Load::stop);
+    let [safe, unsafe_] = postings.map(Load::stop);
+    let engine = site.engine();
+    let right = |name: &str| processes::complete(engine.at, "", name, TOKENS).body;
+    load::none_lost(&steady, right);
+    for load::Sent { name, answer } in &mortal {
+        match answer.whole() {
+            true => assert_eq!(answer.body, right(name), "{name}"),
+            false => assert!(right(name).starts_with(&answer.body) || answer.ran == "no", "{name}"),
+        }
+    }
+    for (host, sent) in [("steady", &safe), ("mortal", &unsafe_)] {
+        for load::Sent { name, answer } in sent {
+            agrees(&site, &format!("{host}-{name}"), answer);
+        }
+    }
+    site.ready(1);
+    for load::Sent { name, answer } in safe.iter().filter(|sent| !sent.answer.whole()) {
+        let key = format!("steady-{name}");
+        let again = processes::until("the posting is settled", || {
+            Some(site.book(0, &key, "x")).filter(|again| again.ran != "no")
+        });
+        assert!(site.runs(&key) <= 1, "{key}: {answer:?}, then {again:?}");
+        agrees(&site, &key, &again);
+    }
+    assert!(site.stream(0, "after", TOKENS).whole());
+}
--- a/tests/fuzz.rs
+++ b/tests/fuzz.rs
@@ -70,7 +70,8 @@
     run::<T>(plan).expect_err("the check must fail when the mechanism is off")
 }
 
-fn setting<V: str::FromStr>(name: &str, default: V) -> V {
+/// The setting `name` of the environment, or `default`.
+pub fn setting<V: str::FromStr>(name: &str, default: V) -> V {
     match env::var(name) {
         Ok(text) => text.parse().unwrap_or_else(|_| panic!("{name} must be a whole number")),
         Err(_) => default,
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -1,5 +1,6 @@
 //! Integration tests: one module a feature.
 
+mod admission;
 mod agreement;
 mod claims;
 mod cluster;
@@ -7,6 +8,7 @@
 mod collecting;
 mod deaths;
 mod fairness;
+mod faults;
 mod frames;
 mod fuzz;
 mod fuzz_agreement;
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -1,6 +1,6 @@
 //! Graceful ends under load: nothing in flight is cut.
 
-use std::{thread, time};
+use std::{io::Write, net, thread, time};
 
 use crate::{load, processes};
 use processes::{Plan, Site};
@@ -75,3 +75,19 @@
     assert!(answer.whole(), "{answer:?}");
     assert!(site.sidecars[0].process.ended().success());
 }
+
+#[test]
+fn caller_left() {
+    let plan = Plan { engines: 0, plains: 1, plain: &["--delay-ms", "4000"], ..PLAN };
+    let mut site = Site::start(&plan);
+    let head = "POST /ledger/postings HTTP/1.1\r\nHost: x\r\nWorkspace: w\r\n\
+                Idempotency-Key: k\r\nContent-Length: 1\r\n\r\nx";
+    let mut caller = net::TcpStream::connect(site.entries[0].process.at).unwrap();
+    caller.write_all(head.as_bytes()).unwrap();
+    processes::until("it runs", || (site.runs("k") == 1).then_some(()));
+    drop(caller);
+    site.entries[0].process.signal("TERM");
+    assert!(site.entries[0].process.ended().success());
+    let again = site.book(1, "k", "x");
+    assert_eq!((again.ran.as_str(), site.runs("k")), ("yes", 1), "{again:?}");
+}
