--- a/tests/agreement.rs
+++ b/tests/agreement.rs
@@ -335,6 +335,11 @@
     site.platform.state().rows = old;
     site.run(secs(60));
     assert_eq!(site.versions(), [2].into());
+    for process in &site.processes {
+        let versions: Vec<_> =
+            process.adopted.iter().map(|(_, now)| now.committed.version).collect();
+        assert!(versions.is_sorted(), "a process went back: {versions:?}");
+    }
 }
 
 #[test]
--- a/tests/deaths.rs
+++ b/tests/deaths.rs
@@ -161,3 +161,16 @@
     processes::until("the engine is told", || (site.sum("cancelled") == 1).then_some(()));
     assert_eq!(site.sum("in_flight"), 0);
 }
+
+#[test]
+fn may_have_run() {
+    let mut site =
+        Site::start(&Plan { engines: 0, plains: 1, plain: &["--delay-ms", "30000"], ..PLAN });
+    let at = site.entries[0].process.at;
+    let headers = [("Workspace", "w"), ("Deadline-Ms", "6000")];
+    let caller = thread::spawn(move || processes::get(at, "/ledger/", &headers));
+    processes::until("it runs", || (site.plains[0].counts()["total"] == 1).then_some(()));
+    site.plains[0].kill();
+    let answer = caller.join().unwrap();
+    assert_eq!(answer.ran, "unknown", "{answer:?}");
+}
--- a/tests/fuzz_agreement.rs
+++ b/tests/fuzz_agreement.rs
@@ -84,6 +84,10 @@
     Loss {
         percent: u32,
     },
+    /// Messages come twice, the second time late.
+    Again {
+        percent: u32,
+    },
     Store {
         down: bool,
         lose_answer: u32,
@@ -115,6 +119,7 @@
             2 => (at(), 1..40u64).prop_map(|(at, secs)| Step::Pause { at, secs }),
             2 => (at(), 0..2u8).prop_map(|(at, side)| Step::Side { at, side }),
             1 => (0..60u32).prop_map(|percent| Step::Loss { percent }),
+            1 => (0..60u32).prop_map(|percent| Step::Again { percent }),
             2 => (any::<bool>(), 0..70u32, 0..70u32).prop_map(|(down, lose_answer, lose_write)| {
                 Step::Store { down, lose_answer, lose_write }
             }),
@@ -207,6 +212,7 @@
             Step::Pause { at, secs } => self.site.pause(*at, site::secs(*secs)),
             Step::Side { at, side } => self.site.side[*at] = *side,
             Step::Loss { percent } => self.site.loss = f64::from(*percent) / 100.0,
+            Step::Again { percent } => self.site.again = f64::from(*percent) / 100.0,
             Step::Store { down, lose_answer, lose_write } => {
                 let mut state = self.site.platform.state();
                 state.down = *down;
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod agreement;
+mod backends;
 mod claims;
 mod cluster;
 mod cold;
@@ -25,6 +26,7 @@
 mod once;
 mod operators_port;
 mod outages;
+mod peers;
 mod platform;
 mod processes;
 mod replays;
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -7,6 +7,8 @@
 
 const TOKENS: u64 = 60;
 const CALLERS: usize = 8;
+/// Tokens of a stream that takes longer than an ending process waits at least.
+const LONG: u64 = 800;
 const PLAN: Plan = Plan {
     entries: 2,
     engines: 2,
@@ -91,3 +93,42 @@
     let again = site.book(1, "k", "x");
     assert_eq!((again.ran.as_str(), site.runs("k")), ("yes", 1), "{again:?}");
 }
+
+/// Streams a long answer while `end` ends processes in its midst.
+fn outlives(end: impl FnOnce(&Site)) {
+    let mut site = Site::start(&PLAN);
+    let at = site.entries[0].process.at;
+    let caller = thread::spawn(move || processes::complete(at, "/writer", "long", LONG));
+    processes::until("it works", || (site.sum("in_flight") == 1).then_some(()));
+    end(&site);
+    let answer = caller.join().unwrap();
+    assert!(answer.whole(), "{answer:?}");
+    assert_eq!(answer.body, site.right("long", LONG));
+    assert_eq!(site.sum("cancelled") + site.sum("gone") + site.sum("cut"), 0);
+    assert!(site.entries[0].process.ended().success());
+}
+
+#[test]
+fn long_stream() {
+    outlives(|site| site.entries[0].process.signal("TERM"));
+}
+
+#[test]
+fn long_both() {
+    outlives(|site| {
+        site.entries[0].process.signal("TERM");
+        site.sidecars.iter().for_each(|sidecar| sidecar.process.signal("TERM"));
+    });
+}
+
+#[test]
+fn still_serves() {
+    let mut site = Site::start(&Plan { lag_ms: 8000, ..PLAN });
+    let at = site.entries[0].process.at;
+    site.entries[0].process.signal("TERM");
+    let unready = || (processes::get(at, "/readyz", &[]).status == 503).then_some(());
+    processes::until("the balancer is told", unready);
+    let answer = site.stream(0, "while the balancer lags", 5);
+    assert!(answer.whole(), "{answer:?}");
+    assert!(site.entries[0].process.ended().success());
+}
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -192,6 +192,8 @@
     pub answers: BTreeMap<Op, Outcome>,
     /// Probability that a message is lost.
     pub loss: f64,
+    /// Probability that a message comes a second time, up to a minute late.
+    pub again: f64,
     /// Processes that can reach each other have the same number here.
     pub side: Vec<u8>,
     /// Whether frames are encoded to count their bytes, and calls timed.
@@ -204,6 +206,9 @@
 /// One way through the network, at least and at most.
 const LATENCY_MS: std::ops::Range<u64> = 1..20;
 
+/// How late the second of two equal messages comes.
+const LATE_MS: std::ops::Range<u64> = 20..60_000;
+
 /// One call to the platform.
 const STORE_MS: u64 = 10;
 
@@ -238,6 +243,7 @@
             processes: Vec::new(),
             answers: BTreeMap::new(),
             loss: 0.0,
+            again: 0.0,
             side: vec![0; count],
             count_cost: false,
             queue: BTreeMap::new(),
@@ -387,6 +393,10 @@
         if self.side[i] != self.side[target] || self.rng.random_bool(self.loss) {
             return;
         }
+        if self.again > 0.0 && self.rng.random_bool(self.again) {
+            let late = self.now + ms(self.rng.random_range(LATE_MS));
+            self.push(late, Event::Deliver(target, message.clone()));
+        }
         let at = self.now + ms(self.rng.random_range(LATENCY_MS));
         self.push(at, Event::Deliver(target, message));
     }
