--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -7,6 +7,7 @@
 mod cluster;
 mod cold;
 mod collecting;
+mod days;
 mod deaths;
 mod fairness;
 mod faults;
