--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -9,6 +9,7 @@
 mod collecting;
 mod days;
 mod deaths;
+mod edits;
 mod fairness;
 mod faults;
 mod frames;
