--- a/measure/routing/entry.rs
+++ b/measure/routing/entry.rs
@@ -1,10 +1,13 @@
 //! The entry's part of the model: our policies, or one of the baselines.
 
-use std::{collections::VecDeque, time};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time,
+};
 
 use knapweedford::{
-    name,
-    policy::{budget, collect, eject, estimate, fair, retry, roster, route},
+    config, name,
+    policy::{budget, collect, retry, scheduler},
     wire,
 };
 use rand::{RngExt as _, SeedableRng as _};
@@ -90,21 +93,16 @@
 /// One entry.
 pub struct Entry {
     at: usize,
-    zone: name::Zone,
     policy: Policy,
     rng: rand_pcg::Pcg64Mcg,
     out: Vec<bool>,
     own: Vec<u32>,
     turn: usize,
     fifo: VecDeque<usize>,
-    roster: roster::Roster,
-    fair: fair::Fair<usize>,
-    estimate: estimate::Estimate,
+    scheduler: scheduler::Scheduler<usize>,
     budget: budget::Budget,
-    eject: eject::Eject,
-    tried: Vec<Vec<name::Server>>,
     retries: Vec<retry::Retry>,
-    sent: Vec<time::Duration>,
+    tickets: BTreeMap<usize, scheduler::Ticket>,
 }
 
 impl Entry {
@@ -116,41 +114,42 @@
         requests: usize,
         seed: u64,
     ) -> Self {
-        let mut roster = roster::Roster::new(&name::Host::new(format!("entry-{at}")));
+        let host = name::Host::new(format!("entry-{at}"));
+        let limits = config::Limits::default();
+        let zone = &servers[at].zone;
+        let mut scheduler = scheduler::Scheduler::new(&host, zone, &limits, seed + at as u64);
         for server in servers {
-            roster.join(&server.name, &server.zone);
-            roster.report(&server.name, &server.load(), time::Duration::ZERO);
+            scheduler.roster_mut().join(&server.name, &server.zone);
+            scheduler.roster_mut().report(&server.name, &server.load(), time::Duration::ZERO);
         }
         Self {
             at,
-            zone: servers[at].zone.clone(),
             policy,
             rng: rand_pcg::Pcg64Mcg::seed_from_u64(seed + at as u64),
             out: vec![false; servers.len()],
             own: vec![0; servers.len()],
             turn: at,
             fifo: VecDeque::new(),
-            roster,
-            fair: fair::Fair::new(256, 10),
-            estimate: estimate::Estimate::new(),
+            scheduler,
             budget: budget::Budget::new(time::Duration::ZERO),
-            eject: eject::Eject::new(),
-            tried: vec![Vec::new(); requests],
             retries: vec![retry::Retry::new(true); requests],
-            sent: vec![time::Duration::ZERO; requests],
+            tickets: BTreeMap::new(),
         }
     }
 
     /// Learns that a server is out or back in.
     pub fn allow(&mut self, server: usize, name: &name::Server, allowed: bool) {
         self.out[server] = !allowed;
-        self.roster.allow(name, allowed);
+        self.scheduler.roster_mut().allow(name, allowed);
     }
 
     /// Takes a new request.
     pub fn arrive(&mut self, req: usize, cx: &mut Cx<'_>) {
         match self.policy {
-            Policy::Ours => self.queue(req, cx),
+            Policy::Ours => {
+                self.budget.first(cx.now);
+                self.push(req, scheduler::Turn::First, Vec::new(), cx);
+            }
             _ => self.fifo.push_back(req),
         }
     }
@@ -159,8 +158,10 @@
     pub fn tick(&mut self, cx: &mut Cx<'_>) {
         match self.policy {
             Policy::Ours => {
-                self.expire(cx);
-                while self.dispatch(cx) {}
+                for refused in self.scheduler.expire(cx.now) {
+                    end(&refused, cx);
+                }
+                self.dispatch(cx);
             }
             Policy::Gated(baseline) | Policy::Bare(baseline) => self.tick_baseline(baseline, cx),
         }
@@ -168,141 +169,144 @@
 
     /// Takes a report of a server about a request of this entry.
     pub fn hear(&mut self, report: &server::Report, cx: &mut Cx<'_>) {
-        let name = cx.servers[report.server].name.clone();
         let req = report.run.req;
-        self.roster.report(&name, &report.load, cx.now);
+        if report.kind != server::Kind::First {
+            self.own[report.server] -= 1;
+        }
+        match self.policy {
+            Policy::Ours => self.note(report, cx),
+            _ if report.kind == server::Kind::Broken => self.fifo.push_front(req),
+            _ => {}
+        }
+    }
+
+    fn note(&mut self, report: &server::Report, cx: &mut Cx<'_>) {
+        let req = report.run.req;
+        let Some(ticket) = self.tickets.get(&req).cloned() else { return };
         if report.kind == server::Kind::First {
-            return;
+            return self.scheduler.alive(&ticket, &report.load, cx.now);
         }
-        self.own[report.server] -= 1;
-        let cost = cost(&cx.trace.requests[req]);
-        self.roster.ended(&name, cost);
-        self.roster.report(&name, &report.load, cx.now);
+        self.tickets.remove(&req);
         match report.kind {
-            server::Kind::Whole => {
-                self.eject.answered(&name);
-                let took = cx.now - self.sent[req];
-                self.roster.took(&name, cost, took);
-                self.estimate.done(cost, took);
+            server::Kind::Whole => self.scheduler.whole(&ticket, &report.load, cx.now),
+            _ => {
+                self.scheduler.failed(&ticket, cx.now);
+                self.broken(req, report.tokens, ticket.server, cx);
             }
-            _ => self.broken(req, report.tokens, &name, cx),
         }
     }
 
     /// A caller has gone; whoever has the request drops it.
     pub fn gone(&mut self, req: usize, server: Option<usize>, cx: &mut Cx<'_>) {
         self.fifo.retain(|queued| *queued != req);
-        self.fair.sweep(|item| item.value == req);
+        self.scheduler.forget(|queued| *queued == req);
         if let Some(server) = server {
             self.own[server] -= 1;
-            let (name, cost) = (&cx.servers[server].name, cost(&cx.trace.requests[req]));
-            self.roster.ended(name, cost);
-            self.roster.gave_up(name, cost, cx.now - self.sent[req]);
+        }
+        if let Some(ticket) = self.tickets.remove(&req) {
+            self.scheduler.cancelled(&ticket, cx.now);
         }
     }
 
-    fn queue(&mut self, req: usize, cx: &mut Cx<'_>) {
+    fn push(
+        &mut self,
+        req: usize,
+        turn: scheduler::Turn,
+        tried: Vec<name::Server>,
+        cx: &mut Cx<'_>,
+    ) {
         let rec = &cx.trace.requests[req];
-        let ahead = self.fair.ahead(&rec.workspace, 1, rec.priority);
-        let item = fair::Item { ahead, ..item(req, rec) };
-        self.budget.first(cx.now);
-        if let Err(late) = self.estimate.fits(item.cost, ahead, rec.deadline) {
-            let retry_after = late.retry_after;
-            return cx.ended.push((req, Ended::Refused { retry_after }));
-        }
-        let retry_after = self.estimate.retry_after(self.fair.cost());
-        match self.fair.push(item, 1) {
-            fair::Pushed::Queued => {}
-            fair::Pushed::Displaced(old) => {
-                cx.ended.push((old.value, Ended::Refused { retry_after }));
-            }
-            fair::Pushed::Full(_) => cx.ended.push((req, Ended::Refused { retry_after })),
+        let job = scheduler::Job {
+            id: wire::RequestId(req as u128),
+            workspace: rec.workspace.clone(),
+            weight: 1,
+            priority: rec.priority,
+            cost: u64::from(rec.answer - cx.tokens[req].min(rec.answer)).max(1),
+            at: rec.at,
+            deadline: rec.at + rec.deadline,
+            prefix: rec.chain(),
+            tried,
+            turn,
+            value: req,
+        };
+        if let Some(refused) = self.scheduler.push(job, cx.now) {
+            end(&refused, cx);
         }
     }
 
-    /// Answers at once what cannot be answered in time any more.
-    fn expire(&mut self, cx: &mut Cx<'_>) {
-        let (estimate, now) = (&self.estimate, cx.now);
-        let swept = self.fair.sweep(|item| {
-            let begun = u64::from(cx.tokens[item.value]);
-            let last = match begun {
-                1.. => item.deadline.saturating_sub(estimate.service(item.cost - begun)),
-                0 => estimate.start_by(item.cost, item.at, item.deadline),
-            };
-            now > last
-        });
-        for item in swept {
-            let retry_after = estimate.retry_after(self.fair.cost());
-            cx.ended.push((item.value, Ended::Refused { retry_after }));
+    /// Places all that can be placed now.
+    fn dispatch(&mut self, cx: &mut Cx<'_>) {
+        while let Some(step) = self.scheduler.next(cx.now) {
+            match step {
+                scheduler::Step::Refuse(refused) => end(&refused, cx),
+                scheduler::Step::Send(req, ticket, _) => self.send(req, ticket, cx),
+            }
         }
     }
 
-    fn dispatch(&mut self, cx: &mut Cx<'_>) -> bool {
-        let Some(item) = self.fair.peek() else { return false };
-        let (req, cost, ahead, came) = (item.value, item.cost, item.ahead, item.at);
-        let rec = &cx.trace.requests[req];
-        let chain = rec.chain();
-        let ask = route::Request {
-            zone: &self.zone,
-            prefix: &chain,
-            tokens: cost,
-            left: item.deadline.saturating_sub(cx.now),
-            priority: rec.priority,
-            tried: &self.tried[req],
-        };
-        let decision = route::pick(&self.roster, &ask, cx.now, &mut self.rng);
-        let Some(server) = decision.server().cloned() else {
-            self.tried[req].clear();
-            return false;
-        };
-        let at = self.index(&server, cx);
+    fn send(&mut self, req: usize, ticket: scheduler::Ticket, cx: &mut Cx<'_>) {
+        let at = self.index(&ticket.server, cx);
         let sent = self.attempt(req, cx);
-        match cx.servers[at].send(sent, rec, cx.now) {
+        match cx.servers[at].send(sent, &cx.trace.requests[req], cx.now) {
             Ok(()) => {
-                self.estimate.sent(ahead, cx.now - came);
-                self.fair.pop();
                 self.own[at] += 1;
                 cx.place[req] = Some(at);
-                self.sent[req] = cx.now;
-                self.roster.sent(&server, cost);
-                self.roster.cached(&server, &chain, cx.now);
+                self.scheduler.admitted(&ticket, &cx.servers[at].load(), cx.now);
+                self.tickets.insert(req, ticket);
             }
             Err(refusal) => {
-                let load = cx.servers[at].load();
-                self.roster.refused(&server, &load, refusal.retry_after, cx.now);
-                if refusal.why == wire::Refusal::Unreachable {
-                    self.eject.failed(&mut self.roster, &server, cx.now);
-                }
-                self.tried[req].push(server);
+                let (load, after) = (cx.servers[at].load(), refusal.retry_after);
+                self.scheduler.refused(&ticket, refusal.why, &load, after, cx.now);
+                self.again(req, refusal.why, ticket, cx);
             }
         }
-        true
     }
 
-    fn attempt(&self, req: usize, cx: &Cx<'_>) -> server::Sent {
-        server::Sent { entry: self.at, req, resume: cx.tokens[req] }
+    fn again(
+        &mut self,
+        req: usize,
+        why: wire::Refusal,
+        ticket: scheduler::Ticket,
+        cx: &mut Cx<'_>,
+    ) {
+        let tried = match why {
+            wire::Refusal::Full => Vec::new(),
+            _ => vec![ticket.server],
+        };
+        let turn = match self.retries[req].ran() {
+            wire::Ran::No => scheduler::Turn::Again { ahead: ticket.ahead },
+            _ => scheduler::Turn::Begun,
+        };
+        match self.judge(req, retry::Failure::Refused(why), cx) {
+            retry::Verdict::Stop(_) => cx.ended.push((req, Ended::Failed)),
+            _ => self.push(req, turn, tried, cx),
+        }
     }
 
-    fn index(&self, server: &name::Server, cx: &Cx<'_>) -> usize {
-        cx.servers.iter().position(|other| other.name == *server).unwrap_or(0)
+    fn broken(&mut self, req: usize, tokens: u32, server: name::Server, cx: &mut Cx<'_>) {
+        let failure = match tokens {
+            0 => retry::Failure::Lost,
+            _ => retry::Failure::Broken(wire::Ran::Yes),
+        };
+        match self.judge(req, failure, cx) {
+            retry::Verdict::Stop(_) => cx.ended.push((req, Ended::Failed)),
+            _ => self.push(req, scheduler::Turn::Begun, vec![server], cx),
+        }
     }
 
-    fn broken(&mut self, req: usize, tokens: u32, server: &name::Server, cx: &mut Cx<'_>) {
+    fn judge(&mut self, req: usize, failure: retry::Failure, cx: &Cx<'_>) -> retry::Verdict {
         let rec = &cx.trace.requests[req];
-        if !matches!(self.policy, Policy::Ours) {
-            return self.fifo.push_front(req);
-        }
-        self.eject.failed(&mut self.roster, server, cx.now);
         let left = (rec.at + rec.deadline).saturating_sub(cx.now);
-        let failure = retry::Failure::Broken(wire::Ran::Yes);
-        let collected = collected(tokens);
-        match self.retries[req].judge(failure, &collected, left, &mut self.budget, cx.now) {
-            retry::Verdict::Stop(_) => cx.ended.push((req, Ended::Failed)),
-            _ => {
-                self.tried[req] = vec![server.clone()];
-                self.fair.resume(item(req, rec));
-            }
-        }
+        let collected = collected(cx.tokens[req]);
+        self.retries[req].judge(failure, &collected, left, &mut self.budget, cx.now)
+    }
+
+    fn attempt(&self, req: usize, cx: &Cx<'_>) -> server::Sent {
+        server::Sent { entry: self.at, req, resume: cx.tokens[req] }
+    }
+
+    fn index(&self, server: &name::Server, cx: &Cx<'_>) -> usize {
+        cx.servers.iter().position(|other| other.name == *server).unwrap_or(0)
     }
 
     fn tick_baseline(&mut self, baseline: Baseline, cx: &mut Cx<'_>) {
@@ -344,21 +348,9 @@
     }
 }
 
-/// Cost of a request, in tokens generated.
-fn cost(req: &trace::Request) -> u64 {
-    u64::from(req.answer)
-}
-
-fn item(req: usize, rec: &trace::Request) -> fair::Item<usize> {
-    fair::Item {
-        workspace: rec.workspace.clone(),
-        priority: rec.priority,
-        cost: cost(rec),
-        at: rec.at,
-        ahead: 0,
-        deadline: rec.at + rec.deadline,
-        value: req,
-    }
+fn end(refused: &scheduler::Refused<usize>, cx: &mut Cx<'_>) {
+    let retry_after = refused.retry_after;
+    cx.ended.push((refused.value, Ended::Refused { retry_after }));
 }
 
 /// What the caller has after `tokens` events of one byte.
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -7,6 +7,7 @@
     time::{self, Duration},
 };
 
+use rand::RngExt as _;
 use stakker::{CX, Stakker, StopCause, actor, after, call, ret_nop};
 
 use super::{Ports, Switches, agent, courier};
@@ -20,6 +21,9 @@
 /// server of each service before it is ready.
 const PATIENCE: Duration = Duration::from_secs(5);
 
+/// Time between two looks at queued requests.
+const TICK: Duration = Duration::from_millis(10);
+
 /// Time between refusing new requests and closing the ports, so that callers on
 /// kept connections get an answer.
 const REFUSING: Duration = Duration::from_secs(1);
@@ -32,10 +36,13 @@
     let told = tx.clone();
     super::signals::watch(move || super::send(&told, Event::Terminate))?;
     let lag = Duration::from_millis(cfg.balancer_lag_ms);
+    let started = time::Instant::now();
+    let seed = super::generator(&cfg.host).random();
+    let core = Core::new(&cfg.host, &cfg.zone, seed, started, metrics.clone());
     let (shared, counted) = (switches.clone(), metrics.clone());
     let io = super::spawn_io(async move || serve(cfg, tx, shared, counted).await)?;
-    let mut stakker = Stakker::new(time::Instant::now());
-    let actor = actor!(stakker, Entry::init(switches, metrics, lag), ret_nop!());
+    let mut stakker = Stakker::new(started);
+    let actor = actor!(stakker, Entry::init(core, switches, metrics, lag), ret_nop!());
     super::reactor::run(stakker, &rx, |stakker, event| {
         let actor = actor.clone();
         call!([actor, stakker], event(event));
@@ -50,17 +57,25 @@
     lag: Duration,
     version: u64,
     ending: bool,
+    ticking: bool,
 }
 
 impl Entry {
-    fn init(_: CX![], switches: Switches, metrics: metrics::Entry, lag: Duration) -> Option<Self> {
-        Some(Self { core: Core::new(), switches, metrics, lag, version: 0, ending: false })
+    fn init(
+        _: CX![],
+        core: Core,
+        switches: Switches,
+        metrics: metrics::Entry,
+        lag: Duration,
+    ) -> Option<Self> {
+        let (version, ending, ticking) = (0, false, false);
+        Some(Self { core, switches, metrics, lag, version, ending, ticking })
     }
 
     fn event(&mut self, cx: CX![], event: Event) {
         match event {
             Event::View(view) => {
-                self.core.view(Arc::clone(&view));
+                self.core.view(Arc::clone(&view), cx.now());
                 self.metrics.page.version(view.version);
                 self.switches.view.send_replace(Arc::clone(&view));
                 match () {
@@ -71,15 +86,18 @@
                 }
                 self.version = view.version;
             }
-            Event::Route(ask) => self.core.route(*ask),
-            Event::News { server, outcome, over } => {
+            Event::Route(ask) => {
+                self.core.route(*ask, cx.now());
+                self.watch(cx);
+            }
+            Event::News { service, ticket, outcome, over } => {
                 if over {
                     self.metrics.attempt(outcome.label());
                 }
-                self.core.news(&server, &outcome, over);
+                self.core.news(&service, &ticket, &outcome, cx.now());
             }
             Event::Dump(tx) => {
-                let _ = tx.send(self.core.dump());
+                let _ = tx.send(self.core.dump(cx.now()));
             }
             Event::Terminate if self.ending => {}
             Event::Terminate => {
@@ -93,6 +111,20 @@
         }
     }
 
+    /// Keeps a timer while requests are queued.
+    fn watch(&mut self, cx: CX![]) {
+        if self.core.waiting() && !self.ticking {
+            self.ticking = true;
+            after!(TICK, [cx], tick());
+        }
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        self.ticking = false;
+        self.core.tick(cx.now());
+        self.watch(cx);
+    }
+
     /// Tells the balancer that requests can be sent here.
     fn serve(&mut self, _: CX![]) {
         self.metrics.page.ready(!self.ending);
@@ -161,6 +193,8 @@
         ready: on.ready.subscribe(),
         refusing: on.refusing.subscribe(),
         ids: cell::RefCell::new(super::generator(&cfg.host)),
+        budgets: Default::default(),
+        started: time::Instant::now(),
         metrics,
         claims: once::Claims::new(platform::Client::new(&cfg.platform)),
         heard: Box::new(move |from, version| {
--- a/src/entry/classify.rs
+++ b/src/entry/classify.rs
@@ -2,10 +2,8 @@
 
 use std::time;
 
-use xxhash_rust::xxh3;
-
 use super::{Refusal, Request, request};
-use crate::{config, name, view};
+use crate::{config, name, policy::prefix, view};
 
 /// Header with the caller's workspace.
 pub const WORKSPACE: &str = "workspace";
@@ -18,8 +16,6 @@
 
 /// Longest workspace name and idempotency key, in bytes.
 const NAME_LIMIT: usize = 128;
-/// Bytes of a prompt whose equality makes a shared prefix likely.
-const PREFIX_BYTES: usize = 512;
 /// Tokens assumed of a call that bounds none.
 const TOKENS: u32 = 256;
 
@@ -43,7 +39,7 @@
         repeatable: call.repeatable,
         key: key(&req)?,
         deadline: req.arrived + allowed(&req, call)?,
-        prefix: prefix(&workspace, &req.body),
+        prefix: prefix::Chain::of(&workspace, &req.body),
         tokens: tokens(&req.body),
         version: view.version,
         kind: known.kind,
@@ -109,11 +105,6 @@
     }
 }
 
-fn prefix(workspace: &name::Workspace, body: &[u8]) -> u64 {
-    let head = &body[..body.len().min(PREFIX_BYTES)];
-    xxh3::xxh3_64_with_seed(head, xxh3::xxh3_64(workspace.as_str().as_bytes()))
-}
-
 fn tokens(body: &[u8]) -> u32 {
     #[derive(serde::Deserialize)]
     struct Bound {
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -1,233 +1,277 @@
-//! The entry's state, owned by the stakker thread: picks a backend server for each request.
+//! The entry's state, owned by the stakker thread: one scheduler a service.
 
-use std::{collections, net, sync::Arc, sync::mpsc, time};
+use std::{collections::BTreeMap, net, sync::Arc, time};
 
+use serde::Serialize;
 use tokio::sync::oneshot;
 
-use super::Refusal;
-use crate::{config, name, view, wire};
-
-/// What reaches the core.
-pub enum Event {
-    /// Another configuration or other places.
-    View(Arc<view::View>),
-    /// A request wants a backend server.
-    Route(Box<Ask>),
-    /// News of an attempt.
-    News {
-        /// The backend server concerned.
-        server: name::Server,
-        /// What was seen.
-        outcome: Outcome,
-        /// Whether the attempt is over.
-        over: bool,
-    },
-    /// The state is asked for, as JSON.
-    Dump(oneshot::Sender<serde_json::Value>),
-    /// The process was told to end.
-    Terminate,
-    /// The callers' port has closed and all answers have been flushed.
-    Drained,
-}
+use super::{
+    Refusal,
+    event::{Ask, Outcome, Target},
+};
+use crate::{
+    config, metrics, name,
+    policy::{candidate, decision, recent, scheduler},
+    view, wire,
+};
 
-/// A request that wants a backend server.
-#[derive(Debug)]
-pub struct Ask {
-    /// The request.
-    pub id: wire::RequestId,
-    /// Service called.
-    pub service: name::Service,
-    /// Caller's workspace.
-    pub workspace: name::Workspace,
-    /// Interactive or batch.
-    pub priority: config::Priority,
-    /// When the answer must be complete.
-    pub deadline: time::Instant,
-    /// Fingerprint of the prompt's beginning.
-    pub prefix: u64,
-    /// Tokens that the call may generate.
-    pub tokens: u32,
-    /// Backend servers tried before.
-    pub tried: Vec<name::Server>,
-    /// Where the decision goes.
-    pub tx: oneshot::Sender<Result<Target, Refusal>>,
-}
+type Reply = oneshot::Sender<Result<Target, Refusal>>;
+type Scheduler = scheduler::Scheduler<Reply>;
 
-/// The backend server chosen.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Target {
-    /// Its name.
-    pub server: name::Server,
-    /// Address of its sidecar.
-    pub address: net::SocketAddr,
+/// The entry's state.
+pub struct Core {
+    host: name::Host,
+    zone: name::Zone,
+    seed: u64,
+    started: time::Instant,
+    view: Arc<view::View>,
+    services: BTreeMap<name::Service, Scheduler>,
+    metrics: metrics::Entry,
 }
 
-/// What an attempt showed of a backend server.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Outcome {
-    /// Its sidecar could not be reached.
-    Unreachable,
-    /// Its sidecar refused.
-    Refused {
-        /// Why.
-        why: wire::Refusal,
-        /// When trying again makes sense.
-        after: time::Duration,
-        /// Load then.
-        load: wire::Load,
-        /// Configuration version of the sidecar.
-        version: u64,
-    },
-    /// Its sidecar admitted the call.
-    Admitted {
-        /// Load then.
-        load: wire::Load,
-        /// Configuration version of the sidecar.
-        version: u64,
-    },
-    /// It still works on the call.
-    Alive {
-        /// Load then.
-        load: wire::Load,
-    },
-    /// It answered whole.
-    Finished {
-        /// Load then.
-        load: wire::Load,
-    },
-    /// It broke off.
-    Broken,
-    /// The caller went away.
-    Cancelled,
-}
+impl Core {
+    /// The core of the entry on `host` in `zone`; it knows no configuration yet.
+    pub fn new(
+        host: &name::Host,
+        zone: &name::Zone,
+        seed: u64,
+        started: time::Instant,
+        metrics: metrics::Entry,
+    ) -> Self {
+        let (host, zone) = (host.clone(), zone.clone());
+        let (view, services) = (Arc::default(), BTreeMap::new());
+        Self { host, zone, seed, started, view, services, metrics }
+    }
 
-impl Outcome {
-    /// Its label in metrics.
-    pub fn label(&self) -> &'static str {
-        match self {
-            Self::Unreachable => "unreachable",
-            Self::Refused { .. } => "refused",
-            Self::Admitted { .. } => "admitted",
-            Self::Alive { .. } => "alive",
-            Self::Finished { .. } => "whole",
-            Self::Broken => "broken",
-            Self::Cancelled => "cancelled",
+    /// Takes another view into force.
+    pub fn view(&mut self, view: Arc<view::View>, now: time::Instant) {
+        self.view = Arc::clone(&view);
+        let gone = |name: &name::Service| !view.config.services.contains_key(name);
+        for (_, scheduler) in self.services.extract_if(.., |name, _| gone(name)) {
+            drop(scheduler);
+        }
+        for (name, service) in &view.config.services {
+            let scheduler = self.services.entry(name.clone()).or_insert_with(|| {
+                Scheduler::new(&self.host, &self.zone, &service.limits, self.seed)
+            });
+            scheduler.limits(&service.limits);
+            place(scheduler, name, &view);
         }
+        self.tick(now);
     }
-}
 
-/// A routed attempt; reports its end when dropped.
-pub struct Routed {
-    /// The backend server.
-    pub server: name::Server,
-    /// Address of its sidecar.
-    pub address: net::SocketAddr,
-    events: mpsc::Sender<Event>,
-    outcome: Option<Outcome>,
-}
+    /// Queues `ask`, or refuses it at once.
+    pub fn route(&mut self, ask: Ask, now: time::Instant) {
+        let (at, name) = (self.since(now), ask.service.clone());
+        let weight = self.view.config.workspaces.get(&ask.workspace).map_or(1, |w| w.weight);
+        let Some(scheduler) = self.services.get_mut(&name) else {
+            let _ = ask.tx.send(Err(Refusal::Unavailable { after: NO_SERVICE }));
+            return;
+        };
+        let job = scheduler::Job {
+            id: ask.id,
+            workspace: ask.workspace,
+            weight,
+            priority: ask.priority,
+            cost: ask.tokens.max(1),
+            at: ask.arrived.saturating_duration_since(self.started),
+            deadline: ask.deadline.saturating_duration_since(self.started),
+            prefix: ask.prefix,
+            tried: ask.tried,
+            turn: ask.turn,
+            value: ask.tx,
+        };
+        if let Some(refused) = scheduler.push(job, at) {
+            refuse(refused);
+        }
+        self.serve(&name, now);
+    }
 
-impl Routed {
-    /// Wraps a decision of the core.
-    pub fn new(to: Target, events: mpsc::Sender<Event>) -> Self {
-        let outcome = Some(Outcome::Cancelled);
-        Self { server: to.server, address: to.address, events, outcome }
+    /// Takes news of an attempt.
+    pub fn news(
+        &mut self,
+        service: &name::Service,
+        ticket: &scheduler::Ticket,
+        outcome: &Outcome,
+        now: time::Instant,
+    ) {
+        let at = self.since(now);
+        let Some(scheduler) = self.services.get_mut(service) else { return };
+        match outcome {
+            Outcome::Admitted { load } => scheduler.admitted(ticket, load, at),
+            Outcome::Alive { load } => scheduler.alive(ticket, load, at),
+            Outcome::Refused { why, after, load } => {
+                scheduler.refused(ticket, *why, load, *after, at);
+            }
+            Outcome::Finished { load } => scheduler.whole(ticket, load, at),
+            Outcome::Unreachable | Outcome::Broken => scheduler.failed(ticket, at),
+            Outcome::Cancelled => scheduler.cancelled(ticket, at),
+        }
+        self.serve(service, now);
     }
 
-    /// Tells what was seen while the attempt goes on.
-    pub fn tell(&self, outcome: Outcome) {
-        let server = self.server.clone();
-        let _ = self.events.send(Event::News { server, outcome, over: false });
+    /// Gives up on what is late, forgets whose caller has gone, places the rest.
+    pub fn tick(&mut self, now: time::Instant) {
+        let at = self.since(now);
+        for scheduler in self.services.values_mut() {
+            scheduler.forget(oneshot::Sender::is_closed);
+            scheduler.expire(at).into_iter().for_each(refuse);
+        }
+        let names: Vec<_> = self.services.keys().cloned().collect();
+        names.iter().for_each(|name| self.serve(name, now));
     }
 
-    /// Ends the attempt with `outcome`.
-    pub fn report(mut self, outcome: Outcome) {
-        self.outcome = Some(outcome);
+    /// Whether requests are queued.
+    pub fn waiting(&self) -> bool {
+        self.services.values().any(|scheduler| scheduler.queued() > 0)
     }
-}
 
-impl Drop for Routed {
-    fn drop(&mut self) {
-        if let Some(outcome) = self.outcome.take() {
-            let server = self.server.clone();
-            let _ = self.events.send(Event::News { server, outcome, over: true });
+    /// Places what can be placed now.
+    fn serve(&mut self, name: &name::Service, now: time::Instant) {
+        let at = self.since(now);
+        let Some(scheduler) = self.services.get_mut(name) else { return };
+        while let Some(step) = scheduler.next(at) {
+            match step {
+                scheduler::Step::Refuse(refused) => refuse(refused),
+                scheduler::Step::Send(tx, ticket, why) => {
+                    self.metrics.placed(why.label());
+                    let address = self.view.places.get(&ticket.server).copied();
+                    send(scheduler, tx, ticket, address, at);
+                }
+            }
         }
+        let queued = self.services.values().map(Scheduler::queued).sum();
+        self.metrics.queued(queued);
     }
-}
-
-/// What the entry knows of one backend server.
-#[derive(Clone, Debug, Default, serde::Serialize)]
-struct Known {
-    in_flight: u32,
-    load: wire::Load,
-    failures: u32,
-}
-
-/// The entry's state.
-#[derive(Default)]
-pub struct Core {
-    view: Arc<view::View>,
-    servers: collections::BTreeMap<name::Server, Known>,
-}
 
-impl Core {
-    /// A core that knows no configuration yet.
-    pub fn new() -> Self {
-        Self::default()
+    fn since(&self, now: time::Instant) -> time::Duration {
+        now.saturating_duration_since(self.started)
     }
 
-    /// Takes another view into force.
-    pub fn view(&mut self, view: Arc<view::View>) {
-        self.servers.retain(|name, _| view.config.servers.contains_key(name));
-        self.view = view;
+    /// The state as JSON, for the dump.
+    pub fn dump(&self, now: time::Instant) -> serde_json::Value {
+        let at = self.since(now);
+        let services: BTreeMap<_, _> =
+            self.services.iter().map(|(name, known)| (name, Service::of(known, at))).collect();
+        serde_json::json!({
+            "role": "entry",
+            "version": self.view.version,
+            "out": self.view.out,
+            "services": services,
+        })
     }
+}
 
-    /// Picks a backend server for `ask` and answers it.
-    pub fn route(&mut self, ask: Ask) {
-        let decision = self.pick(&ask);
-        if let Ok(to) = &decision {
-            self.servers.entry(to.server.clone()).or_default().in_flight += 1;
-        }
-        if let Err(Ok(to)) = ask.tx.send(decision) {
-            self.news(&to.server, &Outcome::Cancelled, true);
+/// Wait named for a service that the configuration in force no longer has.
+const NO_SERVICE: time::Duration = time::Duration::from_secs(1);
+
+/// Brings the roster in line with `view`.
+fn place(scheduler: &mut Scheduler, service: &name::Service, view: &view::View) {
+    let serves = |known: &config::Server| known.service == *service;
+    let placed: BTreeMap<_, _> = view
+        .config
+        .servers
+        .iter()
+        .filter(|(name, known)| serves(known) && view.places.contains_key(*name))
+        .collect();
+    let known: BTreeMap<_, _> = scheduler
+        .roster()
+        .iter()
+        .map(|candidate| (candidate.server.clone(), candidate.zone.clone()))
+        .collect();
+    let roster = scheduler.roster_mut();
+    known.keys().filter(|name| !placed.contains_key(name)).for_each(|name| roster.leave(name));
+    for (name, server) in placed {
+        if known.get(name) != Some(&server.zone) {
+            roster.join(name, &server.zone);
         }
+        roster.allow(name, view.out.allows(name, &server.zone));
     }
+}
 
-    fn pick(&self, ask: &Ask) -> Result<Target, Refusal> {
-        let busy = |name: &name::Server| match self.servers.get(name) {
-            Some(known) => (known.failures, known.in_flight.max(known.load.in_flight)),
-            None => (0, 0),
-        };
-        self.view
-            .candidates(&ask.service)
-            .filter(|(name, ..)| !ask.tried.contains(name))
-            .min_by_key(|(name, ..)| busy(name))
-            .map(|(name, _, address)| Target { server: name.clone(), address })
-            .ok_or(Refusal::Unavailable { after: time::Duration::from_secs(1) })
+fn send(
+    scheduler: &mut Scheduler,
+    tx: Reply,
+    ticket: scheduler::Ticket,
+    address: Option<net::SocketAddr>,
+    at: time::Duration,
+) {
+    let decided = match address {
+        Some(address) => Ok(Target { address, ticket: ticket.clone() }),
+        None => Err(Refusal::Unavailable { after: NO_SERVICE }),
+    };
+    let placed = decided.is_ok();
+    let heard = tx.send(decided).is_ok();
+    if !placed || !heard {
+        scheduler.cancelled(&ticket, at);
     }
+}
 
-    /// Takes news of an attempt at `server`.
-    pub fn news(&mut self, server: &name::Server, outcome: &Outcome, over: bool) {
-        let Some(known) = self.servers.get_mut(server) else { return };
-        known.in_flight -= u32::from(over && known.in_flight > 0);
-        match outcome {
-            Outcome::Admitted { load, .. } | Outcome::Alive { load } => known.load = *load,
-            Outcome::Refused { load, .. } => known.load = *load,
-            Outcome::Finished { load } => {
-                known.load = *load;
-                known.failures = 0;
-            }
-            Outcome::Unreachable | Outcome::Broken => known.failures += 1,
-            Outcome::Cancelled => {}
+fn refuse(refused: scheduler::Refused<Reply>) {
+    let after = refused.retry_after;
+    let refusal = match refused.cause {
+        scheduler::Cause::Late | scheduler::Cause::Full => Refusal::Busy { after },
+        scheduler::Cause::NoServer => Refusal::Unavailable { after },
+    };
+    let _ = refused.value.send(Err(refusal));
+}
+
+/// One service in the dump.
+#[derive(Serialize)]
+struct Service<'a> {
+    queued: usize,
+    queued_tokens: u64,
+    active_workspaces: usize,
+    servers: BTreeMap<&'a name::Server, Server<'a>>,
+    blocked: Option<&'a decision::Decision>,
+    recent: Vec<&'a recent::Routed>,
+}
+
+impl<'a> Service<'a> {
+    fn of(scheduler: &'a Scheduler, now: time::Duration) -> Self {
+        let server = |c: &'a candidate::Candidate| (&c.server, Server::of(c, now));
+        Self {
+            queued: scheduler.queued(),
+            queued_tokens: scheduler.queued_cost(),
+            active_workspaces: scheduler.active(),
+            servers: scheduler.roster().iter().map(server).collect(),
+            blocked: scheduler.blocked(),
+            recent: scheduler.recent().iter().collect(),
         }
     }
+}
 
-    /// The state as JSON, for the dump.
-    pub fn dump(&self) -> serde_json::Value {
-        serde_json::json!({
-            "role": "entry",
-            "version": self.view.version,
-            "out": self.view.out,
-            "servers": self.servers,
-        })
+/// One backend server in the dump.
+#[derive(Serialize)]
+struct Server<'a> {
+    zone: &'a name::Zone,
+    allowed: bool,
+    ejected_ms: Option<u64>,
+    in_subset: bool,
+    own_in_flight: u32,
+    in_flight: u32,
+    limit: u32,
+    cached_prefixes: usize,
+    ms_per_token: Option<f64>,
+    report_age_ms: Option<u64>,
+    report: Option<&'a wire::Load>,
+}
+
+impl<'a> Server<'a> {
+    fn of(known: &'a candidate::Candidate, now: time::Duration) -> Self {
+        let left = |until: time::Duration| until.saturating_sub(now).as_millis() as u64;
+        Self {
+            zone: &known.zone,
+            allowed: known.allowed,
+            ejected_ms: known.ejected.map(left).filter(|left| *left > 0),
+            in_subset: known.member,
+            own_in_flight: known.own,
+            in_flight: known.in_flight(),
+            limit: known.limit(),
+            cached_prefixes: known.cache.len(),
+            ms_per_token: known.known_pace(now).map(|pace| pace * 1000.0),
+            report_age_ms: known.age(now).map(|age| age.as_millis() as u64),
+            report: known.load(),
+        }
     }
 }
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -1,12 +1,12 @@
 //! The callers' port: runs each request through the pipeline.
 
-use std::{cell, net, rc, sync::Arc, sync::mpsc, time};
+use std::{cell, collections, net, rc, sync::Arc, sync::mpsc, time};
 
 use rand::RngExt;
 use tokio::sync::watch;
 
 use super::{Event, Refusal, Request, accept, answer, classify, once, request, session};
-use crate::{http, metrics, peer, view, wire};
+use crate::{http, metrics, name, peer, policy::budget, view, wire};
 
 /// What the I/O thread of an entry shares between requests.
 pub struct Front {
@@ -22,6 +22,10 @@
     pub refusing: watch::Receiver<bool>,
     /// Source of request identities.
     pub ids: cell::RefCell<rand_pcg::Pcg64>,
+    /// Budget of retries of each service.
+    pub budgets: cell::RefCell<collections::BTreeMap<name::Service, budget::Budget>>,
+    /// When the process started.
+    pub started: time::Instant,
     /// Counts of requests.
     pub metrics: metrics::Entry,
     /// Claims of calls that may not be repeated.
@@ -49,6 +53,17 @@
 }
 
 impl Front {
+    /// Hands the retry budget of `service` to `f`, with the time since the start.
+    pub fn budget<T>(
+        &self,
+        service: &name::Service,
+        f: impl FnOnce(&mut budget::Budget, time::Duration) -> T,
+    ) -> T {
+        let now = self.started.elapsed();
+        let mut budgets = self.budgets.borrow_mut();
+        f(budgets.entry(service.clone()).or_insert_with(|| budget::Budget::new(now)), now)
+    }
+
     async fn dispatch(self: &rc::Rc<Self>, req: Request<request::Classified>) -> http::Response {
         let flight = self.metrics.begin(req.stage.service.as_str(), req.arrived);
         match req.stage.key.clone() {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{config, name, wire};
+use crate::{config, name, policy::prefix, wire};
 
 /// A request at stage `S`.
 #[derive(Debug)]
@@ -46,8 +46,8 @@
     pub key: Option<String>,
     /// When the answer must be complete.
     pub deadline: time::Instant,
-    /// Fingerprint of the prompt's beginning; equal for requests that share it.
-    pub prefix: u64,
+    /// Prefixes of the prompt.
+    pub prefix: prefix::Chain,
     /// Tokens that the call may generate, as the caller bounds it.
     pub tokens: u32,
     /// Configuration version it was matched against.
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -5,28 +5,33 @@
 use bytes::Bytes;
 use tokio::sync::oneshot;
 
-use super::{Event, Front, Refusal, Request, core, request};
+use super::{
+    Event, Front, Refusal, Request,
+    event::{self, Outcome},
+    request, routed,
+};
 use crate::{
     Result, peer,
-    policy::collect::{self, Collect},
+    policy::{
+        collect::{self, Collect},
+        retry::{Failure, Retry, Verdict},
+        scheduler,
+    },
     wire,
 };
 
 /// Longest silence of a sidecar before a repeatable call goes elsewhere.
 const SILENCE: time::Duration = time::Duration::from_secs(2);
 
-/// Pause before a begun answer asks for a backend server again.
-const PAUSE: time::Duration = time::Duration::from_millis(50);
+/// Longest time for a sidecar to take the stream of a repeatable call.
+const SENDING: time::Duration = time::Duration::from_secs(4);
 
-/// HTTP status of a request whose deadline has passed.
-const LATE: u16 = 504;
+/// Wait named to a caller when nothing better is known.
+const AFTER: time::Duration = time::Duration::from_secs(1);
 
 /// First HTTP status that blames the server.
 const SERVER_ERROR: u16 = 500;
 
-/// Most attempts at one request.
-const ATTEMPTS: u32 = 5;
-
 /// Headers of an answer that belong to one connection and are not passed on.
 const HOP_HEADERS: [&str; 5] =
     ["connection", "content-length", "keep-alive", "transfer-encoding", "upgrade"];
@@ -74,15 +79,7 @@
 /// One admitted attempt.
 struct Live {
     source: peer::Source,
-    routed: core::Routed,
-}
-
-/// How an attempt ended short of an answer.
-enum Lost {
-    /// It provably did not run.
-    NotRun,
-    /// It may have run.
-    Unknown,
+    routed: routed::Routed,
 }
 
 /// One request on its way.
@@ -95,14 +92,17 @@
     tried: Vec<crate::name::Server>,
     collect: Collect,
     whole: bool,
-    ran: wire::Ran,
-    losses: u32,
+    retry: Retry,
+    turn: scheduler::Turn,
+    after: time::Duration,
 }
 
 impl Session {
     /// A session that has not been routed yet.
     pub fn new(front: rc::Rc<Front>, req: Request<request::Classified>) -> Self {
         let collect = Collect::new(req.id, 1);
+        let retry = Retry::new(req.stage.repeatable);
+        front.budget(&req.stage.service, |budget, now| budget.first(now));
         Self {
             front,
             req,
@@ -112,8 +112,9 @@
             tried: Vec::new(),
             collect,
             whole: false,
-            ran: wire::Ran::No,
-            losses: 0,
+            retry,
+            turn: scheduler::Turn::First,
+            after: AFTER,
         }
     }
 
@@ -126,7 +127,9 @@
     /// only if no attempt may have run.
     pub async fn next(&mut self) -> Result<Step, Refusal> {
         self.step().await.map_err(|refusal| match refusal.ran() {
-            wire::Ran::No if self.ran != wire::Ran::No => Refusal::Broken { ran: self.ran },
+            wire::Ran::No if self.retry.ran() != wire::Ran::No => {
+                Refusal::Broken { ran: self.retry.ran() }
+            }
             _ => refusal,
         })
     }
@@ -150,7 +153,7 @@
                     return Err(Refusal::Late { ran: wire::Ran::Unknown });
                 }
                 Ok(Ok(None)) | Ok(Err(_)) | Err(_) => {
-                    self.lose(Lost::Unknown)?;
+                    self.lose(Failure::Lost)?;
                     continue;
                 }
             };
@@ -162,83 +165,84 @@
 
     /// Routes and dispatches until a sidecar has the call.
     async fn start(&mut self) -> Result<(), Refusal> {
-        let routed = match self.route().await {
-            Ok(routed) => routed,
-            Err(refusal) if self.ran == wire::Ran::No || refusal.status() == LATE => {
-                return Err(refusal);
-            }
-            Err(_) => return self.pause().await,
-        };
+        let routed = self.route().await?;
         self.attempt += 1;
         self.collect.next(self.attempt);
-        self.tried.push(routed.server.clone());
         let call = self.call(&routed);
+        let deadline = self.req.stage.deadline;
+        let until = deadline.min(match self.req.stage.repeatable {
+            true => time::Instant::now() + SENDING,
+            false => deadline,
+        });
         let sending = self.front.pool.exchange(routed.address, wire::CALL, &call);
-        let sent = match tokio::time::timeout_at(self.req.stage.deadline.into(), sending).await {
-            Ok(sent) => sent,
-            Err(_) => return Err(Refusal::Late { ran: wire::Ran::Unknown }),
-        };
-        match sent {
-            Ok(source) => self.live = Some(Live { source, routed }),
-            Err(peer::pool::Failure::Unsent(err)) => {
-                log::info!("not sent req={} server={}: {err}", self.req.id, routed.server);
-                routed.report(core::Outcome::Unreachable);
-                self.retry(Lost::NotRun)?;
+        let failure = match tokio::time::timeout_at(until.into(), sending).await {
+            Ok(Ok(source)) => {
+                self.live = Some(Live { source, routed });
+                return Ok(());
             }
-            Err(peer::pool::Failure::Sent(err)) => {
-                log::info!("lost req={} server={}: {err}", self.req.id, routed.server);
+            Err(_) if time::Instant::now() >= deadline => {
+                return Err(Refusal::Late { ran: wire::Ran::Unknown });
+            }
+            Err(_) => {
+                log::info!("silent req={} server={}", self.req.id, routed.server());
+                Failure::Lost
+            }
+            Ok(Err(peer::pool::Failure::Unsent(err))) => {
+                log::info!("not sent req={} server={}: {err}", self.req.id, routed.server());
+                Failure::Unsent
+            }
+            Ok(Err(peer::pool::Failure::Sent(err))) => {
+                log::info!("lost req={} server={}: {err}", self.req.id, routed.server());
+                Failure::Lost
+            }
+        };
+        self.tried.push(routed.server().clone());
+        match failure {
+            Failure::Unsent => routed.report(Outcome::Unreachable),
+            _ => {
                 self.front.pool.forget(routed.address);
-                routed.report(core::Outcome::Broken);
-                self.retry(Lost::Unknown)?;
+                routed.report(Outcome::Broken);
             }
         }
-        Ok(())
-    }
-
-    /// Waits for room: a request that may have run goes on until its deadline,
-    /// since giving up would cut an answer that the caller has begun to get.
-    async fn pause(&mut self) -> Result<(), Refusal> {
-        self.tried.clear();
-        let until = (time::Instant::now() + PAUSE).min(self.req.stage.deadline);
-        tokio::time::sleep_until(until.into()).await;
-        match time::Instant::now() >= self.req.stage.deadline {
-            true => Err(Refusal::Late { ran: self.ran }),
-            false => Ok(()),
-        }
+        self.again(failure)
     }
 
-    async fn route(&self) -> Result<core::Routed, Refusal> {
+    async fn route(&self) -> Result<routed::Routed, Refusal> {
         let (tx, rx) = oneshot::channel();
         let stage = &self.req.stage;
-        let ask = core::Ask {
+        let ask = event::Ask {
             id: self.req.id,
             service: stage.service.clone(),
             workspace: stage.workspace.clone(),
             priority: stage.priority,
+            arrived: self.req.arrived,
             deadline: stage.deadline,
-            prefix: stage.prefix,
-            tokens: stage.tokens,
+            prefix: stage.prefix.clone(),
+            tokens: u64::from(stage.tokens).saturating_sub(self.collect.events()),
             tried: self.tried.clone(),
+            turn: self.turn,
             tx,
         };
-        let gone = Refusal::Unavailable { after: time::Duration::from_secs(1) };
+        let gone = Refusal::Unavailable { after: AFTER };
         self.front.events.send(Event::Route(Box::new(ask))).map_err(|_| gone.clone())?;
         match tokio::time::timeout_at(stage.deadline.into(), rx).await {
-            Ok(Ok(Ok(to))) => Ok(core::Routed::new(to, self.front.events.clone())),
+            Ok(Ok(Ok(to))) => {
+                Ok(routed::Routed::new(to, &stage.service, self.front.events.clone()))
+            }
             Ok(Ok(Err(refusal))) => Err(refusal),
             Ok(Err(_)) => Err(gone),
             Err(_) => Err(Refusal::Late { ran: wire::Ran::No }),
         }
     }
 
-    fn call(&self, routed: &core::Routed) -> wire::Call {
+    fn call(&self, routed: &routed::Routed) -> wire::Call {
         let stage = &self.req.stage;
         let left = stage.deadline.saturating_duration_since(time::Instant::now());
         let hop = |h: &&wire::Header| !HOP_HEADERS.contains(&h.name.as_str()) && h.name != "host";
         wire::Call {
             id: self.req.id,
             attempt: self.attempt,
-            server: routed.server.clone(),
+            server: routed.server().clone(),
             service: stage.service.clone(),
             workspace: stage.workspace.clone(),
             priority: stage.priority,
@@ -263,38 +267,34 @@
     fn take(&mut self, reply: wire::Reply) -> Result<Option<Step>, Refusal> {
         match reply {
             wire::Reply::Refused { why, retry_after_ms, load, version } => {
-                let after = time::Duration::from_millis(retry_after_ms);
+                self.after = time::Duration::from_millis(retry_after_ms);
                 self.heard(version);
-                self.end(core::Outcome::Refused { why, after, load, version });
-                self.retry(Lost::NotRun)?;
+                self.refused(why, load)?;
                 Ok(None)
             }
             wire::Reply::Admitted { load, version } => {
                 self.heard(version);
-                self.tell(core::Outcome::Admitted { load, version });
+                self.tell(Outcome::Admitted { load });
                 Ok(None)
             }
             wire::Reply::Alive { load } => {
-                self.tell(core::Outcome::Alive { load });
+                self.tell(Outcome::Alive { load });
                 Ok(None)
             }
             wire::Reply::Head { status, headers } => self.begin(status, headers),
             reply @ wire::Reply::Piece { .. } => self.gather(reply),
             wire::Reply::End { load, .. } => {
-                self.tell(core::Outcome::Alive { load });
+                self.tell(Outcome::Alive { load });
                 let step = self.gather(reply)?;
                 if self.whole {
-                    self.end(core::Outcome::Finished { load });
+                    self.end(Outcome::Finished { load });
                 }
                 Ok(step)
             }
             wire::Reply::Broken { ran, problem, load } => {
                 log::info!("backend server broke off req={}: {problem}", self.req.id);
-                self.tell(core::Outcome::Alive { load });
-                self.lose(match ran {
-                    wire::Ran::No => Lost::NotRun,
-                    wire::Ran::Yes | wire::Ran::Unknown => Lost::Unknown,
-                })?;
+                self.tell(Outcome::Alive { load });
+                self.lose(Failure::Broken(ran))?;
                 Ok(None)
             }
         }
@@ -308,11 +308,14 @@
     ) -> Result<Option<Step>, Refusal> {
         headers.retain(|h| !HOP_HEADERS.contains(&h.name.as_str()));
         let head = Head { status, headers };
-        let again = self.req.stage.repeatable && self.losses + 1 < ATTEMPTS;
-        match self.head.as_ref().filter(|first| first.streamed()) {
-            Some(first) if first.same(&head) => Ok(None),
-            Some(_) => self.lose(Lost::Unknown).map(|()| None),
-            None if head.failed() && again => self.lose(Lost::Unknown).map(|()| None),
+        let first = self.head.as_ref().filter(|first| first.streamed());
+        match first.map(|first| first.same(&head)) {
+            Some(true) => Ok(None),
+            Some(false) => self.lose(Failure::Broken(wire::Ran::Yes)).map(|()| None),
+            None if head.failed() && self.again(Failure::Broken(wire::Ran::Yes)).is_ok() => {
+                self.drop_live();
+                Ok(None)
+            }
             None => {
                 self.collect = Collect::new(self.req.id, self.attempt);
                 self.head = Some(head.clone());
@@ -332,11 +335,8 @@
             }
             collect::Step::Spoilt(problem) => {
                 log::error!("answer does not add up req={} problem={problem:?}", self.req.id);
-                self.lose(Lost::Unknown)?;
-                match problem.resumable() {
-                    true => Ok(None),
-                    false => Err(Refusal::Broken { ran: wire::Ran::Unknown }),
-                }
+                self.lose(Failure::Spoilt(problem))?;
+                Ok(None)
             }
         }
     }
@@ -351,38 +351,58 @@
         }
     }
 
-    fn tell(&self, outcome: core::Outcome) {
+    fn tell(&self, outcome: Outcome) {
         if let Some(live) = &self.live {
             live.routed.tell(outcome);
         }
     }
 
-    fn end(&mut self, outcome: core::Outcome) {
+    fn end(&mut self, outcome: Outcome) {
         if let Some(live) = self.live.take() {
             live.routed.report(outcome);
         }
     }
 
-    fn lose(&mut self, lost: Lost) -> Result<(), Refusal> {
-        self.end(core::Outcome::Broken);
-        self.retry(lost)
+    /// Notes that the live attempt was refused.
+    fn refused(&mut self, why: wire::Refusal, load: wire::Load) -> Result<(), Refusal> {
+        let ahead = self.live.as_ref().map_or(0, |live| live.routed.ticket.ahead);
+        self.turn = match self.turn {
+            scheduler::Turn::Begun => scheduler::Turn::Begun,
+            _ => scheduler::Turn::Again { ahead },
+        };
+        if let (Some(live), true) = (&self.live, why != wire::Refusal::Full) {
+            self.tried.push(live.routed.server().clone());
+        }
+        self.end(Outcome::Refused { why, after: self.after, load });
+        self.again(Failure::Refused(why))
     }
 
-    /// Whether another attempt may be made after one was lost.
-    fn retry(&mut self, lost: Lost) -> Result<(), Refusal> {
-        if let Lost::Unknown = lost {
-            self.ran = wire::Ran::Unknown;
-            self.losses += 1;
+    /// Gives up the live attempt; another may be made elsewhere.
+    fn lose(&mut self, failure: Failure) -> Result<(), Refusal> {
+        self.drop_live();
+        self.again(failure)
+    }
+
+    fn drop_live(&mut self) {
+        if let Some(live) = &self.live {
+            self.tried = vec![live.routed.server().clone()];
         }
-        match lost {
-            Lost::Unknown if !self.req.stage.repeatable => {
-                Err(Refusal::Broken { ran: wire::Ran::Unknown })
-            }
-            Lost::NotRun if self.ran != wire::Ran::No => Ok(()),
-            Lost::Unknown if self.losses < ATTEMPTS => Ok(()),
-            Lost::NotRun if self.attempt < ATTEMPTS => Ok(()),
-            Lost::NotRun => Err(Refusal::Unavailable { after: time::Duration::from_secs(1) }),
-            Lost::Unknown => Err(Refusal::Broken { ran: wire::Ran::Unknown }),
+        self.end(Outcome::Broken);
+    }
+
+    /// Whether another attempt may be made after `failure`.
+    fn again(&mut self, failure: Failure) -> Result<(), Refusal> {
+        let left = self.req.stage.deadline.saturating_duration_since(time::Instant::now());
+        let (retry, collect) = (&mut self.retry, &self.collect);
+        let judge = |budget: &mut _, now| retry.judge(failure, collect, left, budget, now);
+        let verdict = self.front.budget(&self.req.stage.service, judge);
+        if self.retry.ran() != wire::Ran::No {
+            self.turn = scheduler::Turn::Begun;
+        }
+        match verdict {
+            Verdict::Stop(wire::Ran::No) => Err(Refusal::Unavailable { after: self.after }),
+            Verdict::Stop(ran) => Err(Refusal::Broken { ran }),
+            _ => Ok(()),
         }
     }
 }
--- a/src/metrics/entry.rs
+++ b/src/metrics/entry.rs
@@ -17,6 +17,8 @@
     pub(super) duration: HistogramVec,
     refusals: IntCounterVec,
     attempts: IntCounterVec,
+    queued: IntGauge,
+    placements: IntCounterVec,
 }
 
 impl Entry {
@@ -50,6 +52,12 @@
                 "Attempts at backend servers, by outcome.",
                 &["outcome"],
             ),
+            queued: page.gauge("requests_queued", "Requests that wait for a backend server."),
+            placements: page.counter(
+                "placements_total",
+                "Requests sent to a backend server, by why to that one.",
+                &["why"],
+            ),
             page,
         }
     }
@@ -64,6 +72,16 @@
         self.refusals.with_label_values(&[reason]).inc();
     }
 
+    /// Shows how many requests wait for a backend server.
+    pub fn queued(&self, requests: usize) {
+        self.queued.set(requests as i64);
+    }
+
+    /// Counts a request that is sent to a backend server.
+    pub fn placed(&self, why: &str) {
+        self.placements.with_label_values(&[why]).inc();
+    }
+
     /// Counts an attempt at a backend server.
     pub fn attempt(&self, outcome: &str) {
         self.attempts.with_label_values(&[outcome]).inc();
--- a/src/policy/candidate.rs
+++ b/src/policy/candidate.rs
@@ -14,6 +14,8 @@
 /// Longest time until a full server is asked again while requests wait. Short,
 /// so that an entry with few answers to learn from gets its share of free slots.
 const ASK_AGAIN: time::Duration = time::Duration::from_millis(50);
+/// Silence after which the pace counts no more, so that a server thought slow is tried again.
+const PACE_KEPT: time::Duration = time::Duration::from_secs(10);
 /// Weight of a new sample of the pace.
 const PACE_ALPHA: f64 = 0.2;
 
@@ -98,6 +100,12 @@
         self.pace = Some(self.pace.map_or(least, |pace| pace.max(least)));
     }
 
+    /// Seconds a token of cost takes there; `None` if that is not known or long ago.
+    pub fn known_pace(&self, now: time::Duration) -> Option<f64> {
+        let recent = self.age(now).is_none_or(|age| age < PACE_KEPT);
+        self.pace.filter(|_| recent)
+    }
+
     /// Whether its last report is so old that it may be asked although it seemed full.
     pub fn worth_asking(&self, now: time::Duration) -> bool {
         now >= self.asked_again && self.since <= 0
--- a/src/policy/collect.rs
+++ b/src/policy/collect.rs
@@ -121,6 +121,11 @@
         self.whole
     }
 
+    /// Events that the caller has.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
     /// Bytes that the caller has.
     pub fn bytes(&self) -> u64 {
         self.bytes
--- a/src/policy/decision.rs
+++ b/src/policy/decision.rs
@@ -22,6 +22,19 @@
     Probe,
 }
 
+impl Why {
+    /// Its label in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Prefix => "prefix",
+            Self::Home => "home",
+            Self::LeastLoad => "least-load",
+            Self::Widened => "widened",
+            Self::Probe => "probe",
+        }
+    }
+}
+
 /// Why no server was chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/src/policy/eject.rs
+++ b/src/policy/eject.rs
@@ -6,11 +6,11 @@
 
 /// Failures in a row that eject a server.
 const FAILURES: u32 = 5;
-/// First ejection; each further one lasts twice as long, up to [`LONGEST`].
+/// First ejection. One failure after it ejects again, for twice as long, up to [`LONGEST`].
 const FIRST: time::Duration = time::Duration::from_secs(2);
 /// Longest ejection.
 const LONGEST: time::Duration = time::Duration::from_secs(60);
-/// Most servers ejected at once, as a part of all.
+/// Most servers ejected at once, as a part of all; of two or more, at least one.
 const PART: usize = 3;
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -44,12 +44,15 @@
         server: &name::Server,
         now: time::Duration,
     ) {
+        if ejected(roster, server, now) {
+            return;
+        }
         let record = self.records.entry(server.clone()).or_default();
         record.failures += 1;
         let due = record.failures >= FAILURES;
         if due && room(roster, server, now) {
             let lasts = FIRST * 2u32.saturating_pow(record.ejections.min(16));
-            record.failures = 0;
+            record.failures = FAILURES - 1;
             record.ejections += 1;
             roster.eject(server, Some(now + lasts.min(LONGEST)));
         }
@@ -64,5 +67,10 @@
         .filter(|candidate| candidate.server != *server)
         .filter(|candidate| candidate.ejected.is_some_and(|until| until > now))
         .count();
-    ejected < all / PART
+    ejected < (all / PART).max(usize::from(all > 1))
+}
+
+fn ejected(roster: &roster::Roster, server: &name::Server, now: time::Duration) -> bool {
+    let until = roster.get(server).and_then(|candidate| candidate.ejected);
+    until.is_some_and(|until| until > now)
 }
--- a/src/policy/fair.rs
+++ b/src/policy/fair.rs
@@ -90,6 +90,12 @@
         }
     }
 
+    /// Sets other bounds; what is queued beyond them stays.
+    pub fn bound(&mut self, limit: usize, floor_percent: u32) {
+        self.limit = limit;
+        self.floor_percent = u64::from(floor_percent.min(100));
+    }
+
     /// Requests queued.
     pub fn len(&self) -> usize {
         self.resumed.len() + self.interactive.len + self.batch.len
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -18,4 +18,5 @@
 pub mod retry;
 pub mod roster;
 pub mod route;
+pub mod scheduler;
 pub mod subset;
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -7,7 +7,7 @@
     wire,
 };
 
-/// Attempts of one request, however they end.
+/// Attempts of one request; refused ones do not count once it has begun.
 const ATTEMPTS: u32 = 8;
 /// Time that a further attempt needs at least.
 const WORTHWHILE: time::Duration = time::Duration::from_millis(20);
@@ -80,6 +80,7 @@
             Failure::Refused(wire::Refusal::TooLate) => Verdict::Stop(self.ran),
             Failure::Refused(wire::Refusal::Full) => Verdict::Requeue,
             _ if ran != wire::Ran::No && !self.repeatable => Verdict::Stop(self.ran),
+            Failure::Refused(_) | Failure::Unsent if self.ran != wire::Ran::No => again(collected),
             _ if self.attempts >= ATTEMPTS => Verdict::Stop(self.ran),
             Failure::Refused(_) => again(collected),
             _ if !budget.retry(now) => Verdict::Stop(self.ran),
--- a/src/policy/route.rs
+++ b/src/policy/route.rs
@@ -69,8 +69,8 @@
     let home = home(&eligible, req.prefix);
     let known = |candidate: &&candidate::Candidate| candidate.member || is(home, candidate);
     let free: Vec<_> = eligible.iter().copied().filter(|candidate| candidate.free()).collect();
-    let mean = pace(&eligible);
-    let in_time = |candidate: &&candidate::Candidate| in_time(candidate, mean, req);
+    let mean = pace(&eligible, now);
+    let in_time = |candidate: &&candidate::Candidate| in_time(candidate, mean, req, now);
     let near: Vec<_> = free.iter().copied().filter(known).filter(in_time).collect();
     let far: Vec<_> = free.iter().copied().filter(in_time).collect();
     let asked = || eligible.iter().copied().filter(known).filter(|c| c.worth_asking(now));
@@ -93,16 +93,21 @@
 }
 
 /// Mean pace of the servers that have answered, in seconds a token.
-fn pace(eligible: &[&candidate::Candidate]) -> Option<f64> {
-    let known = eligible.iter().filter_map(|candidate| candidate.pace);
+fn pace(eligible: &[&candidate::Candidate], now: time::Duration) -> Option<f64> {
+    let known = eligible.iter().filter_map(|candidate| candidate.known_pace(now));
     let (sum, count) = known.fold((0.0, 0u32), |(sum, count), pace| (sum + pace, count + 1));
     (count > 0).then(|| sum / f64::from(count))
 }
 
 /// Whether `candidate` is thought to answer before the deadline.
-fn in_time(candidate: &candidate::Candidate, mean: Option<f64>, req: &Request<'_>) -> bool {
+fn in_time(
+    candidate: &candidate::Candidate,
+    mean: Option<f64>,
+    req: &Request<'_>,
+    now: time::Duration,
+) -> bool {
     let cold = mean.filter(|_| !candidate.warm()).map(|mean| mean * COLD_PACE);
-    let pace = candidate.pace.into_iter().chain(cold).reduce(f64::max);
+    let pace = candidate.known_pace(now).into_iter().chain(cold).reduce(f64::max);
     pace.is_none_or(|pace| pace * SPARE * req.tokens as f64 <= req.left.as_secs_f64())
 }
 
