--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -7,7 +7,7 @@
     wire,
 };
 
-/// Attempts of one request; refused ones do not count once it has begun.
+/// Attempts of one request. A full server's refusals do not count, nor any once it has begun.
 const ATTEMPTS: u32 = 8;
 /// Time that a further attempt needs at least.
 const WORTHWHILE: time::Duration = time::Duration::from_millis(20);
@@ -71,7 +71,7 @@
         budget: &mut budget::Budget,
         now: time::Duration,
     ) -> Verdict {
-        self.attempts += 1;
+        self.attempts += u32::from(failure != Failure::Refused(wire::Refusal::Full));
         let ran = ran(failure);
         self.ran = worse(self.ran, ran);
         let spoilt = matches!(failure, Failure::Spoilt(problem) if !problem.resumable());
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -103,6 +103,27 @@
     assert_eq!(verdicts.filter(|verdict| *verdict == retry::Verdict::Elsewhere).count(), 7);
 }
 
+#[test]
+fn full_free() {
+    let mut bench = Bench::new(true);
+    for _ in 0..20 {
+        assert_eq!(bench.judge(refused(wire::Refusal::Full)), retry::Verdict::Requeue);
+    }
+    let verdict = bench.judge(LOST);
+    assert_eq!(verdict, retry::Verdict::Elsewhere, "waiting for a slot uses up no attempt");
+}
+
+#[test]
+fn begun_goes_on() {
+    let mut bench = Bench::new(true);
+    bench.got(2, b"data: a\n\ndata: b\n\n");
+    let resume = retry::Verdict::Resume(wire::Resume { events: 2, bytes: 18 });
+    assert_eq!(bench.judge(LOST), resume);
+    for _ in 0..20 {
+        assert_eq!(bench.judge(refused(wire::Refusal::Leaving)), resume);
+    }
+}
+
 #[test]
 fn budget_stops() {
     let mut bench = Bench::new(true);
@@ -160,6 +181,27 @@
     assert_eq!(eligible(&roster, NOW), 12);
 }
 
+#[test]
+fn one_of_two() {
+    let (mut roster, mut eject) = (roster(2), eject::Eject::new());
+    for _ in 0..10 {
+        (0..2).for_each(|at| eject.failed(&mut roster, &server(at), NOW));
+    }
+    assert_eq!(eligible(&roster, NOW), 1, "one is ejected, the other is kept");
+}
+
+#[test]
+fn burst_ejects_once() {
+    let (mut roster, mut eject) = (roster(12), eject::Eject::new());
+    (0..50).for_each(|_| eject.failed(&mut roster, &server(3), NOW));
+    let later = NOW + time::Duration::from_secs(3);
+    assert_eq!(eligible(&roster, later), 12, "what broke with it does not eject it for longer");
+    eject.failed(&mut roster, &server(3), later);
+    assert_eq!(eligible(&roster, later), 11, "one failure after its return is enough");
+    let longer = later + time::Duration::from_secs(3);
+    assert_eq!(eligible(&roster, longer), 11, "and lasts longer");
+}
+
 #[test]
 fn floor_kept() {
     let (mut roster, mut eject) = (roster(12), eject::Eject::new());
