--- a/measure/routing/server.rs
+++ b/measure/routing/server.rs
@@ -144,6 +144,7 @@
     pub fn load(&self) -> wire::Load {
         let in_flight = self.runs.len() as u32;
         match self.gated {
+            true if self.back.is_some() => wire::Load { limit: 0, ..self.gate.load() },
             true => self.gate.load(),
             false => wire::Load { in_flight, limit: u32::MAX, warm: true, ..wire::Load::default() },
         }
--- a/src/policy/candidate.rs
+++ b/src/policy/candidate.rs
@@ -14,6 +14,8 @@
 /// Longest time until a full server is asked again while requests wait. Short,
 /// so that an entry with few answers to learn from gets its share of free slots.
 const ASK_AGAIN: time::Duration = time::Duration::from_millis(50);
+/// Age at which a report of a full server is forgotten.
+const FULL_KEPT: time::Duration = time::Duration::from_secs(2);
 /// Silence after which the pace counts no more, so that a server thought slow is tried again.
 const PACE_KEPT: time::Duration = time::Duration::from_secs(10);
 /// Weight of a new sample of the pace.
@@ -81,6 +83,20 @@
         self.tokens_since = 0;
     }
 
+    /// Takes it for as unheard if it had no room by an old report: nothing else
+    /// would bring a newer one while other servers have room.
+    pub fn refresh(&mut self, now: time::Duration) {
+        let old = self.age(now).is_some_and(|age| age >= FULL_KEPT);
+        match &mut self.load {
+            Some(load) if old && self.own == 0 && load.in_flight >= load.limit => {
+                load.in_flight = 0;
+                load.limit = gate::COLD_LIMIT;
+                load.warm = false;
+            }
+            _ => {}
+        }
+    }
+
     /// Notes that it refused and named a time to come back.
     pub fn refused(&mut self, load: &wire::Load, retry_after: time::Duration, now: time::Duration) {
         self.report(load, now);
--- a/src/policy/roster.rs
+++ b/src/policy/roster.rs
@@ -61,6 +61,11 @@
         self.change(server, |candidate| candidate.refused(load, retry_after, now));
     }
 
+    /// Forgets old reports by which a server has no room.
+    pub fn refresh(&mut self, now: time::Duration) {
+        self.candidates.values_mut().for_each(|candidate| candidate.refresh(now));
+    }
+
     /// Notes that a prompt with these prefixes was sent to `server`.
     pub fn cached(&mut self, server: &name::Server, chain: &prefix::Chain, now: time::Duration) {
         self.change(server, |candidate| candidate.cache.sent(chain, now));
--- a/src/policy/scheduler.rs
+++ b/src/policy/scheduler.rs
@@ -187,6 +187,7 @@
 
     /// Queues `job`; gives a request that is given up on for it.
     pub fn push(&mut self, job: Job<T>, now: time::Duration) -> Option<Refused<T>> {
+        self.roster.refresh(now);
         let Job { weight, turn, .. } = job;
         let mut item = item(job, now);
         match turn {
@@ -301,8 +302,11 @@
         self.ended(ticket);
         self.roster.refused(&ticket.server, load, retry_after, now);
         match why {
-            wire::Refusal::Unreachable | wire::Refusal::WrongServer => self.fault(ticket, now),
-            wire::Refusal::Full | wire::Refusal::Leaving | wire::Refusal::TooLate => {}
+            wire::Refusal::WrongServer => self.fault(ticket, now),
+            wire::Refusal::Unreachable
+            | wire::Refusal::Full
+            | wire::Refusal::Leaving
+            | wire::Refusal::TooLate => {}
         }
     }
 
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -28,6 +28,7 @@
 mod replays;
 mod retries;
 mod routes;
+mod scheduling;
 mod shutdown;
 mod site;
 mod streams;
