--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -135,14 +135,16 @@
     pub body: Vec<u8>,
     /// Whether the body broke off before its end.
     pub cut: bool,
+    /// Why no answer came, as the transport says it.
+    pub fault: String,
 }
 
 impl fmt::Debug for Answer {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (Self { status, ran, retry_after, cut, .. }, len) = (self, self.body.len());
+        let (Self { status, ran, retry_after, cut, fault, .. }, len) = (self, self.body.len());
         let text = self.text();
         let head: String = text.chars().take(200).collect();
-        write!(f, "{status} ran={ran} retry_after={retry_after:?} cut={cut} {len} bytes: {head}")
+        write!(f, "{status} ran={ran} retry_after={retry_after:?} cut={cut} {len} bytes: {head}{fault}")
     }
 }
 
@@ -195,8 +197,9 @@
         status: 0,
         ran: String::new(),
         retry_after: None,
-        body: err.to_string().into_bytes(),
+        body: Vec::new(),
         cut: true,
+        fault: err.to_string(),
     };
     let res = match agent.run(req.body(body.to_owned()).unwrap()) {
         Ok(res) => res,
@@ -210,7 +213,7 @@
     let retry_after = header("retry-after").parse().ok();
     let mut body = Vec::new();
     let cut = res.into_body().into_reader().read_to_end(&mut body).is_err();
-    Answer { status, ran, retry_after, body, cut }
+    Answer { status, ran, retry_after, body, cut, fault: String::new() }
 }
 
 /// Looks until `seen` gives something.
