--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -238,6 +238,7 @@
 fn prefix_stays() {
     let site = Site::start(&ENGINES);
     warm(&site);
+    let mut used = std::collections::BTreeSet::new();
     for story in 0..6 {
         let prompt = format!("story {story} ").repeat(200);
         let before = totals(&site);
@@ -247,7 +248,9 @@
         let grown: Vec<_> =
             totals(&site).iter().zip(&before).map(|(now, then)| now - then).collect();
         assert_eq!(grown.iter().filter(|grown| **grown > 0).count(), 1, "{grown:?}");
+        used.insert(grown);
     }
+    assert!(used.len() > 1, "all prefixes are at one engine: {used:?}");
     let dump = site.entries[0].dump().unwrap();
     let recent = dump["services"]["writer"]["recent"].as_array().unwrap();
     let why =
