--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -6,7 +6,7 @@
 const ALPHA: f64 = 0.05;
 /// Part of a request's time that it may wait in the queue; a longer queue
 /// would only make every answer later, not answer more.
-const WAIT_PART: f64 = 0.5;
+const WAIT_PART: f64 = 0.25;
 /// Deviations over the mean that a request's own time is reckoned at.
 const MARGIN: f64 = 1.0;
 /// Least wait named to a caller that was refused.
