--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -23,9 +23,6 @@
 /// Longest silence of a sidecar before a repeatable call goes elsewhere.
 const SILENCE: time::Duration = time::Duration::from_secs(2);
 
-/// Longest time for a sidecar to take the stream of a repeatable call.
-const SENDING: time::Duration = time::Duration::from_secs(4);
-
 /// Wait named to a caller when nothing better is known.
 const AFTER: time::Duration = time::Duration::from_secs(1);
 
@@ -139,14 +136,11 @@
             if self.whole {
                 return Ok(Step::End);
             }
+            let wait = self.patience();
             let Some(live) = self.live.as_mut() else {
                 self.start().await?;
                 continue;
             };
-            let wait = self.req.stage.deadline.min(match self.req.stage.repeatable {
-                true => time::Instant::now() + SILENCE,
-                false => self.req.stage.deadline,
-            });
             let reply = match tokio::time::timeout_at(wait.into(), live.source.next()).await {
                 Ok(Ok(Some(reply))) => reply,
                 Err(_) if time::Instant::now() >= self.req.stage.deadline => {
@@ -169,29 +163,25 @@
         self.attempt += 1;
         self.collect.next(self.attempt);
         let call = self.call(&routed);
-        let deadline = self.req.stage.deadline;
-        let until = deadline.min(match self.req.stage.repeatable {
-            true => time::Instant::now() + SENDING,
-            false => deadline,
-        });
         let sending = self.front.pool.exchange(routed.address, wire::CALL, &call);
-        let failure = match tokio::time::timeout_at(until.into(), sending).await {
-            Ok(Ok(source)) => {
-                self.live = Some(Live { source, routed });
-                return Ok(());
-            }
-            Err(_) if time::Instant::now() >= deadline => {
+        let wait = self.patience();
+        let sent = match tokio::time::timeout_at(wait.into(), sending).await {
+            Ok(sent) => sent,
+            Err(_) if time::Instant::now() >= self.req.stage.deadline => {
                 return Err(Refusal::Late { ran: wire::Ran::Unknown });
             }
-            Err(_) => {
-                log::info!("silent req={} server={}", self.req.id, routed.server());
-                Failure::Lost
+            Err(_) => Err(peer::pool::Failure::silent(routed.address)),
+        };
+        let failure = match sent {
+            Ok(source) => {
+                self.live = Some(Live { source, routed });
+                return Ok(());
             }
-            Ok(Err(peer::pool::Failure::Unsent(err))) => {
+            Err(peer::pool::Failure::Unsent(err)) => {
                 log::info!("not sent req={} server={}: {err}", self.req.id, routed.server());
                 Failure::Unsent
             }
-            Ok(Err(peer::pool::Failure::Sent(err))) => {
+            Err(peer::pool::Failure::Sent(err)) => {
                 log::info!("lost req={} server={}: {err}", self.req.id, routed.server());
                 Failure::Lost
             }
@@ -263,6 +253,15 @@
         if begun { self.collect.resume() } else { None }
     }
 
+    /// Until when a sidecar that says nothing is waited for.
+    fn patience(&self) -> time::Instant {
+        let stage = &self.req.stage;
+        match stage.repeatable {
+            true => stage.deadline.min(time::Instant::now() + SILENCE),
+            false => stage.deadline,
+        }
+    }
+
     /// Takes one frame of the live attempt.
     fn take(&mut self, reply: wire::Reply) -> Result<Option<Step>, Refusal> {
         match reply {
--- a/tests/deaths.rs
+++ b/tests/deaths.rs
@@ -90,6 +90,26 @@
     assert_eq!(answer.body, site.right("sofa", TOKENS));
 }
 
+#[test]
+fn engine_stopped() {
+    let mut site = Site::start(&PLAN);
+    let answer = harmed(&mut site, |site, engine| site.engines[engine].signal("STOP"));
+    assert!(answer.whole(), "{answer:?}");
+    assert_eq!(answer.body, site.right("sofa", TOKENS));
+}
+
+#[test]
+fn sidecar_stopped() {
+    let site = Site::start(&PLAN);
+    let warm: Vec<_> = (0..8).map(|at| site.stream(0, &format!("warm {at}"), 1)).collect();
+    assert!(warm.iter().all(processes::Answer::whole), "{warm:?}");
+    site.sidecars[0].process.signal("STOP");
+    for at in 0..4 {
+        let answer = site.stream(0, &format!("sofa {at}"), 4);
+        assert!(answer.whole(), "{answer:?}");
+    }
+}
+
 #[test]
 fn entry_killed() {
     let mut site = Site::start(&PLAN);
@@ -141,3 +161,16 @@
     processes::until("the engine is told", || (site.sum("cancelled") == 1).then_some(()));
     assert_eq!(site.sum("in_flight"), 0);
 }
+
+#[test]
+fn may_have_run() {
+    let mut site =
+        Site::start(&Plan { engines: 0, plains: 1, plain: &["--delay-ms", "30000"], ..PLAN });
+    let at = site.entries[0].process.at;
+    let headers = [("Workspace", "w"), ("Deadline-Ms", "6000")];
+    let caller = thread::spawn(move || processes::get(at, "/ledger/", &headers));
+    processes::until("it runs", || (site.plains[0].counts()["total"] == 1).then_some(()));
+    site.plains[0].kill();
+    let answer = caller.join().unwrap();
+    assert_eq!(answer.ran, "unknown", "{answer:?}");
+}
