Ask for a newer version until it is here, and show the race's loser what is in force

Cause: a process that heard of a newer version asked once and then only when another message happened to tell it again; a request or answer lost left it behind until the next contact. Of two texts ordered at one process the second silently replaced the first, since its base was read from the row after the first had been committed. The difference shown was by lines without their places. A request for the configuration was answered in full even to one that has it.

Ruled out: a poll brought forward on each request, which would turn each change into reads of the whole site.

Change: agree/newer.rs keeps the newest version heard of and repeats the request, after 0.5 s to 2 s, to the teller and to another; the base of a text is the version in force where the order came in; the difference is key by key from what is in force, by lines only where a text does not parse; only an older process is sent the document.

Before: asks_until_known, race_at_one_process, race_over_places and document_to_older_only failed. After: they pass with the other tests of the agreement and its fuzz.

--- a/src/agree/change.rs
+++ b/src/agree/change.rs
@@ -11,7 +11,7 @@
         record::{self, Op, Record, Target},
         store::Unavailable,
     },
-    name, platform,
+    config, name, platform,
 };
 
 /// What an operator orders.
@@ -49,7 +49,7 @@
     Conflict {
         /// Version now in the table.
         version: u64,
-        /// Lines that are there and not in the operator's text (`-`), and the reverse (`+`).
+        /// What the operator's text would change in it.
         difference: Vec<String>,
         /// What to do.
         remedy: String,
@@ -79,7 +79,7 @@
     pub order: Order,
     /// Orders to take out that an order to bring back overrides.
     pub overridden: Vec<Op>,
-    /// Version first read; changes after it may conflict.
+    /// Version in force when the order came; changes after it may conflict.
     pub base: Option<u64>,
 }
 
@@ -254,8 +254,18 @@
     }
 }
 
-/// Lines of `old` that `new` has not (`-`), and the reverse (`+`).
+/// What `new` would change in `old`, key by key; line by line if either does not parse.
 pub fn difference(old: &str, new: &str) -> Vec<String> {
+    match (config::parse(old), config::parse(new)) {
+        (Ok(old), Ok(new)) => {
+            let found = config::diff(&old, &new);
+            found.iter().map(ToString::to_string).collect()
+        }
+        _ => lines(old, new),
+    }
+}
+
+fn lines(old: &str, new: &str) -> Vec<String> {
     let gone = old.lines().filter(|line| !new.lines().any(|other| other == *line));
     let come = new.lines().filter(|line| !old.lines().any(|other| other == *line));
     let gone = gone.map(|line| format!("- {line}"));
--- a/src/agree/mod.rs
+++ b/src/agree/mod.rs
@@ -11,6 +11,7 @@
 pub mod event;
 pub mod guard;
 pub mod lease;
+pub mod newer;
 pub mod node;
 pub mod overlay;
 pub mod probe;
--- a/src/agree/node.rs
+++ b/src/agree/node.rs
@@ -9,6 +9,7 @@
     agree::{
         change::{self, Job, Order, Outcome},
         desk::{Desk, Finished},
+        newer::{Newer, Whom},
         overlay::Overlay,
         probe::{self, Probes, Relay},
         record::{Effective, Op, Pending, Record, Target},
@@ -28,9 +29,6 @@
 /// Pushes of each piece of news, one a tick.
 const PUSHES: u32 = 3;
 
-/// Time until a peer that does not send the configuration is given up on.
-const WANT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
-
 /// Least time between comparisons of the roster.
 const SYNC_PERIOD: time::Duration = time::Duration::from_secs(1);
 
@@ -66,7 +64,7 @@
     poll: Pace,
     list: Pace,
     waiting: BTreeMap<Op, time::Duration>,
-    want: Option<time::Duration>,
+    newer: Newer,
     next_join: time::Duration,
     next_sync: time::Duration,
     pushes: u32,
@@ -89,7 +87,7 @@
             poll: Pace::new(first),
             list: Pace::new(first),
             waiting: BTreeMap::new(),
-            want: None,
+            newer: Newer::default(),
             next_join: now,
             next_sync: now,
             pushes: 0,
@@ -143,6 +141,7 @@
     fn tick(&mut self, now: time::Duration) {
         self.join(now);
         self.push();
+        self.ask_newer(now);
         self.roster.expire(now);
         for action in self.probes.tick(now, &mut self.roster, &mut self.rng) {
             self.probe(action);
@@ -268,7 +267,8 @@
             }
             Body::News if doubted.is_some() => self.send_with(to, Body::News, doubted),
             Body::News => {}
-            Body::Want => self.send_document(to),
+            Body::Want if digest.version < self.record.version => self.send_document(to),
+            Body::Want => {}
             Body::Document(record) => self.learn(*record),
             Body::Join => {
                 self.send_document(to);
@@ -278,7 +278,7 @@
             Body::Buckets(theirs) => self.differ(to, &theirs),
             Body::Members { members, want } => self.take_members(now, to, &members, &want),
         }
-        self.compare(now, to, digest.version);
+        self.heard(now, Some(to), digest.version);
         self.teach(to, &digest);
         self.sync(now, to, digest.roster);
     }
@@ -302,26 +302,22 @@
         }
     }
 
-    fn compare(&mut self, now: time::Duration, from: net::SocketAddr, version: u64) {
-        let asked = self.want.is_some_and(|at| now < at + WANT_TIMEOUT);
-        if version > self.record.version && !asked {
-            self.want = Some(now);
-            self.send(from, Body::Want);
-        }
+    fn heard(&mut self, now: time::Duration, from: Option<net::SocketAddr>, version: u64) {
+        self.newer.note(from, version);
+        self.ask_newer(now);
     }
 
-    fn heard(&mut self, now: time::Duration, from: Option<net::SocketAddr>, version: u64) {
-        let asked = self.want.is_some_and(|at| now < at + WANT_TIMEOUT);
-        match from {
-            _ if version <= self.record.version || asked => {}
-            Some(from) => self.compare(now, from, version),
-            None => {
-                self.want = Some(now);
-                for to in self.roster.sample(FANOUT, &mut self.rng) {
-                    self.send(to, Body::Want);
-                }
-            }
-        }
+    fn ask_newer(&mut self, now: time::Duration) {
+        let (teller, others) = match self.newer.ask(now, self.record.version) {
+            None => return,
+            Some(Whom::Teller(teller)) => (Some(teller), 0),
+            Some(Whom::Both(teller)) => (Some(teller), 1),
+            Some(Whom::Any) => (None, FANOUT),
+        };
+        let mut peers = self.roster.sample(others, &mut self.rng);
+        peers.retain(|peer| Some(*peer) != teller);
+        peers.extend(teller);
+        peers.into_iter().for_each(|to| self.send(to, Body::Want));
     }
 
     fn teach(&mut self, to: net::SocketAddr, theirs: &Digest) {
@@ -425,7 +421,11 @@
                 let job = job(op, self.me(), Order::In(target));
                 self.desk.push(now, Job { overridden, ..job });
             }
-            order => self.desk.push(now, job(op, self.me(), order)),
+            Order::Apply { .. } => {
+                let base = Some(self.record.version).filter(|version| *version > 0);
+                let job = job(op, self.me(), order);
+                self.desk.push(now, Job { base, ..job });
+            }
         }
     }
 
@@ -444,7 +444,6 @@
             return;
         }
         self.record = record;
-        self.want = None;
         self.overlay.settle(&self.record);
         self.adopt();
     }
--- a/tests/agreement.rs
+++ b/tests/agreement.rs
@@ -1,14 +1,18 @@
 //! Configuration, zones out and in, and members, under virtual time.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use knapweedford::{
     agree::change::{Order, Outcome},
-    agree::node::Input,
+    agree::node::{Input, Node, Output, TICK},
+    agree::record::Record,
     wire::gossip::{Body, Digest, Health, Message},
 };
 
-use crate::site::{Site, address, apply, host, ms, secs, zone};
+use crate::{
+    cluster,
+    site::{Site, address, apply, host, ms, secs, zone},
+};
 
 fn committed(outcome: Option<&Outcome>) -> u64 {
     match outcome {
@@ -49,10 +53,47 @@
     else {
         panic!("nobody lost: {answers:?}")
     };
-    assert_eq!(difference.len(), 2);
+    let now = &site.node(0).record().text;
+    let (won, lost) = if now.contains("left") { ("left", "right") } else { ("right", "left") };
+    assert_eq!(*difference, [format!("- {won}"), format!("+ {lost}")]);
     assert!(remedy.contains("version 2"), "{remedy}");
 }
 
+#[test]
+fn race_at_one_process() {
+    let mut site = Site::settled(6);
+    site.order(3, 2, apply("one\nleft"));
+    site.order(3, 3, apply("one\nright"));
+    site.run(secs(4));
+    assert_eq!(committed(site.answer(2)), 2);
+    let Some(Outcome::Conflict { difference, .. }) = site.answer(3) else {
+        panic!("the later text silently replaced the earlier: {:?}", site.answer(3))
+    };
+    assert_eq!(*difference, ["- left", "+ right"]);
+}
+
+#[test]
+fn race_over_places() {
+    let text = |first: &str, second: &str| {
+        cluster::TEXT.replace("zone: z1", &format!("zone: {first}")).replace(
+            "  s2: {service: ledger-app, zone: z2}",
+            &format!("  s2: {{service: ledger-app, zone: {second}}}"),
+        )
+    };
+    let mut site = Site::settled(6);
+    site.order(0, 2, apply(&text("z1", "z2")));
+    site.run(secs(2));
+    site.order(1, 3, apply(&text("z0", "z2")));
+    site.run(secs(2));
+    site.order(2, 4, Order::Apply { text: text("z1", "z0"), base: Some(2) });
+    site.run(secs(2));
+    let Some(Outcome::Conflict { difference, .. }) = site.answer(4) else { panic!("no conflict") };
+    assert_eq!(
+        *difference,
+        [r#"~ servers.s1.zone: "z0" -> "z1""#, r#"~ servers.s2.zone: "z2" -> "z0""#]
+    );
+}
+
 #[test]
 fn stale_base() {
     let mut site = Site::settled(3);
@@ -349,3 +390,62 @@
     site.run(ms(100));
     assert_eq!(site.node(5).record().version, 2);
 }
+
+/// Whom `node` asks for the configuration, and when, while it gets no answer.
+fn asked(node: &mut Node, from: Duration, time: Duration) -> Vec<(Duration, SocketAddr)> {
+    let ticks = (0..time.as_millis() / TICK.as_millis()).map(|i| from + TICK * i as u32);
+    let mut asked = Vec::new();
+    for now in ticks {
+        for output in node.handle(now, Input::Tick) {
+            match output {
+                Output::Send { to, message } if message.body == Body::Want => asked.push((now, to)),
+                _ => {}
+            }
+        }
+    }
+    asked
+}
+
+#[test]
+fn asks_until_known() {
+    let site = Site::settled(6);
+    for from in [Some(address(0)), None] {
+        let mut node = site.node(5).clone();
+        node.handle(site.now, Input::Heard { from, version: 2 });
+        let wants = asked(&mut node, site.now + ms(100), secs(10));
+        let mut times: Vec<_> = wants.iter().map(|(at, _)| *at).collect();
+        times.insert(0, site.now);
+        times.push(site.now + secs(10));
+        let gap = times.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap();
+        assert!(gap <= secs(2), "did not ask for {gap:?}");
+        assert!(from.is_none_or(|from| wants.iter().any(|(_, to)| *to == from)));
+        assert!(wants.iter().any(|(_, to)| Some(*to) != from), "asked nobody else");
+        assert!(wants.len() <= 30, "asked {} times in 10 s", wants.len());
+        let record = Record { version: 2, ..site.node(0).record().clone() };
+        let message = Message {
+            from: site.node(0).members()[0].clone(),
+            digest: Digest { version: 2, ..Digest::default() },
+            updates: Vec::new(),
+            body: Body::Document(Box::new(record)),
+        };
+        node.handle(site.now + secs(10), Input::Message(message));
+        assert!(asked(&mut node, site.now + secs(11), secs(10)).is_empty());
+    }
+}
+
+#[test]
+fn document_to_older_only() {
+    let site = Site::settled(4);
+    let want = |version| Message {
+        from: site.node(2).members()[2].clone(),
+        digest: Digest { version, ..Digest::default() },
+        updates: Vec::new(),
+        body: Body::Want,
+    };
+    let sends = |version| {
+        let outputs = site.node(1).clone().handle(site.now, Input::Message(want(version)));
+        let is_document = |output: &&Output| matches!(output, Output::Send { message, .. } if matches!(message.body, Body::Document(_)));
+        outputs.iter().filter(is_document).count()
+    };
+    assert_eq!((sends(0), sends(1)), (1, 0));
+}
