--- /dev/null
+++ b/measure/agreement/mod.rs
@@ -0,0 +1,29 @@
+//! Spread of a configuration, store traffic and control cost against the number of processes.
+
+use std::process;
+
+mod exchange;
+mod real;
+#[path = "../../tests/site.rs"]
+#[allow(dead_code)]
+mod site;
+mod table;
+mod virtual_time;
+
+/// Runs the measurement and prints its table.
+pub fn run(args: &[String]) -> process::ExitCode {
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    let res = match args[..] {
+        ["virtual"] => virtual_time::run(),
+        ["real", ref sizes @ ..] => real::run(sizes),
+        ["table"] => table::run(),
+        _ => Err(anyhow::anyhow!("Usage: measure agreement virtual|real [NODES...]|table")),
+    };
+    match res {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("measure agreement: {err:#}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
--- a/measure/capacity/mod.rs
+++ b/measure/capacity/mod.rs
@@ -3,7 +3,7 @@
 use std::process;
 
 mod data;
-mod slope;
+pub mod slope;
 
 /// Runs every measurement that the page uses, one section each.
 pub fn run(_args: &[String]) -> process::ExitCode {
--- a/measure/path/bench.rs
+++ b/measure/path/bench.rs
@@ -26,7 +26,7 @@
 const TICK_US: u64 = 10_000;
 
 /// A process that ends with its owner.
-struct Child(process::Child);
+pub struct Child(pub process::Child);
 
 impl Drop for Child {
     fn drop(&mut self) {
@@ -100,12 +100,14 @@
 
     /// What the entry has used so far.
     pub fn entry_usage(&self) -> anyhow::Result<Usage> {
-        Usage::of(&self.children[ENTRY])
+        Usage::of(self.children[ENTRY].0.id())
     }
 
     /// What the sidecar of each engine has used so far.
     pub fn sidecar_usages(&self) -> anyhow::Result<Vec<Usage>> {
-        (0..ENGINES).map(|number| Usage::of(&self.children[ENTRY + 2 * (number + 1)])).collect()
+        (0..ENGINES)
+            .map(|number| Usage::of(self.children[ENTRY + 2 * (number + 1)].0.id()))
+            .collect()
     }
 
     fn callers(&self) -> std::net::SocketAddr {
@@ -172,21 +174,29 @@
     }
 
     fn stand_in(&mut self, name: &str, args: &[&str]) -> anyhow::Result<String> {
-        let mut child = process::Command::new(program(name)?)
-            .args(args)
-            .stdout(process::Stdio::piped())
-            .spawn()
-            .with_context(|| format!("Could not start {name}; build it first."))?;
-        let out = child.stdout.take().context("no output")?;
-        self.children.push(Child(child));
-        let mut line = String::new();
-        io::BufReader::new(out).read_line(&mut line)?;
-        let address = line.trim().strip_prefix("listening ").context("no address printed")?;
-        Ok(address.into())
+        let (child, address) = stand_in(name, args)?;
+        self.children.push(child);
+        Ok(address)
     }
 }
 
-fn program(name: &str) -> anyhow::Result<path::PathBuf> {
+/// Starts a stand-in and gives the address it listens on.
+pub fn stand_in(name: &str, args: &[&str]) -> anyhow::Result<(Child, String)> {
+    let child = process::Command::new(program(name)?)
+        .args(args)
+        .stdout(process::Stdio::piped())
+        .spawn()
+        .with_context(|| format!("Could not start {name}; build it first."))?;
+    let mut child = Child(child);
+    let out = child.0.stdout.take().context("no output")?;
+    let mut line = String::new();
+    io::BufReader::new(out).read_line(&mut line)?;
+    let address = line.trim().strip_prefix("listening ").context("no address printed")?;
+    Ok((child, address.into()))
+}
+
+/// A program of this build.
+pub fn program(name: &str) -> anyhow::Result<path::PathBuf> {
     Ok(env::current_exe()?.with_file_name(name))
 }
 
@@ -200,8 +210,9 @@
 }
 
 impl Usage {
-    fn of(child: &Child) -> anyhow::Result<Self> {
-        let dir = format!("/proc/{}", child.0.id());
+    /// What process `id` has used so far.
+    pub fn of(id: u32) -> anyhow::Result<Self> {
+        let dir = format!("/proc/{id}");
         let status = fs::read_to_string(format!("{dir}/status"))?;
         let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
         let memory_kib = line.context("no VmRSS")?.trim().trim_end_matches(" kB").parse()?;
--- a/measure/path/mod.rs
+++ b/measure/path/mod.rs
@@ -119,7 +119,7 @@
 }
 
 /// Waits until `ready` gives a value, for at most ten seconds.
-fn until<T>(what: &str, mut ready: impl FnMut() -> Option<T>) -> anyhow::Result<T> {
+pub fn until<T>(what: &str, mut ready: impl FnMut() -> Option<T>) -> anyhow::Result<T> {
     for _ in 0..200 {
         match ready() {
             Some(value) => return Ok(value),
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -153,7 +153,8 @@
 #[derive(Clone, Debug)]
 enum Event {
     Tick(usize, u64),
-    Deliver(usize, gossip::Message),
+    /// To whom, what, and whether it answers on the sender's stream.
+    Deliver(usize, gossip::Message, bool),
     Store(usize, u64, store::Ask),
 }
 
@@ -162,6 +163,8 @@
 pub struct Cost {
     /// Messages sent.
     pub sent: u64,
+    /// Exchanges begun and taken, each on a connection of its own.
+    pub exchanges: u64,
     /// Bytes sent and received, frames only.
     pub bytes: u64,
     /// Time spent in the state machine; wall clock.
@@ -196,6 +199,7 @@
     pub side: Vec<u8>,
     /// Whether frames are encoded to count their bytes, and calls timed.
     pub count_cost: bool,
+    asker: Option<net::SocketAddr>,
     queue: BTreeMap<(Duration, u64), Event>,
     serial: u64,
     rng: Pcg64,
@@ -240,6 +244,7 @@
             loss: 0.0,
             side: vec![0; count],
             count_cost: false,
+            asker: None,
             queue: BTreeMap::new(),
             serial: 0,
             rng: Pcg64::seed_from_u64(11),
@@ -379,6 +384,11 @@
         let net::IpAddr::V4(ip) = to.ip() else { panic!("fake addresses are v4") };
         let target = usize::from(ip.octets()[2]) * 250 + usize::from(ip.octets()[3]);
         self.processes[i].cost.sent += 1;
+        let answers = self.asker == Some(to);
+        if !answers {
+            self.processes[i].cost.exchanges += 1;
+            self.processes[target].cost.exchanges += 1;
+        }
         if self.count_cost {
             let size = frame::encode(&message).unwrap().len() as u64;
             self.processes[i].cost.bytes += size;
@@ -388,12 +398,12 @@
             return;
         }
         let at = self.now + ms(self.rng.random_range(LATENCY_MS));
-        self.push(at, Event::Deliver(target, message));
+        self.push(at, Event::Deliver(target, message, answers));
     }
 
     fn event(&mut self, event: Event) {
         let i = match &event {
-            Event::Tick(i, _) | Event::Deliver(i, _) | Event::Store(i, _, _) => *i,
+            Event::Tick(i, _) | Event::Deliver(i, _, _) | Event::Store(i, _, _) => *i,
         };
         let paused_until = self.processes[i].paused_until;
         if self.now < paused_until {
@@ -405,7 +415,11 @@
                 self.push(self.now + node::TICK, Event::Tick(i, boot));
                 self.input(i, Input::Tick);
             }
-            Event::Deliver(_, message) => self.input(i, Input::Message(message)),
+            Event::Deliver(_, message, answers) => {
+                self.asker = (!answers).then_some(message.from.peers);
+                self.input(i, Input::Message(message));
+                self.asker = None;
+            }
             Event::Store(_, boot, ask) => {
                 let answer = store::serve(&ask, &self.platform, &self.platform);
                 if boot == self.processes[i].boot {
