--- a/src/agree/mod.rs
+++ b/src/agree/mod.rs
@@ -12,6 +12,7 @@
 pub mod event;
 pub mod guard;
 pub mod lease;
+pub mod newer;
 pub mod node;
 pub mod overlay;
 pub mod probe;
