Give a stalled caller's place back, resume behind the caller's event, bound /apply

- A caller that did not read its stream held its place at the backend server for ever: the pump waited for room with no bound.
It now waits until the request's deadline (hostile::reader_stalls).
- A stream was told to be whole by closing the channel to the HTTP library, so a task that ended early for any reason would have made a short answer look whole.
The end is now a piece of its own, whose place is reserved at the start, and anything else is a cut (found while mending the first; seen in hostile::reader_stalls, which looks for the last chunk).
- A caller that resumed by Last-Event-ID got events twice if the stream broke again: the sidecar added a second header with its own count.
It now adds up both (streams::resumed_stream_cut).
Events of model groups are numbered; another value is refused (streams::resume_refused).
- A body to /apply could arrive as slowly as it liked; it has 10 s now (hostile::slow_text).

Also: an order of unknown outcome says where its number is shown.

Ruled out: bounding the connection of a caller that never reads, which needs a transport of our own; its place at the server is free after the deadline, its connection, one of 1,024, stays until the caller closes it.

--- a/src/daemon/orders.rs
+++ b/src/daemon/orders.rs
@@ -1,5 +1,7 @@
 //! Operators' orders and questions about the agreement, as [`operators`] describes them.
 
+use std::time;
+
 use http_body_util::BodyExt;
 
 use super::agent::{Event, Link};
@@ -11,6 +13,9 @@
     config, http, operators, yaml,
 };
 
+/// Longest time for a text to arrive.
+const BODY_TIME: time::Duration = time::Duration::from_secs(10);
+
 /// Answers `req` if its path is one of the agreement's; gives it back if not.
 pub async fn handle(link: &Link, req: http::Request) -> Result<http::Response, http::Request> {
     let method = req.method().as_str().to_owned();
@@ -35,10 +40,9 @@
             return http::answer::refusal(400, "Give base as a version, such as base=12.", None);
         }
     };
-    let body = http_body_util::Limited::new(req.into_body(), config::TEXT_BYTES).collect().await;
-    let text = body.ok().and_then(|body| String::from_utf8(body.to_bytes().to_vec()).ok());
-    let Some(text) = text else {
-        return http::answer::refusal(400, "Send the text as UTF-8 of at most 3 MiB.", None);
+    let Some(text) = text(req).await else {
+        let problem = "Send the text as UTF-8 of at most 3 MiB, within 10 s.";
+        return http::answer::refusal(400, problem, None);
     };
     match config::parse(&text) {
         Ok(_) => order(link, Order::Apply { text, base }).await,
@@ -46,6 +50,13 @@
     }
 }
 
+/// The request's body as text; `None` if it is too long, too late or no text.
+async fn text(req: http::Request) -> Option<String> {
+    let body = http_body_util::Limited::new(req.into_body(), config::TEXT_BYTES).collect();
+    let body = tokio::time::timeout(BODY_TIME, body).await.ok()?.ok()?;
+    String::from_utf8(body.to_bytes().to_vec()).ok()
+}
+
 fn faulty(findings: yaml::Findings) -> http::Response {
     let error = "The text has faults; nothing was changed. Correct them and apply it again.".into();
     http::answer::json(422, &operators::Fault { error, findings })
--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -1,5 +1,7 @@
 //! Last filter: hands a session's result to the caller, whole or piece by piece.
 
+use std::time;
+
 use bytes::{Bytes, BytesMut};
 use tokio::sync::mpsc;
 
@@ -69,14 +71,19 @@
     head: &session::Head,
     flight: metrics::Flight,
 ) -> http::Response {
-    let (tx, rx) = mpsc::channel(PIECES);
-    tokio::task::spawn_local(pump(session, tx, flight));
+    let (tx, rx) = mpsc::channel(PIECES + 1);
+    if let Ok(end) = tx.clone().try_reserve_owned() {
+        tokio::task::spawn_local(pump(session, tx, end, flight));
+    }
     response(head, http::Body::Stream(rx))
 }
 
+/// Passes a stream on; `end` is the place kept for its end. Without an end, the
+/// caller sees a cut.
 async fn pump(
     mut session: session::Session,
-    tx: mpsc::Sender<Result<Bytes, http::answer::Cut>>,
+    tx: mpsc::Sender<http::answer::Piece>,
+    end: mpsc::OwnedPermit<http::answer::Piece>,
     mut flight: metrics::Flight,
 ) {
     let id = session.id();
@@ -85,25 +92,42 @@
             step = session.next() => step,
             () = tx.closed() => return log::info!(req:% = id; "caller went away"),
         };
-        let sent = match step {
+        let passed = match step {
             Ok(session::Step::Data(data)) => {
                 flight.piece();
-                tx.send(Ok(data)).await
+                pass(&tx, data, session.deadline()).await
             }
-            Ok(session::Step::End) => return flight.end(metrics::Ending::Whole),
-            Ok(_) => Ok(()),
+            Ok(session::Step::End) => {
+                end.send(http::answer::Piece::End);
+                return flight.end(metrics::Ending::Whole);
+            }
+            Ok(session::Step::Head(_)) => Ok(true),
+            Err(refusal) => Err(refusal),
+        };
+        match passed {
+            Ok(true) => {}
+            Ok(false) => return log::info!(req:% = id; "caller went away"),
             Err(refusal) => {
                 log::warn!(req:% = id, why = refusal.label(); "stream cut: {refusal}");
-                let _ = tx.send(Err(http::answer::Cut)).await;
                 return count(&refusal, flight);
             }
-        };
-        if sent.is_err() {
-            return log::info!(req:% = id; "caller went away");
         }
     }
 }
 
+/// Hands `data` over; whether the caller is still there. A caller that does not
+/// read is waited for until `deadline`.
+async fn pass(
+    tx: &mpsc::Sender<http::answer::Piece>,
+    data: Bytes,
+    deadline: time::Instant,
+) -> Result<bool, Refusal> {
+    match tokio::time::timeout_at(deadline.into(), tx.send(http::answer::Piece::Data(data))).await {
+        Ok(sent) => Ok(sent.is_ok()),
+        Err(_) => Err(Refusal::Late { ran: wire::Ran::Unknown }),
+    }
+}
+
 /// An answer of the backend server.
 pub fn response(head: &session::Head, body: http::Body) -> http::Response {
     let mut res = hyper::Response::new(body);
--- a/src/entry/classify.rs
+++ b/src/entry/classify.rs
@@ -16,6 +16,9 @@
 /// Header with the key of a call that may not be repeated.
 pub const KEY: &str = "idempotency-key";
 
+/// Header with the last event of a stream that the caller has.
+pub const LAST_EVENT: &str = "last-event-id";
+
 /// Longest workspace name and idempotency key, in bytes.
 const NAME_LIMIT: usize = 128;
 /// Bytes of a prompt whose equality makes a shared prefix likely.
@@ -36,6 +39,7 @@
     if req.body.len() as u64 > known.limits.body_bytes {
         return Err(Refusal::TooLarge { limit: known.limits.body_bytes });
     }
+    resume(&req, known.kind)?;
     let workspace = workspace(&req)?;
     let default = view.config.workspaces.get(&workspace).map(|known| known.priority);
     let stage = request::Classified {
@@ -74,6 +78,16 @@
     service.calls.iter().find(matches).ok_or_else(unknown)
 }
 
+/// Events of model engines are numbered, so that a stream can go on elsewhere.
+fn resume<S>(req: &Request<S>, kind: config::Kind) -> Result<(), Refusal> {
+    match (kind, req.header(LAST_EVENT).map(str::parse::<u64>)) {
+        (config::Kind::ModelGroup, Some(Err(_))) => {
+            Err(Refusal::Bad("Send Last-Event-ID as the number of an event.".into()))
+        }
+        _ => Ok(()),
+    }
+}
+
 fn workspace<S>(req: &Request<S>) -> Result<name::Workspace, Refusal> {
     match req.header(WORKSPACE) {
         Some(name) if !name.is_empty() && name.len() <= NAME_LIMIT => Ok(name.into()),
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -122,6 +122,11 @@
         self.req.id
     }
 
+    /// When the answer must be complete.
+    pub fn deadline(&self) -> time::Instant {
+        self.req.stage.deadline
+    }
+
     /// The next step of the answer. A refusal says that the request did not run
     /// only if no attempt may have run.
     pub async fn next(&mut self) -> Result<Step, Refusal> {
--- a/src/http/answer.rs
+++ b/src/http/answer.rs
@@ -14,13 +14,22 @@
 #[error("The answer broke off before its end; send the request again if it may be repeated.")]
 pub struct Cut;
 
+/// A part of a streamed answer.
+#[derive(Debug)]
+pub enum Piece {
+    /// The next bytes.
+    Data(Bytes),
+    /// The answer is whole. A stream that ends without this is cut.
+    End,
+}
+
 /// The body of an answer.
 #[derive(Debug)]
 pub enum Body {
     /// All bytes at hand; `None` once given out.
     Whole(Option<Bytes>),
     /// Pieces as they come.
-    Stream(mpsc::Receiver<Result<Bytes, Cut>>),
+    Stream(mpsc::Receiver<Piece>),
 }
 
 impl Body {
@@ -40,7 +49,11 @@
     ) -> task::Poll<Option<Result<body::Frame<Bytes>, Cut>>> {
         match self.get_mut() {
             Self::Whole(data) => task::Poll::Ready(data.take().map(|d| Ok(body::Frame::data(d)))),
-            Self::Stream(rx) => rx.poll_recv(cx).map(|got| got.map(|d| d.map(body::Frame::data))),
+            Self::Stream(rx) => rx.poll_recv(cx).map(|got| match got {
+                Some(Piece::Data(data)) => Some(Ok(body::Frame::data(data))),
+                Some(Piece::End) => None,
+                None => Some(Err(Cut)),
+            }),
         }
     }
 
--- a/src/sidecar/backend.rs
+++ b/src/sidecar/backend.rs
@@ -136,11 +136,12 @@
             .method(call.method.as_str())
             .uri(format!("{}{}", self.url, call.path))
             .header(ID_HEADER, call.id.to_string());
-        for header in call.headers.iter().filter(|h| h.name != ID_HEADER) {
+        let own = [ID_HEADER, RESUME_HEADER];
+        for header in call.headers.iter().filter(|h| !own.contains(&h.name.as_str())) {
             req = req.header(&header.name, &header.value);
         }
-        if let Some(resume) = &call.resume {
-            req = req.header(RESUME_HEADER, resume.events.to_string());
+        if let Some(event) = last_event(call) {
+            req = req.header(RESUME_HEADER, event);
         }
         let req = agent
             .configure_request(req.body(call.body.clone())?)
@@ -151,6 +152,17 @@
     }
 }
 
+/// The event behind which the stream begins: the one that the caller named, plus
+/// those that it has had since.
+fn last_event(call: &wire::Call) -> Option<String> {
+    let named = call.headers.iter().find(|header| header.name == RESUME_HEADER);
+    let first = named.and_then(|header| header.value.parse::<u64>().ok());
+    match (call.resume, named) {
+        (Some(resume), _) => Some(first.unwrap_or(0).saturating_add(resume.events).to_string()),
+        (None, named) => named.map(|header| header.value.clone()),
+    }
+}
+
 fn ran(err: &ureq::Error) -> wire::Ran {
     match err {
         ureq::Error::ConnectionFailed
--- a/src/tool/apply.rs
+++ b/src/tool/apply.rs
@@ -34,7 +34,11 @@
         ),
         Outcome::Unavailable { remedy } => (format!("{remedy}\n"), Exit::Unavailable),
         Outcome::Unknown { op, remedy } => (
-            format!("It is not known whether order {} took effect. {remedy}\n", op.0),
+            format!(
+                "It is not known whether order {} took effect. {remedy} `history --json` shows \
+                 the number of each order as `op`.\n",
+                op.0
+            ),
             Exit::Unknown,
         ),
     };
--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -121,6 +121,40 @@
     works(&site);
 }
 
+#[test]
+fn slow_text() {
+    let site = Site::start(&Plan { engines: 1, ..Plan::default() });
+    let mut conn = net::TcpStream::connect(site.entries[0].ports.operators).unwrap();
+    conn.set_read_timeout(Some(processes::PATIENCE)).unwrap();
+    let bearer = format!("Authorization: Bearer {}", processes::TOKEN);
+    let head = format!("POST /apply HTTP/1.1\r\nHost: x\r\n{bearer}\r\nContent-Length: 99\r\n");
+    conn.write_all(format!("{head}\r\nzones:").as_bytes()).unwrap();
+    let mut got = Vec::new();
+    let ended = conn.read_to_end(&mut got);
+    assert!(ended.is_ok(), "a text that does not arrive holds its connection");
+    assert!(got.starts_with(b"HTTP/1.1 400 "), "{}", String::from_utf8_lossy(&got));
+    works(&site);
+}
+
+#[test]
+fn reader_stalls() {
+    let engine = ["--token-ms", "0"];
+    let site = Site::start(&Plan { engines: 1, engine: &engine, ..Plan::default() });
+    let mut conn = net::TcpStream::connect(site.entries[0].process.at).unwrap();
+    conn.set_read_timeout(Some(processes::PATIENCE)).unwrap();
+    let body = r#"{"prompt": "long", "stream": true, "max_tokens": 1000000}"#;
+    let head = "POST /writer/v1/completions HTTP/1.1\r\nHost: x\r\nWorkspace: w\r\n";
+    let more = format!("Deadline-Ms: 3000\r\nContent-Length: {}\r\n\r\n", body.len());
+    conn.write_all(format!("{head}{more}{body}").as_bytes()).unwrap();
+    processes::until("the request runs", || (site.sum("in_flight") == 1).then_some(()));
+    processes::until("its place is free", || (site.sum("in_flight") == 0).then_some(()));
+    let mut got = Vec::new();
+    let _ = conn.read_to_end(&mut got);
+    assert!(got.starts_with(b"HTTP/1.1 200 "));
+    assert!(!got.ends_with(b"\r\n0\r\n\r\n"), "a short answer looks whole");
+    works(&site);
+}
+
 #[test]
 fn token_needed() {
     let site = Site::start(&Plan { engines: 1, ..Plan::default() });
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -41,3 +41,13 @@
     let right = processes::post(site.engine().at, "/v1/completions", &headers, body);
     assert_eq!(answer.text(), right.text());
 }
+
+#[test]
+fn resume_refused() {
+    let site = Site::start(&processes::Plan { engines: 1, ..Default::default() });
+    let at = site.entries[0].process.at;
+    let headers = [("Workspace", "w"), ("Last-Event-ID", "third")];
+    let answer = processes::post(at, "/writer/v1/completions", &headers, "{}");
+    assert_eq!((answer.status, answer.ran.as_str()), (400, "no"), "{answer:?}");
+    assert_eq!(site.sum("peak"), 0);
+}
