--- a/src/entry/classify.rs
+++ b/src/entry/classify.rs
@@ -14,6 +14,9 @@
 /// Header with the key of a call that may not be repeated.
 pub const KEY: &str = "idempotency-key";
 
+/// Header with the last event of a stream that the caller has.
+pub const LAST_EVENT: &str = "last-event-id";
+
 /// Longest workspace name and idempotency key, in bytes.
 const NAME_LIMIT: usize = 128;
 /// Tokens assumed of a call that bounds none.
@@ -32,6 +35,7 @@
     if req.body.len() as u64 > known.limits.body_bytes {
         return Err(Refusal::TooLarge { limit: known.limits.body_bytes });
     }
+    resume(&req, known.kind)?;
     let workspace = workspace(&req)?;
     let default = view.config.workspaces.get(&workspace).map(|known| known.priority);
     let stage = request::Classified {
@@ -70,6 +74,16 @@
     service.calls.iter().find(matches).ok_or_else(unknown)
 }
 
+/// Events of model engines are numbered, so that a stream can go on elsewhere.
+fn resume<S>(req: &Request<S>, kind: config::Kind) -> Result<(), Refusal> {
+    match (kind, req.header(LAST_EVENT).map(str::parse::<u64>)) {
+        (config::Kind::ModelGroup, Some(Err(_))) => {
+            Err(Refusal::Bad("Send Last-Event-ID as the number of an event.".into()))
+        }
+        _ => Ok(()),
+    }
+}
+
 fn workspace<S>(req: &Request<S>) -> Result<name::Workspace, Refusal> {
     match req.header(WORKSPACE) {
         Some(name) if !name.is_empty() && name.len() <= NAME_LIMIT => Ok(name.into()),
