--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -163,25 +163,26 @@
         self.attempt += 1;
         self.collect.next(self.attempt);
         let call = self.call(&routed);
+        let deadline = self.req.stage.deadline;
+        let until = self.patience();
         let sending = self.front.pool.exchange(routed.address, wire::CALL, &call);
-        let wait = self.patience();
-        let sent = match tokio::time::timeout_at(wait.into(), sending).await {
-            Ok(sent) => sent,
-            Err(_) if time::Instant::now() >= self.req.stage.deadline => {
-                return Err(Refusal::Late { ran: wire::Ran::Unknown });
-            }
-            Err(_) => Err(peer::pool::Failure::silent(routed.address)),
-        };
-        let failure = match sent {
-            Ok(source) => {
+        let failure = match tokio::time::timeout_at(until.into(), sending).await {
+            Ok(Ok(source)) => {
                 self.live = Some(Live { source, routed });
                 return Ok(());
             }
-            Err(peer::pool::Failure::Unsent(err)) => {
+            Err(_) if time::Instant::now() >= deadline => {
+                return Err(Refusal::Late { ran: wire::Ran::Unknown });
+            }
+            Err(_) => {
+                log::info!("silent req={} server={}", self.req.id, routed.server());
+                Failure::Lost
+            }
+            Ok(Err(peer::pool::Failure::Unsent(err))) => {
                 log::info!("not sent req={} server={}: {err}", self.req.id, routed.server());
                 Failure::Unsent
             }
-            Err(peer::pool::Failure::Sent(err)) => {
+            Ok(Err(peer::pool::Failure::Sent(err))) => {
                 log::info!("lost req={} server={}: {err}", self.req.id, routed.server());
                 Failure::Lost
             }
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -27,7 +27,7 @@
 
 fn known(out: config::Out) -> Arc<view::View> {
     let config = config::parse(TEXT).unwrap();
-    Arc::new(view::View { version: 1, config: Arc::new(config), out, places: BTreeMap::new() })
+    Arc::new(view::View { version: 1, config: config.into(), out, places: BTreeMap::new() })
 }
 
 fn admit(core: &mut core::Core) -> core::Verdict {
