--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -144,7 +144,10 @@
         let (Self { status, ran, retry_after, cut, fault, .. }, len) = (self, self.body.len());
         let text = self.text();
         let head: String = text.chars().take(200).collect();
-        write!(f, "{status} ran={ran} retry_after={retry_after:?} cut={cut} {len} bytes: {head}{fault}")
+        write!(
+            f,
+            "{status} ran={ran} retry_after={retry_after:?} cut={cut} {len} bytes: {head}{fault}"
+        )
     }
 }
 
