--- a/tests/maps.rs
+++ b/tests/maps.rs
@@ -1,6 +1,6 @@
 //! Decisions on expert maps, without I/O.
 
-use std::time;
+use std::{f64::consts, time};
 
 use knapweedford::group::{
     bound, choice, counts, duty, guard, history, layout, loads, map, mend, order, pack, plan, rank,
@@ -195,6 +195,26 @@
     assert!(changes.iter().all(|period| *period < 20), "{changes:?}");
 }
 
+/// A standard normal variable.
+fn normal(rng: &mut rand_pcg::Pcg64Mcg) -> f64 {
+    let (a, b): (f64, f64) = (rng.random(), rng.random());
+    (-2.0 * (1.0 - a).ln()).sqrt() * (2.0 * consts::PI * b).cos()
+}
+
+#[test]
+fn chance_is_no_drift() {
+    let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(7);
+    let mut count = counts::Counts::default();
+    for period in 0..288 {
+        let tokens: Vec<f64> = (0..1024).map(|_| (0.03 * normal(&mut rng)).exp()).collect();
+        count.add(counts::Report { period, tokens: &tokens });
+        let mean = count.weights().iter().sum::<f64>() / 1024.0;
+        let off = |w: &f64| (w / mean - 1.0).abs();
+        let worst = count.weights().iter().map(off).fold(0.0, f64::max);
+        assert!(period < 60 || worst < 0.03, "{worst} off in period {period}");
+    }
+}
+
 #[test]
 fn no_counts() {
     assert_eq!(why(Group::new().decide(&terms())), plan::Why::NoCounts);
