--- a/src/agree/node.rs
+++ b/src/agree/node.rs
@@ -9,6 +9,8 @@
     agree::{
         change::{self, Job, Order, Outcome},
         desk::{Desk, Finished},
+        edit::{self, Edit, Edits},
+        newer::{Newer, Whom},
         overlay::Overlay,
         probe::{self, Probes, Relay},
         record::{Effective, Op, Pending, Record, Target},
@@ -16,7 +18,7 @@
         status::{self, Status},
         store::{self, Ask, Pace},
     },
-    name,
+    name, platform,
     wire::gossip::{self, Body, Digest, Health, Member, Message},
 };
 
@@ -28,9 +30,6 @@
 /// Pushes of each piece of news, one a tick.
 const PUSHES: u32 = 3;
 
-/// Time until a peer that does not send the configuration is given up on.
-const WANT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
-
 /// Least time between comparisons of the roster.
 const SYNC_PERIOD: time::Duration = time::Duration::from_secs(1);
 
@@ -59,6 +58,8 @@
     seeds: Vec<net::SocketAddr>,
     rng: Pcg64,
     record: Record,
+    edits: Edits,
+    polled: Option<platform::Etag>,
     overlay: Overlay,
     roster: Roster,
     probes: Probes,
@@ -66,7 +67,7 @@
     poll: Pace,
     list: Pace,
     waiting: BTreeMap<Op, time::Duration>,
-    want: Option<time::Duration>,
+    newer: Newer,
     next_join: time::Duration,
     next_sync: time::Duration,
     pushes: u32,
@@ -82,6 +83,8 @@
         Self {
             seeds: start.seeds,
             record: Record::default(),
+            edits: Edits::default(),
+            polled: None,
             overlay: Overlay::new(start.me.host.clone()),
             roster: Roster::new(start.me, now),
             probes: Probes::new(now, &mut rng),
@@ -89,7 +92,7 @@
             poll: Pace::new(first),
             list: Pace::new(first),
             waiting: BTreeMap::new(),
-            want: None,
+            newer: Newer::default(),
             next_join: now,
             next_sync: now,
             pushes: 0,
@@ -143,6 +146,7 @@
     fn tick(&mut self, now: time::Duration) {
         self.join(now);
         self.push();
+        self.ask_newer(now);
         self.roster.expire(now);
         for action in self.probes.tick(now, &mut self.roster, &mut self.rng) {
             self.probe(action);
@@ -198,7 +202,7 @@
             self.list.hurry(now, LIST_ALONE, &mut self.rng);
         }
         if self.poll.start(now) {
-            self.out.push(Output::Store(Ask::Poll));
+            self.out.push(Output::Store(Ask::Poll { known: self.polled.clone() }));
         }
         if self.list.start(now) {
             self.out.push(Output::Store(Ask::List));
@@ -268,8 +272,12 @@
             }
             Body::News if doubted.is_some() => self.send_with(to, Body::News, doubted),
             Body::News => {}
-            Body::Want => self.send_document(to),
+            Body::Want { .. } if digest.version >= self.record.version => {}
+            Body::Want { whole: false } => self.send_newer(to, digest.version),
+            Body::Want { whole: true } => self.send_document(to),
             Body::Document(record) => self.learn(*record),
+            Body::Edited { rest, .. } if rest.version <= self.record.version => {}
+            Body::Edited { edits, rest } => self.edit(to, &edits, *rest),
             Body::Join => {
                 self.send_document(to);
                 let members = self.roster.members().collect();
@@ -278,7 +286,7 @@
             Body::Buckets(theirs) => self.differ(to, &theirs),
             Body::Members { members, want } => self.take_members(now, to, &members, &want),
         }
-        self.compare(now, to, digest.version);
+        self.heard(now, Some(to), digest.version);
         self.teach(to, &digest);
         self.sync(now, to, digest.roster);
     }
@@ -302,26 +310,22 @@
         }
     }
 
-    fn compare(&mut self, now: time::Duration, from: net::SocketAddr, version: u64) {
-        let asked = self.want.is_some_and(|at| now < at + WANT_TIMEOUT);
-        if version > self.record.version && !asked {
-            self.want = Some(now);
-            self.send(from, Body::Want);
-        }
+    fn heard(&mut self, now: time::Duration, from: Option<net::SocketAddr>, version: u64) {
+        self.newer.note(from, version);
+        self.ask_newer(now);
     }
 
-    fn heard(&mut self, now: time::Duration, from: Option<net::SocketAddr>, version: u64) {
-        let asked = self.want.is_some_and(|at| now < at + WANT_TIMEOUT);
-        match from {
-            _ if version <= self.record.version || asked => {}
-            Some(from) => self.compare(now, from, version),
-            None => {
-                self.want = Some(now);
-                for to in self.roster.sample(FANOUT, &mut self.rng) {
-                    self.send(to, Body::Want);
-                }
-            }
-        }
+    fn ask_newer(&mut self, now: time::Duration) {
+        let (teller, others) = match self.newer.ask(now, self.record.version) {
+            None => return,
+            Some(Whom::Teller(teller)) => (Some(teller), 0),
+            Some(Whom::Both(teller)) => (Some(teller), 1),
+            Some(Whom::Any) => (None, FANOUT),
+        };
+        let mut peers = self.roster.sample(others, &mut self.rng);
+        peers.retain(|peer| Some(*peer) != teller);
+        peers.extend(teller);
+        peers.into_iter().for_each(|to| self.send(to, Body::Want { whole: false }));
     }
 
     fn teach(&mut self, to: net::SocketAddr, theirs: &Digest) {
@@ -339,6 +343,23 @@
         }
     }
 
+    fn send_newer(&mut self, to: net::SocketAddr, version: u64) {
+        match self.edits.since(&self.record, version) {
+            Some(edits) => {
+                let rest = Box::new(self.record.without_text());
+                self.send(to, Body::Edited { edits, rest });
+            }
+            None => self.send_document(to),
+        }
+    }
+
+    fn edit(&mut self, from: net::SocketAddr, edits: &[Edit], rest: Record) {
+        match edit::replay(&self.record, edits, rest) {
+            Some(record) => self.learn(record),
+            None => self.send(from, Body::Want { whole: true }),
+        }
+    }
+
     fn sync(&mut self, now: time::Duration, to: net::SocketAddr, theirs: u64) {
         if now < self.next_sync || theirs == self.roster.checksum() {
             return;
@@ -375,8 +396,8 @@
         match answer {
             store::Answer::Poll(row) => {
                 self.poll.end(now, row.is_ok(), self.period(now), &mut self.rng);
-                if let Some(record) = row.ok().and_then(|row| change::parse(row.as_ref())) {
-                    self.learn(record);
+                if let Ok(platform::Newer::Row(row)) = row {
+                    self.polled(row.as_ref());
                 }
             }
             store::Answer::List(list) => {
@@ -393,6 +414,13 @@
         }
     }
 
+    fn polled(&mut self, row: Option<&platform::Row>) {
+        if let Some(record) = change::parse(row) {
+            self.polled = row.map(|row| row.etag.clone());
+            self.learn(record);
+        }
+    }
+
     fn period(&self, now: time::Duration) -> time::Duration {
         match self.probes.is_isolated(now) {
             true => POLL_ISOLATED,
@@ -425,7 +453,11 @@
                 let job = job(op, self.me(), Order::In(target));
                 self.desk.push(now, Job { overridden, ..job });
             }
-            order => self.desk.push(now, job(op, self.me(), order)),
+            Order::Apply { .. } => {
+                let base = Some(self.record.version).filter(|version| *version > 0);
+                let job = job(op, self.me(), order);
+                self.desk.push(now, Job { base, ..job });
+            }
         }
     }
 
@@ -443,8 +475,8 @@
         if record.version <= self.record.version {
             return;
         }
+        self.edits.note(&self.record, &record);
         self.record = record;
-        self.want = None;
         self.overlay.settle(&self.record);
         self.adopt();
     }
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -39,6 +39,8 @@
     pub lax: bool,
     pub reads: u64,
     pub writes: u64,
+    /// Bytes of rows read by conditional reads.
+    pub read_bytes: u64,
     rng: Pcg64,
     tag: u64,
 }
@@ -55,6 +57,7 @@
             lax: false,
             reads: 0,
             writes: 0,
+            read_bytes: 0,
             rng: Pcg64::seed_from_u64(7),
             tag: 0,
         }
@@ -89,6 +92,22 @@
         Ok(self.open()?.rows.get(key).cloned())
     }
 
+    fn read_newer(
+        &self,
+        key: &str,
+        known: Option<&platform::Etag>,
+        _: Duration,
+    ) -> Result<platform::Newer> {
+        self.state().reads += 1;
+        let mut state = self.open()?;
+        let row = state.rows.get(key).cloned();
+        if known.is_some() && row.as_ref().map(|row| &row.etag) == known {
+            return Ok(platform::Newer::Unchanged);
+        }
+        state.read_bytes += row.as_ref().map_or(0, |row| row.value.len() as u64);
+        Ok(platform::Newer::Row(row))
+    }
+
     fn write(
         &self,
         key: &str,
@@ -153,7 +172,8 @@
 #[derive(Clone, Debug)]
 enum Event {
     Tick(usize, u64),
-    Deliver(usize, gossip::Message),
+    /// To whom, what, and whether it answers on the sender's stream.
+    Deliver(usize, gossip::Message, bool),
     Store(usize, u64, store::Ask),
 }
 
@@ -162,6 +182,8 @@
 pub struct Cost {
     /// Messages sent.
     pub sent: u64,
+    /// Exchanges begun and taken, each on a connection of its own.
+    pub exchanges: u64,
     /// Bytes sent and received, frames only.
     pub bytes: u64,
     /// Time spent in the state machine; wall clock.
@@ -192,10 +214,13 @@
     pub answers: BTreeMap<Op, Outcome>,
     /// Probability that a message is lost.
     pub loss: f64,
+    /// Probability that a message comes a second time, up to a minute late.
+    pub again: f64,
     /// Processes that can reach each other have the same number here.
     pub side: Vec<u8>,
     /// Whether frames are encoded to count their bytes, and calls timed.
     pub count_cost: bool,
+    asker: Option<net::SocketAddr>,
     queue: BTreeMap<(Duration, u64), Event>,
     serial: u64,
     rng: Pcg64,
@@ -204,6 +229,9 @@
 /// One way through the network, at least and at most.
 const LATENCY_MS: std::ops::Range<u64> = 1..20;
 
+/// How late the second of two equal messages comes.
+const LATE_MS: std::ops::Range<u64> = 20..60_000;
+
 /// One call to the platform.
 const STORE_MS: u64 = 10;
 
@@ -238,8 +266,10 @@
             processes: Vec::new(),
             answers: BTreeMap::new(),
             loss: 0.0,
+            again: 0.0,
             side: vec![0; count],
             count_cost: false,
+            asker: None,
             queue: BTreeMap::new(),
             serial: 0,
             rng: Pcg64::seed_from_u64(11),
@@ -379,6 +409,11 @@
         let net::IpAddr::V4(ip) = to.ip() else { panic!("fake addresses are v4") };
         let target = usize::from(ip.octets()[2]) * 250 + usize::from(ip.octets()[3]);
         self.processes[i].cost.sent += 1;
+        let answers = self.asker == Some(to);
+        if !answers {
+            self.processes[i].cost.exchanges += 1;
+            self.processes[target].cost.exchanges += 1;
+        }
         if self.count_cost {
             let size = frame::encode(&message).unwrap().len() as u64;
             self.processes[i].cost.bytes += size;
@@ -387,13 +422,17 @@
         if self.side[i] != self.side[target] || self.rng.random_bool(self.loss) {
             return;
         }
+        if self.again > 0.0 && self.rng.random_bool(self.again) {
+            let late = self.now + ms(self.rng.random_range(LATE_MS));
+            self.push(late, Event::Deliver(target, message.clone(), answers));
+        }
         let at = self.now + ms(self.rng.random_range(LATENCY_MS));
-        self.push(at, Event::Deliver(target, message));
+        self.push(at, Event::Deliver(target, message, answers));
     }
 
     fn event(&mut self, event: Event) {
         let i = match &event {
-            Event::Tick(i, _) | Event::Deliver(i, _) | Event::Store(i, _, _) => *i,
+            Event::Tick(i, _) | Event::Deliver(i, _, _) | Event::Store(i, _, _) => *i,
         };
         let paused_until = self.processes[i].paused_until;
         if self.now < paused_until {
@@ -405,7 +444,11 @@
                 self.push(self.now + node::TICK, Event::Tick(i, boot));
                 self.input(i, Input::Tick);
             }
-            Event::Deliver(_, message) => self.input(i, Input::Message(message)),
+            Event::Deliver(_, message, answers) => {
+                self.asker = (!answers).then_some(message.from.peers);
+                self.input(i, Input::Message(message));
+                self.asker = None;
+            }
             Event::Store(_, boot, ask) => {
                 let answer = store::serve(&ask, &self.platform, &self.platform);
                 if boot == self.processes[i].boot {
