--- a/measure/agreement/mod.rs
+++ b/measure/agreement/mod.rs
@@ -14,10 +14,12 @@
 pub fn run(args: &[String]) -> process::ExitCode {
     let args: Vec<&str> = args.iter().map(String::as_str).collect();
     let res = match args[..] {
-        ["virtual"] => virtual_time::run(),
+        ["virtual", ref sizes @ ..] => virtual_time::run(sizes),
         ["real", ref sizes @ ..] => real::run(sizes),
         ["table"] => table::run(),
-        _ => Err(anyhow::anyhow!("Usage: measure agreement virtual|real [NODES...]|table")),
+        _ => Err(anyhow::anyhow!(
+            "Usage: measure agreement virtual [NODES...]|real [NODES...]|table"
+        )),
     };
     match res {
         Ok(()) => process::ExitCode::SUCCESS,
