--- a/tests/agreement.rs
+++ b/tests/agreement.rs
@@ -340,6 +340,46 @@
     assert!(peak <= 2 * steady.max(1), "steady {steady}, peak {peak}");
 }
 
+#[test]
+fn hour_down() {
+    let mut site = Site::settled(30);
+    let steady = reads_per_second(&mut site, secs(60)).into_iter().sum::<u64>() / 60;
+    site.platform.state().down = true;
+    site.order(3, 2, Order::Out(zone("z1")));
+    site.run(secs(3600));
+    assert!(site.all_out("z1"));
+    assert_eq!(site.versions(), [1].into());
+    site.platform.state().down = false;
+    let back = reads_per_second(&mut site, secs(60));
+    let peak = back.windows(5).map(|w| w.iter().sum::<u64>() / 5).max().unwrap();
+    assert!(peak <= 2 * steady.max(1), "steady {steady}, peak {peak}");
+    assert_eq!(site.versions(), [2].into());
+    assert!(site.node(5).status(site.now).not_durable.is_empty());
+    let members = site.node(5).members();
+    assert!(members.iter().all(|member| member.health == Health::Alive), "{members:?}");
+}
+
+#[test]
+fn flapping_store() {
+    let mut site = Site::settled(12);
+    site.order(3, 2, Order::Out(zone("z1")));
+    site.order(4, 3, apply("two"));
+    for i in 0..60 {
+        site.platform.state().down = i % 2 == 0;
+        site.run(ms(700));
+    }
+    site.platform.state().down = false;
+    site.run(secs(60));
+    assert!(site.all_out("z1"));
+    assert_eq!(site.versions().len(), 1);
+    let text = site.node(0).record().text.clone();
+    match site.answer(3) {
+        Some(Outcome::Committed { .. }) => assert_eq!(text, "two"),
+        Some(Outcome::Unavailable { .. }) => assert_eq!(text, "one"),
+        other => panic!("{other:?}"),
+    }
+}
+
 #[test]
 fn ticks_are_cheap() {
     let mut site = Site::settled(60);
