--- a/tests/agreement.rs
+++ b/tests/agreement.rs
@@ -416,6 +416,11 @@
     site.platform.state().rows = old;
     site.run(secs(60));
     assert_eq!(site.versions(), [2].into());
+    for process in &site.processes {
+        let versions: Vec<_> =
+            process.adopted.iter().map(|(_, now)| now.committed.version).collect();
+        assert!(versions.is_sorted(), "a process went back: {versions:?}");
+    }
 }
 
 #[test]
@@ -438,7 +443,9 @@
     for now in ticks {
         for output in node.handle(now, Input::Tick) {
             match output {
-                Output::Send { to, message } if message.body == Body::Want => asked.push((now, to)),
+                Output::Send { to, message } if matches!(message.body, Body::Want { .. }) => {
+                    asked.push((now, to))
+                }
                 _ => {}
             }
         }
@@ -480,7 +487,7 @@
         from: site.node(2).members()[2].clone(),
         digest: Digest { version, ..Digest::default() },
         updates: Vec::new(),
-        body: Body::Want,
+        body: Body::Want { whole: false },
     };
     let sends = |version| {
         let outputs = site.node(1).clone().handle(site.now, Input::Message(want(version)));
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -82,7 +82,14 @@
 
     /// What a stand-in counted.
     pub fn counts(&self) -> serde_json::Value {
-        get(self.at, "/counts", &[]).json()
+        let answer = until("the stand-in counts", || {
+            let answer = get(self.at, "/counts", &[]);
+            if !answer.whole() {
+                eprintln!("counts: {answer:?}");
+            }
+            answer.whole().then_some(answer)
+        });
+        answer.json()
     }
 }
 
@@ -128,14 +135,19 @@
     pub body: Vec<u8>,
     /// Whether the body broke off before its end.
     pub cut: bool,
+    /// Why no answer came, as the transport says it.
+    pub fault: String,
 }
 
 impl fmt::Debug for Answer {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (Self { status, ran, retry_after, cut, .. }, len) = (self, self.body.len());
+        let (Self { status, ran, retry_after, cut, fault, .. }, len) = (self, self.body.len());
         let text = self.text();
         let head: String = text.chars().take(200).collect();
-        write!(f, "{status} ran={ran} retry_after={retry_after:?} cut={cut} {len} bytes: {head}")
+        write!(
+            f,
+            "{status} ran={ran} retry_after={retry_after:?} cut={cut} {len} bytes: {head}{fault}"
+        )
     }
 }
 
@@ -184,9 +196,18 @@
         .timeout_global(Some(PATIENCE))
         .build()
         .new_agent();
-    let nothing =
-        Answer { status: 0, ran: String::new(), retry_after: None, body: Vec::new(), cut: true };
-    let Ok(res) = agent.run(req.body(body.to_owned()).unwrap()) else { return nothing };
+    let nothing = |err: ureq::Error| Answer {
+        status: 0,
+        ran: String::new(),
+        retry_after: None,
+        body: Vec::new(),
+        cut: true,
+        fault: err.to_string(),
+    };
+    let res = match agent.run(req.body(body.to_owned()).unwrap()) {
+        Ok(res) => res,
+        Err(err) => return nothing(err),
+    };
     let header = |name: &str| {
         let value = res.headers().get(name).and_then(|value| value.to_str().ok());
         value.unwrap_or_default().to_owned()
@@ -195,7 +216,7 @@
     let retry_after = header("retry-after").parse().ok();
     let mut body = Vec::new();
     let cut = res.into_body().into_reader().read_to_end(&mut body).is_err();
-    Answer { status, ran, retry_after, body, cut }
+    Answer { status, ran, retry_after, body, cut, fault: String::new() }
 }
 
 /// Looks until `seen` gives something.
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -39,6 +39,8 @@
     pub lax: bool,
     pub reads: u64,
     pub writes: u64,
+    /// Bytes of rows read by conditional reads.
+    pub read_bytes: u64,
     rng: Pcg64,
     tag: u64,
 }
@@ -55,6 +57,7 @@
             lax: false,
             reads: 0,
             writes: 0,
+            read_bytes: 0,
             rng: Pcg64::seed_from_u64(7),
             tag: 0,
         }
@@ -89,6 +92,22 @@
         Ok(self.open()?.rows.get(key).cloned())
     }
 
+    fn read_newer(
+        &self,
+        key: &str,
+        known: Option<&platform::Etag>,
+        _: Duration,
+    ) -> Result<platform::Newer> {
+        self.state().reads += 1;
+        let mut state = self.open()?;
+        let row = state.rows.get(key).cloned();
+        if known.is_some() && row.as_ref().map(|row| &row.etag) == known {
+            return Ok(platform::Newer::Unchanged);
+        }
+        state.read_bytes += row.as_ref().map_or(0, |row| row.value.len() as u64);
+        Ok(platform::Newer::Row(row))
+    }
+
     fn write(
         &self,
         key: &str,
@@ -195,6 +214,8 @@
     pub answers: BTreeMap<Op, Outcome>,
     /// Probability that a message is lost.
     pub loss: f64,
+    /// Probability that a message comes a second time, up to a minute late.
+    pub again: f64,
     /// Processes that can reach each other have the same number here.
     pub side: Vec<u8>,
     /// Whether frames are encoded to count their bytes, and calls timed.
@@ -208,6 +229,9 @@
 /// One way through the network, at least and at most.
 const LATENCY_MS: std::ops::Range<u64> = 1..20;
 
+/// How late the second of two equal messages comes.
+const LATE_MS: std::ops::Range<u64> = 20..60_000;
+
 /// One call to the platform.
 const STORE_MS: u64 = 10;
 
@@ -242,6 +266,7 @@
             processes: Vec::new(),
             answers: BTreeMap::new(),
             loss: 0.0,
+            again: 0.0,
             side: vec![0; count],
             count_cost: false,
             asker: None,
@@ -397,6 +422,10 @@
         if self.side[i] != self.side[target] || self.rng.random_bool(self.loss) {
             return;
         }
+        if self.again > 0.0 && self.rng.random_bool(self.again) {
+            let late = self.now + ms(self.rng.random_range(LATE_MS));
+            self.push(late, Event::Deliver(target, message.clone(), answers));
+        }
         let at = self.now + ms(self.rng.random_range(LATENCY_MS));
         self.push(at, Event::Deliver(target, message, answers));
     }
