Count a request that did not run as refused in the routing model

Cause: the model took the end of the attempts without a run for a failure, where the entry's session refuses with a time to come back. Ruled out: requests held in the queue past their deadline.

--- a/measure/routing/entry.rs
+++ b/measure/routing/entry.rs
@@ -7,7 +7,7 @@
 
 use knapweedford::{
     config, name,
-    policy::{budget, collect, retry, scheduler},
+    policy::{budget, collect, gate, retry, scheduler},
     wire,
 };
 use rand::{RngExt as _, SeedableRng as _};
@@ -257,7 +257,7 @@
             Err(refusal) => {
                 let (load, after) = (cx.servers[at].load(), refusal.retry_after);
                 self.scheduler.refused(&ticket, refusal.why, &load, after, cx.now);
-                self.again(req, refusal.why, ticket, cx);
+                self.again(req, refusal, ticket, cx);
             }
         }
     }
@@ -265,10 +265,11 @@
     fn again(
         &mut self,
         req: usize,
-        why: wire::Refusal,
+        refusal: gate::Refusal,
         ticket: scheduler::Ticket,
         cx: &mut Cx<'_>,
     ) {
+        let gate::Refusal { why, retry_after: after } = refusal;
         let tried = match why {
             wire::Refusal::Full => Vec::new(),
             _ => vec![ticket.server],
@@ -278,6 +279,9 @@
             _ => scheduler::Turn::Begun,
         };
         match self.judge(req, retry::Failure::Refused(why), cx) {
+            retry::Verdict::Stop(wire::Ran::No) => {
+                cx.ended.push((req, Ended::Refused { retry_after: after }));
+            }
             retry::Verdict::Stop(_) => cx.ended.push((req, Ended::Failed)),
             _ => self.push(req, turn, tried, cx),
         }
