--- a/measure/capacity/mod.rs
+++ b/measure/capacity/mod.rs
@@ -3,7 +3,7 @@
 use std::process;
 
 mod data;
-mod slope;
+pub mod slope;
 mod text;
 
 /// Runs every measurement that the page uses, or the one named.
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -1,13 +1,17 @@
 //! Integration tests: one module a feature.
 
+mod admission;
 mod agreement;
+mod backends;
 mod claims;
 mod cluster;
 mod cold;
 mod collecting;
+mod days;
 mod deaths;
 mod edits;
 mod fairness;
+mod faults;
 mod frames;
 mod fuzz;
 mod fuzz_agreement;
@@ -25,11 +29,13 @@
 mod once;
 mod operators_port;
 mod outages;
+mod peers;
 mod platform;
 mod processes;
 mod replays;
 mod retries;
 mod routes;
+mod scheduling;
 mod shutdown;
 mod site;
 mod starter;
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -1,12 +1,14 @@
 //! Graceful ends under load: nothing in flight is cut.
 
-use std::{thread, time};
+use std::{io::Write, net, thread, time};
 
 use crate::{load, processes};
 use processes::{Plan, Site};
 
 const TOKENS: u64 = 60;
 const CALLERS: usize = 8;
+/// Tokens of a stream that takes longer than an ending process waits at least.
+const LONG: u64 = 800;
 const PLAN: Plan = Plan {
     entries: 2,
     engines: 2,
@@ -75,3 +77,58 @@
     assert!(answer.whole(), "{answer:?}");
     assert!(site.sidecars[0].process.ended().success());
 }
+
+#[test]
+fn caller_left() {
+    let plan = Plan { engines: 0, plains: 1, plain: &["--delay-ms", "4000"], ..PLAN };
+    let mut site = Site::start(&plan);
+    let head = "POST /ledger/postings HTTP/1.1\r\nHost: x\r\nWorkspace: w\r\n\
+                Idempotency-Key: k\r\nContent-Length: 1\r\n\r\nx";
+    let mut caller = net::TcpStream::connect(site.entries[0].process.at).unwrap();
+    caller.write_all(head.as_bytes()).unwrap();
+    processes::until("it runs", || (site.runs("k") == 1).then_some(()));
+    drop(caller);
+    site.entries[0].process.signal("TERM");
+    assert!(site.entries[0].process.ended().success());
+    let again = site.book(1, "k", "x");
+    assert_eq!((again.ran.as_str(), site.runs("k")), ("yes", 1), "{again:?}");
+}
+
+/// Streams a long answer while `end` ends processes in its midst.
+fn outlives(end: impl FnOnce(&Site)) {
+    let mut site = Site::start(&PLAN);
+    let at = site.entries[0].process.at;
+    let caller = thread::spawn(move || processes::complete(at, "/writer", "long", LONG));
+    processes::until("it works", || (site.sum("in_flight") == 1).then_some(()));
+    end(&site);
+    let answer = caller.join().unwrap();
+    assert!(answer.whole(), "{answer:?}");
+    assert_eq!(answer.body, site.right("long", LONG));
+    assert_eq!(site.sum("cancelled") + site.sum("gone") + site.sum("cut"), 0);
+    assert!(site.entries[0].process.ended().success());
+}
+
+#[test]
+fn long_stream() {
+    outlives(|site| site.entries[0].process.signal("TERM"));
+}
+
+#[test]
+fn long_both() {
+    outlives(|site| {
+        site.entries[0].process.signal("TERM");
+        site.sidecars.iter().for_each(|sidecar| sidecar.process.signal("TERM"));
+    });
+}
+
+#[test]
+fn still_serves() {
+    let mut site = Site::start(&Plan { lag_ms: 8000, ..PLAN });
+    let at = site.entries[0].process.at;
+    site.entries[0].process.signal("TERM");
+    let unready = || (processes::get(at, "/readyz", &[]).status == 503).then_some(());
+    processes::until("the balancer is told", unready);
+    let answer = site.stream(0, "while the balancer lags", 5);
+    assert!(answer.whole(), "{answer:?}");
+    assert!(site.entries[0].process.ended().success());
+}
