--- a/src/policy/route.rs
+++ b/src/policy/route.rs
@@ -24,7 +24,7 @@
 /// Extra fill that a cold server counts.
 const COLD: f64 = 0.1;
 /// Fill that a wholly held prefix saves.
-const HELD: f64 = 0.4;
+const HELD: f64 = 0.8;
 /// Fill that the first server of the prefix's own order saves.
 const HOME: f64 = 0.15;
 /// Fill over the mean beyond which a prefix draws no more requests.
