--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -120,6 +120,11 @@
         self.req.id
     }
 
+    /// When the answer must be complete.
+    pub fn deadline(&self) -> time::Instant {
+        self.req.stage.deadline
+    }
+
     /// The next step of the answer. A refusal says that the request did not run
     /// only if no attempt may have run.
     pub async fn next(&mut self) -> Result<Step, Refusal> {
@@ -175,15 +180,15 @@
                 return Err(Refusal::Late { ran: wire::Ran::Unknown });
             }
             Err(_) => {
-                log::info!("silent req={} server={}", self.req.id, routed.server());
+                log::info!(req:% = self.req.id, server:% = routed.server(); "silent");
                 Failure::Lost
             }
             Ok(Err(peer::pool::Failure::Unsent(err))) => {
-                log::info!("not sent req={} server={}: {err}", self.req.id, routed.server());
+                log::info!(req:% = self.req.id, server:% = routed.server(); "not sent: {err}");
                 Failure::Unsent
             }
             Ok(Err(peer::pool::Failure::Sent(err))) => {
-                log::info!("lost req={} server={}: {err}", self.req.id, routed.server());
+                log::info!(req:% = self.req.id, server:% = routed.server(); "lost: {err}");
                 Failure::Lost
             }
         };
@@ -292,7 +297,7 @@
                 Ok(step)
             }
             wire::Reply::Broken { ran, problem, load } => {
-                log::info!("backend server broke off req={}: {problem}", self.req.id);
+                log::info!(req:% = self.req.id; "backend server broke off: {problem}");
                 self.tell(Outcome::Alive { load });
                 self.lose(Failure::Broken(ran))?;
                 Ok(None)
@@ -334,7 +339,7 @@
                 Ok(Some(Step::Data(data.into())))
             }
             collect::Step::Spoilt(problem) => {
-                log::error!("answer does not add up req={} problem={problem:?}", self.req.id);
+                log::error!(req:% = self.req.id, problem:? = problem; "answer does not add up");
                 self.lose(Failure::Spoilt(problem))?;
                 Ok(None)
             }
