Keep the stand-ins' connections from waiting behind others

Cause: in whole runs on a busy machine cold::turned_cold, deaths::caller_gone and zones::out_and_in failed once each, waiting in vain for a stand-in's counts; alone they pass. By its public behaviour tiny_http 0.12 gives a new connection to a thread that it believes idle; of two that arrive at once one may wait until a kept connection ends. Ruled out: the patience of 60 s (the streams around them took seconds). Change: each stand-in opens and closes a connection to itself every 100 ms, which makes a thread look for connections that wait. Not proved: the failure could not be produced at will.

--- a/stand-ins/platform.rs
+++ b/stand-ins/platform.rs
@@ -16,6 +16,8 @@
 use serde_json::Value;
 use xxhash_rust::xxh3;
 
+mod nudge;
+
 /// Threads that serve requests, also slow ones.
 const THREADS: usize = 32;
 
@@ -334,6 +336,7 @@
             std::process::exit(1);
         }
     };
+    server.server_addr().to_ip().into_iter().for_each(nudge::start);
     println!("listening {}", server.server_addr());
     let _ = std::io::stdout().flush();
     let state = Arc::new(Mutex::new(State::new()));
--- a/stand-ins/serve.rs
+++ b/stand-ins/serve.rs
@@ -5,6 +5,9 @@
 use anyhow::Context;
 use serde::Serialize;
 
+#[path = "nudge.rs"]
+mod nudge;
+
 /// Largest body taken, in bytes.
 const BODY: u64 = 8 << 20;
 /// Stack of one worker thread, in bytes.
@@ -70,6 +73,7 @@
         .with_context(|| format!("Could not listen on {address}; choose a free address."))?;
     // Accepted connections inherit the option; tiny_http has no way to set it.
     net::TcpStream::from(fd::OwnedFd::from(listener.try_clone()?)).set_nodelay(true)?;
+    nudge::start(listener.local_addr()?);
     println!("listening {}", listener.local_addr()?);
     tiny_http::Server::from_listener(listener, None).map_err(|err| anyhow::anyhow!(err))
 }
