--- a/measure/agreement/real.rs
+++ b/measure/agreement/real.rs
@@ -207,7 +207,7 @@
 }
 
 fn line(line: &str) -> Option<Line> {
-    let (_, version) = line.split_once("in force version=")?;
+    let (_, version) = line.split_once("msg=\"in force\" version=")?;
     let version = version.split(' ').next()?.parse().ok()?;
     let time = line.strip_prefix("time=")?.split(' ').next()?;
     let (secs, millis) = time.split_once('.')?;
