Let an attempt that brought the caller further pay for its retry

Cause: the budget saves 20 retries an entry and service. A zone of four servers with 32 streams each that dies without an order breaks about 43 streams of each of three entries; those beyond the budget were cut. retries::progress_pays failed: Stop(Unknown) with an empty budget after two events. Ruled out: a larger budget, which a failing service would spend on a storm. Conclusion: what was begun goes on; the first piece still depends on the budget.

--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -48,12 +48,14 @@
     repeatable: bool,
     attempts: u32,
     ran: wire::Ran,
+    /// Bytes that the caller had when the last attempt failed.
+    had: u64,
 }
 
 impl Retry {
     /// A request that was not sent yet.
     pub fn new(repeatable: bool) -> Self {
-        Self { repeatable, attempts: 0, ran: wire::Ran::No }
+        Self { repeatable, attempts: 0, ran: wire::Ran::No, had: 0 }
     }
 
     /// Whether the request ran, as far as is known.
@@ -62,7 +64,8 @@
     }
 
     /// Decides after a failure. `left` is the time to the deadline, `collected`
-    /// what the caller has so far.
+    /// what the caller has so far. An attempt that brought the caller further
+    /// pays for the next; others draw on `budget`.
     pub fn judge(
         &mut self,
         failure: Failure,
@@ -74,6 +77,8 @@
         self.attempts += u32::from(failure != Failure::Refused(wire::Refusal::Full));
         let ran = ran(failure);
         self.ran = worse(self.ran, ran);
+        let further = collected.bytes() > self.had;
+        self.had = collected.bytes();
         let spoilt = matches!(failure, Failure::Spoilt(problem) if !problem.resumable());
         match failure {
             _ if spoilt || left < WORTHWHILE => Verdict::Stop(self.ran),
@@ -83,7 +88,7 @@
             Failure::Refused(_) | Failure::Unsent if self.ran != wire::Ran::No => again(collected),
             _ if self.attempts >= ATTEMPTS => Verdict::Stop(self.ran),
             Failure::Refused(_) => again(collected),
-            _ if !budget.retry(now) => Verdict::Stop(self.ran),
+            _ if !further && !budget.retry(now) => Verdict::Stop(self.ran),
             _ => again(collected),
         }
     }
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -135,6 +135,17 @@
     assert_eq!(bench.judge(refused), retry::Verdict::Elsewhere, "a refusal costs no server work");
 }
 
+#[test]
+fn progress_pays() {
+    let mut bench = Bench::new(true);
+    while bench.budget.retry(NOW) {}
+    bench.got(2, b"data: a\n\ndata: b\n\n");
+    let resume = retry::Verdict::Resume(wire::Resume { events: 2, bytes: 18 });
+    assert_eq!(bench.judge(LOST), resume, "the server that died had answered in part");
+    let stop = retry::Verdict::Stop(wire::Ran::Unknown);
+    assert_eq!(bench.judge(LOST), stop, "an attempt that brought nothing pays for no other");
+}
+
 #[test]
 fn no_storm() {
     let mut budget = budget::Budget::new(NOW);
