Start the agent and the operators' port of both roles in one place

Cause: daemon::entry and daemon::sidecar each wired agent, errands and the operators' port with the same twenty lines. Change: daemon::control::start does it for both; order and behaviour as before. Left as they are: the run functions of the two roles, alike in shape around different actors, and the fuzz tests, whose common runner is tests/fuzz.rs already.

--- /dev/null
+++ b/src/daemon/control.rs
@@ -0,0 +1,32 @@
+//! What both roles have besides requests: the agent, its errands, the operators' port.
+
+use std::{net, rc, sync::Arc};
+
+use tokio::{net::TcpListener, sync::oneshot, sync::watch};
+
+use super::{
+    agent::{self, Link},
+    courier,
+    port::Port,
+};
+use crate::{Result, http, metrics, platform, settings, view};
+
+/// Starts the agent of the process that takes peers at `peers`, its errands, and
+/// the port for `operators`. Must run inside a `LocalSet`.
+pub fn start(
+    cfg: &settings::Settings,
+    peers: net::SocketAddr,
+    operators: TcpListener,
+    page: metrics::Page,
+    stop: watch::Receiver<bool>,
+    adopt: impl Fn(Arc<view::View>) + Send + 'static,
+    dump: impl Fn(oneshot::Sender<serde_json::Value>) + 'static,
+) -> Result<Link> {
+    let client = platform::Client::new(&cfg.platform);
+    let (link, errands) = agent::start(cfg, peers, adopt)?;
+    tokio::task::spawn_local(courier::run(client, cfg.token.clone(), link.clone(), errands));
+    let port = Port { token: cfg.token.clone(), dump, link: link.clone(), page };
+    let port = http::serve(operators, http::Limits::default(), rc::Rc::new(port), stop);
+    tokio::task::spawn_local(port);
+    Ok(link)
+}
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -10,7 +10,7 @@
 use rand::RngExt as _;
 use stakker::{CX, Stakker, StopCause, actor, after, call, ret_nop};
 
-use super::{Ports, Switches, agent, courier};
+use super::{Ports, Switches, agent, control, courier};
 use crate::{
     Error, Result,
     entry::{Core, Event, Front, once},
@@ -156,24 +156,17 @@
     let ports = Ports { callers: Some(callers_at), operators: operators_at, peers: peers_at };
     cfg.ports_file.as_deref().map_or(Ok(()), |path| ports.write(path))?;
 
-    let adopt = events.clone();
-    let client = platform::Client::new(&cfg.platform);
-    let (link, errands) = agent::start(&cfg, peers_at, move |view| {
-        super::send(&adopt, Event::View(view));
-    })?;
-    let token = cfg.token.clone();
-    tokio::task::spawn_local(courier::run(client, token, link.clone(), errands));
+    let (adopt, dump) = (events.clone(), events.clone());
+    let link = control::start(
+        &cfg,
+        peers_at,
+        operators,
+        metrics.page.clone(),
+        on.stop.subscribe(),
+        move |view| super::send(&adopt, Event::View(view)),
+        move |tx| super::send(&dump, Event::Dump(tx)),
+    )?;
     let heard = link.clone();
-    let dump = events.clone();
-    let port = super::port::Port {
-        token: cfg.token.clone(),
-        dump: move |tx| super::send(&dump, Event::Dump(tx)),
-        link: link.clone(),
-        page: metrics.page.clone(),
-    };
-    let port =
-        http::serve(operators, http::Limits::default(), rc::Rc::new(port), on.stop.subscribe());
-    tokio::task::spawn_local(port);
     let handle = rc::Rc::new(async move |incoming: peer::Incoming| {
         let handled = match incoming.path.as_str() {
             wire::GOSSIP => courier::serve(incoming, &link).await,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -12,6 +12,7 @@
 
 pub mod agent;
 pub mod args;
+pub mod control;
 pub mod courier;
 pub mod entry;
 pub mod orders;
--- a/src/daemon/sidecar.rs
+++ b/src/daemon/sidecar.rs
@@ -9,9 +9,9 @@
 
 use stakker::{CX, Stakker, StopCause, actor, after, call, ret_nop};
 
-use super::{Ports, Switches, agent, courier};
+use super::{Ports, Switches, agent, control, courier};
 use crate::{
-    Error, Result, http, metrics, peer, platform, settings,
+    Error, Result, metrics, peer, settings,
     sidecar::{Backend, Core, Event, Side, health},
     wire,
 };
@@ -110,23 +110,16 @@
     let ports = Ports { callers: None, operators: operators_at, peers: peers_at };
     cfg.ports_file.as_deref().map_or(Ok(()), |path| ports.write(path))?;
 
-    let adopt = events.clone();
-    let client = platform::Client::new(&cfg.platform);
-    let (link, errands) = agent::start(&cfg, peers_at, move |view| {
-        super::send(&adopt, Event::View(view));
-    })?;
-    let token = cfg.token.clone();
-    tokio::task::spawn_local(courier::run(client, token, link.clone(), errands));
-    let dump = events.clone();
-    let port = super::port::Port {
-        token: cfg.token.clone(),
-        dump: move |tx| super::send(&dump, Event::Dump(tx)),
-        link: link.clone(),
+    let (adopt, dump) = (events.clone(), events.clone());
+    let link = control::start(
+        &cfg,
+        peers_at,
+        operators,
         page,
-    };
-    let port =
-        http::serve(operators, http::Limits::default(), rc::Rc::new(port), on.stop.subscribe());
-    tokio::task::spawn_local(port);
+        on.stop.subscribe(),
+        move |view| super::send(&adopt, Event::View(view)),
+        move |tx| super::send(&dump, Event::Dump(tx)),
+    )?;
 
     let backend = Backend::new(&backend, POOLED);
     tokio::task::spawn_local(health::watch(backend.clone(), on.view.subscribe(), events.clone()));
