--- a/examples/demo/site.rs
+++ b/examples/demo/site.rs
@@ -3,7 +3,7 @@
 use std::{env, fs, io, io::BufRead, net, path, process, sync, thread, time};
 
 use anyhow::Context;
-use knapweedford::{config, daemon, name, platform};
+use knapweedford::{cloud, config, daemon, name};
 
 use super::call;
 
@@ -192,12 +192,12 @@
         ports: &daemon::Ports,
         server: Option<&Server>,
     ) -> anyhow::Result<()> {
-        let listed = platform::Listed {
+        let listed = cloud::Listed {
             host: name::Host::new(host),
             zone: zone.clone(),
             peers: ports.peers,
             server: server.map(|server| server.name.clone()),
-            state: platform::State::Live,
+            state: cloud::State::Live,
         };
         let url = format!("http://{}/hosts/{host}", self.platform);
         ureq::put(url).send(serde_json::to_string(&listed)?)?;
--- a/measure/agreement/real.rs
+++ b/measure/agreement/real.rs
@@ -3,9 +3,7 @@
 use std::{env, fs, path, process, thread, time};
 
 use anyhow::Context;
-use knapweedford::{
-    agree::change::Outcome, agree::record::Target, daemon, name, operators, platform,
-};
+use knapweedford::{agree::change::Outcome, agree::record::Target, cloud, daemon, name, operators};
 
 use crate::path::{
     bench::{Child, Usage, program, stand_in},
@@ -124,12 +122,12 @@
             fs::read_to_string(&ports).ok().filter(|text| !text.is_empty())
         })?;
         let ports: daemon::Ports = serde_json::from_str(&text)?;
-        let listed = platform::Listed {
+        let listed = cloud::Listed {
             host: name::Host::new(&host),
             zone: name::Zone::new(&zone),
             peers: ports.peers,
             server: Some(name::Server::new(format!("s{i}"))),
-            state: platform::State::Live,
+            state: cloud::State::Live,
         };
         let url = format!("{}/hosts/{host}", self.platform);
         ureq::put(url).send(serde_json::to_string(&listed)?)?;
--- a/measure/path/bench.rs
+++ b/measure/path/bench.rs
@@ -3,7 +3,7 @@
 use std::{env, fs, io, io::BufRead, path, process, thread};
 
 use anyhow::Context;
-use knapweedford::{agree::record, daemon, name, platform};
+use knapweedford::{agree::record, cloud, daemon, name};
 
 use super::{stream, until};
 
@@ -147,12 +147,12 @@
         let backend = format!("backend: {{server: writer-{number}, url: 'http://{engine}'}}");
         let host = format!("side-{number}");
         let ports = self.daemon(&host, "sidecar", platform, &backend)?;
-        let listed = platform::Listed {
+        let listed = cloud::Listed {
             host: name::Host::new(&host),
             zone: "z1".into(),
             peers: ports.peers,
             server: Some(name::Server::new(format!("writer-{number}"))),
-            state: platform::State::Live,
+            state: cloud::State::Live,
         };
         let url = format!("{platform}/hosts/{host}");
         ureq::put(url).send(serde_json::to_string(&listed)?)?;
--- a/src/agree/change.rs
+++ b/src/agree/change.rs
@@ -11,7 +11,7 @@
         record::{self, Op, Record, Target},
         store::Unavailable,
     },
-    config, name, platform,
+    cloud, config, name,
 };
 
 /// What an operator orders.
@@ -93,7 +93,7 @@
 #[derive(Clone, Debug)]
 pub struct Writing {
     job: Job,
-    when: platform::When,
+    when: cloud::When,
     next: Record,
 }
 
@@ -101,7 +101,7 @@
 #[derive(Clone, Debug)]
 pub struct Settling {
     job: Job,
-    when: platform::When,
+    when: cloud::When,
     next: Record,
 }
 
@@ -124,7 +124,7 @@
         Reading { job: self }
     }
 
-    fn decide(mut self, row: Option<&platform::Row>) -> Step {
+    fn decide(mut self, row: Option<&cloud::Row>) -> Step {
         let Some(current) = parse(row) else {
             return Step::Done(unreadable(), None);
         };
@@ -142,8 +142,7 @@
                 current.bring_in(self.op, &self.by, target, self.overridden.iter().copied())
             }
         };
-        let when =
-            row.map_or(platform::When::Absent, |row| platform::When::Unchanged(row.etag.clone()));
+        let when = row.map_or(cloud::When::Absent, |row| cloud::When::Unchanged(row.etag.clone()));
         Step::Write(Writing { job: self, when, next })
     }
 }
@@ -171,7 +170,7 @@
 
 impl Reading {
     /// Takes the answer to the read.
-    pub fn answer(self, row: Result<Option<platform::Row>, Unavailable>) -> Step {
+    pub fn answer(self, row: Result<Option<cloud::Row>, Unavailable>) -> Step {
         match row {
             Ok(row) => self.job.decide(row.as_ref()),
             Err(Unavailable) => Step::Done(unavailable(), None),
@@ -186,19 +185,19 @@
     }
 
     /// Condition to write under.
-    pub fn when(&self) -> &platform::When {
+    pub fn when(&self) -> &cloud::When {
         &self.when
     }
 
     /// Takes the answer to the write.
-    pub fn answer(self, written: Result<platform::Written, Unavailable>) -> Step {
+    pub fn answer(self, written: Result<cloud::Written, Unavailable>) -> Step {
         match written {
-            Ok(platform::Written::Done(etag)) => {
+            Ok(cloud::Written::Done(etag)) => {
                 let version = self.next.version;
                 let record = Record { tag: Some(etag), ..self.next };
                 Step::Done(Outcome::Committed { version }, Some(record))
             }
-            Ok(platform::Written::Refused) => Step::Read(self.job.begin()),
+            Ok(cloud::Written::Refused) => Step::Read(self.job.begin()),
             Err(Unavailable) => {
                 Step::Settle(Settling { job: self.job, when: self.when, next: self.next })
             }
@@ -208,7 +207,7 @@
 
 impl Settling {
     /// Takes the answer to the read.
-    pub fn answer(self, row: Result<Option<platform::Row>, Unavailable>) -> Step {
+    pub fn answer(self, row: Result<Option<cloud::Row>, Unavailable>) -> Step {
         match row {
             Err(Unavailable) => Step::Settle(self),
             Ok(row) if self.unchanged(row.as_ref()) => {
@@ -226,10 +225,10 @@
         }
     }
 
-    fn unchanged(&self, row: Option<&platform::Row>) -> bool {
+    fn unchanged(&self, row: Option<&cloud::Row>) -> bool {
         match (&self.when, row) {
-            (platform::When::Absent, None) => true,
-            (platform::When::Unchanged(etag), Some(row)) => row.etag == *etag,
+            (cloud::When::Absent, None) => true,
+            (cloud::When::Unchanged(etag), Some(row)) => row.etag == *etag,
             _ => false,
         }
     }
@@ -248,7 +247,7 @@
 }
 
 /// Reads the record in `row`: version 0 if absent, `None` if it does not parse.
-pub fn parse(row: Option<&platform::Row>) -> Option<Record> {
+pub fn parse(row: Option<&cloud::Row>) -> Option<Record> {
     match row {
         Some(row) => {
             let record: Record = serde_json::from_str(&row.value).ok()?;
--- a/src/agree/claim.rs
+++ b/src/agree/claim.rs
@@ -15,7 +15,7 @@
         row::{self, Answer, Ask},
         store::Unavailable,
     },
-    name, platform, wire,
+    cloud, name, wire,
 };
 
 /// Longest idempotency key, in bytes.
@@ -156,7 +156,7 @@
 /// The row names this claim.
 #[derive(Debug)]
 pub struct Held {
-    etag: platform::Etag,
+    etag: cloud::Etag,
 }
 
 /// What to do next.
@@ -215,21 +215,21 @@
 
     /// The write to make.
     pub fn ask(&self) -> Ask {
-        Ask::Write { value: self.value(State::Claimed), when: platform::When::Absent }
+        Ask::Write { value: self.value(State::Claimed), when: cloud::When::Absent }
     }
 
     /// Takes the answer to the write.
-    pub fn answer(self, written: Result<platform::Written, Unavailable>) -> Step {
+    pub fn answer(self, written: Result<cloud::Written, Unavailable>) -> Step {
         match written {
-            Ok(platform::Written::Done(etag)) => Step::Over(Verdict::Go(self.with(Held { etag }))),
-            Ok(platform::Written::Refused) | Err(Unavailable) => Step::Read(self.with(Doubtful)),
+            Ok(cloud::Written::Done(etag)) => Step::Over(Verdict::Go(self.with(Held { etag }))),
+            Ok(cloud::Written::Refused) | Err(Unavailable) => Step::Read(self.with(Doubtful)),
         }
     }
 }
 
 impl Claim<Doubtful> {
     /// Takes the answer to the read.
-    pub fn answer(self, row: Result<Option<platform::Row>, Unavailable>) -> Step {
+    pub fn answer(self, row: Result<Option<cloud::Row>, Unavailable>) -> Step {
         let Ok(row) = row else { return Step::Over(Verdict::Unavailable) };
         let Some(row) = row else { return Step::Write(self.with(New)) };
         let Ok(found) = serde_json::from_str::<Row>(&row.value) else {
@@ -250,8 +250,8 @@
 
 /// Claims a call before it is sent; blocks for about `within`.
 pub fn begin(
-    table: &dyn platform::Table,
-    objects: &dyn platform::Objects,
+    table: &dyn cloud::Table,
+    objects: &dyn cloud::Objects,
     claim: Claim<New>,
     within: time::Duration,
 ) -> Begun {
@@ -278,7 +278,7 @@
 fn begun(
     key: &Key,
     verdict: Verdict,
-    objects: &dyn platform::Objects,
+    objects: &dyn cloud::Objects,
     within: time::Duration,
 ) -> Begun {
     match verdict {
@@ -305,8 +305,8 @@
     /// which leaves its outcome unknown to a repeat. Blocks for about `within`.
     pub fn record(
         self,
-        table: &dyn platform::Table,
-        objects: &dyn platform::Objects,
+        table: &dyn cloud::Table,
+        objects: &dyn cloud::Objects,
         answer: &Recorded,
         within: time::Duration,
     ) -> bool {
@@ -316,13 +316,13 @@
         };
         let (status, headers) = (answer.status, answer.headers.clone());
         let value = self.value(State::Done { status, headers, body });
-        let when = platform::When::Unchanged(self.state.etag.clone());
+        let when = cloud::When::Unchanged(self.state.etag.clone());
         loop {
             let left = deadline.saturating_duration_since(time::Instant::now()).min(CALL_WITHIN);
             match table.write(&self.key.row(), &value, &when, left) {
                 _ if left.is_zero() => return false,
-                Ok(platform::Written::Done(_)) => return true,
-                Ok(platform::Written::Refused) => return self.is_value(table, &value, left),
+                Ok(cloud::Written::Done(_)) => return true,
+                Ok(cloud::Written::Refused) => return self.is_value(table, &value, left),
                 Err(_) => thread::sleep(RETRY),
             }
         }
@@ -330,7 +330,7 @@
 
     /// Gives the key free again after a call that provably did not run;
     /// `false` if that did not succeed, which leaves it claimed.
-    pub fn release(self, table: &dyn platform::Table, within: time::Duration) -> bool {
+    pub fn release(self, table: &dyn cloud::Table, within: time::Duration) -> bool {
         let deadline = time::Instant::now() + within;
         loop {
             let left = deadline.saturating_duration_since(time::Instant::now()).min(CALL_WITHIN);
@@ -344,13 +344,13 @@
         }
     }
 
-    fn is_value(&self, table: &dyn platform::Table, value: &str, within: time::Duration) -> bool {
+    fn is_value(&self, table: &dyn cloud::Table, value: &str, within: time::Duration) -> bool {
         matches!(table.read(&self.key.row(), within), Ok(Some(row)) if row.value == value)
     }
 
     fn store(
         &self,
-        objects: &dyn platform::Objects,
+        objects: &dyn cloud::Objects,
         body: &[u8],
         within: time::Duration,
     ) -> Option<Body> {
--- a/src/agree/lease.rs
+++ b/src/agree/lease.rs
@@ -15,7 +15,7 @@
         row::{Answer, Ask},
         store::{self, Unavailable},
     },
-    name, platform,
+    cloud, name,
 };
 
 /// Counts up with each holder; orders carry it.
@@ -60,14 +60,14 @@
 }
 
 /// Reads a lease's row; `None` if absent or unreadable.
-pub fn parse(row: Option<&platform::Row>) -> Option<Row> {
+pub fn parse(row: Option<&cloud::Row>) -> Option<Row> {
     serde_json::from_str(&row?.value).ok()
 }
 
 /// Another holds it, as far as is known.
 #[derive(Clone, Debug, Default)]
 struct Watching {
-    seen: Option<(platform::Etag, time::Duration)>,
+    seen: Option<(cloud::Etag, time::Duration)>,
 }
 
 /// A write was sent that makes this process the holder, or keeps it so.
@@ -75,7 +75,7 @@
 struct Writing {
     sent: time::Duration,
     next: Row,
-    when: platform::When,
+    when: cloud::When,
     held: Option<Held>,
 }
 
@@ -89,7 +89,7 @@
 #[derive(Clone, Debug)]
 struct Held {
     until: time::Duration,
-    etag: platform::Etag,
+    etag: cloud::Etag,
     row: Row,
 }
 
@@ -180,10 +180,10 @@
                 self.observe(now, watching, row.as_ref())
             }
             (Stage::Watching(watching), _) => self.rest(now, watching),
-            (Stage::Writing(writing), Answer::Write(Ok(platform::Written::Done(etag)))) => {
+            (Stage::Writing(writing), Answer::Write(Ok(cloud::Written::Done(etag)))) => {
                 self.won(writing, etag)
             }
-            (Stage::Writing(_), Answer::Write(Ok(platform::Written::Refused))) => {
+            (Stage::Writing(_), Answer::Write(Ok(cloud::Written::Refused))) => {
                 self.rest(now, Watching::default())
             }
             (Stage::Writing(writing), _) => self.retry(now, Settling { writing }),
@@ -199,7 +199,7 @@
         &mut self,
         now: time::Duration,
         watching: Watching,
-        row: Option<&platform::Row>,
+        row: Option<&cloud::Row>,
     ) -> Stage {
         let lease = parse(row);
         let free = lease.as_ref().is_none_or(|lease| lease.holder.is_none());
@@ -221,7 +221,7 @@
         &mut self,
         now: time::Duration,
         lease: Option<&Row>,
-        row: Option<&platform::Row>,
+        row: Option<&cloud::Row>,
     ) -> Stage {
         let fence = lease.map_or(Fence::default(), |lease| lease.fence);
         let next = Row {
@@ -231,8 +231,8 @@
             term_ms: self.term.as_millis() as u64,
         };
         let when = match row {
-            Some(row) => platform::When::Unchanged(row.etag.clone()),
-            None => platform::When::Absent,
+            Some(row) => cloud::When::Unchanged(row.etag.clone()),
+            None => cloud::When::Absent,
         };
         self.due = now;
         Stage::Writing(Writing { sent: now, next, when, held: None })
@@ -241,7 +241,7 @@
     fn renew(&self, now: time::Duration, held: Held) -> Writing {
         let holder = (!self.leaving).then(|| self.me.clone());
         let next = Row { holder, renewals: held.row.renewals + 1, ..held.row.clone() };
-        let when = platform::When::Unchanged(held.etag.clone());
+        let when = cloud::When::Unchanged(held.etag.clone());
         Writing { sent: now, next, when, held: Some(held) }
     }
 
@@ -252,7 +252,7 @@
         Ask::Write { value, when }
     }
 
-    fn won(&mut self, writing: Writing, etag: platform::Etag) -> Stage {
+    fn won(&mut self, writing: Writing, etag: cloud::Etag) -> Stage {
         if writing.next.holder.is_none() {
             return Stage::Watching(Watching::default());
         }
@@ -267,18 +267,18 @@
         &mut self,
         now: time::Duration,
         settling: Settling,
-        row: Option<&platform::Row>,
+        row: Option<&cloud::Row>,
     ) -> Stage {
         let Settling { writing } = settling;
         match (row, &writing.when) {
             (Some(row), _) if parse(Some(row)).as_ref() == Some(&writing.next) => {
                 self.won(writing, row.etag.clone())
             }
-            (Some(row), platform::When::Unchanged(etag)) if row.etag == *etag => {
+            (Some(row), cloud::When::Unchanged(etag)) if row.etag == *etag => {
                 self.due = now;
                 Stage::Writing(writing)
             }
-            (None, platform::When::Absent) => {
+            (None, cloud::When::Absent) => {
                 self.due = now;
                 Stage::Writing(writing)
             }
@@ -300,7 +300,7 @@
 /// Reads a lease's row for [`Guard`](crate::agree::guard::Guard); blocks for at most `within`.
 pub fn read_fence(
     name: &str,
-    table: &dyn platform::Table,
+    table: &dyn cloud::Table,
     within: time::Duration,
 ) -> Result<Fence, Unavailable> {
     let row = table.read(&key(name), within).map_err(|_| Unavailable)?;
--- a/src/agree/node/table.rs
+++ b/src/agree/node/table.rs
@@ -9,7 +9,7 @@
         event::Output,
         store::{self, Ask},
     },
-    platform,
+    cloud,
 };
 
 /// Period of polls for one process, and what each process of the site adds.
@@ -42,7 +42,7 @@
         match answer {
             store::Answer::Poll(row) => {
                 self.poll.end(now, row.is_ok(), self.period(now), &mut self.rng);
-                if let Ok(platform::Newer::Row(row)) = row {
+                if let Ok(cloud::Newer::Row(row)) = row {
                     self.polled(row.as_ref());
                 }
             }
@@ -60,7 +60,7 @@
         }
     }
 
-    fn polled(&mut self, row: Option<&platform::Row>) {
+    fn polled(&mut self, row: Option<&cloud::Row>) {
         match change::parse(row) {
             Some(record) if record.version == self.record.version => self.record.tag = record.tag,
             Some(record) => self.learn(record),
--- a/src/agree/record.rs
+++ b/src/agree/record.rs
@@ -1,12 +1,12 @@
-//! The configuration row of the platform's table and the changes to it.
+//! The configuration row of the cloud's table and the changes to it.
 
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
-use crate::{config, name, platform};
+use crate::{cloud, config, name};
 
-/// Key of the row in the platform's table.
+/// Key of the row in the cloud's table.
 pub const KEY: &str = "config";
 
 /// Changes that the row keeps.
@@ -93,7 +93,7 @@
     pub settled: Vec<Op>,
     /// Tag under which the table has this row, as far as it is known; the row
     /// itself holds none.
-    pub tag: Option<platform::Etag>,
+    pub tag: Option<cloud::Etag>,
 }
 
 impl Record {
--- a/src/agree/row.rs
+++ b/src/agree/row.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{agree::store::Unavailable, platform};
+use crate::{agree::store::Unavailable, cloud};
 
 /// One call for a row.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -14,12 +14,12 @@
         /// JSON text.
         value: String,
         /// Condition.
-        when: platform::When,
+        when: cloud::When,
     },
     /// Delete it.
     Delete {
         /// Only if it still has this tag.
-        etag: platform::Etag,
+        etag: cloud::Etag,
     },
 }
 
@@ -27,9 +27,9 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Answer {
     /// To [`Ask::Read`].
-    Read(Result<Option<platform::Row>, Unavailable>),
+    Read(Result<Option<cloud::Row>, Unavailable>),
     /// To [`Ask::Write`].
-    Write(Result<platform::Written, Unavailable>),
+    Write(Result<cloud::Written, Unavailable>),
     /// To [`Ask::Delete`].
     Delete(Result<bool, Unavailable>),
 }
@@ -46,7 +46,7 @@
 }
 
 /// Makes the call; blocks for at most `within`.
-pub fn serve(key: &str, ask: &Ask, table: &dyn platform::Table, within: time::Duration) -> Answer {
+pub fn serve(key: &str, ask: &Ask, table: &dyn cloud::Table, within: time::Duration) -> Answer {
     match ask {
         Ask::Read => Answer::Read(table.read(key, within).map_err(|_| Unavailable)),
         Ask::Write { value, when } => {
--- a/src/agree/store.rs
+++ b/src/agree/store.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 use rand_pcg::Pcg64;
 
-use crate::{agree::record, platform};
+use crate::{agree::record, cloud};
 
 /// Time one call may take.
 pub const WITHIN: time::Duration = time::Duration::from_millis(1500);
@@ -16,7 +16,7 @@
     /// Read the configuration row, because it was due.
     Poll {
         /// Tag of the row as last polled.
-        known: Option<platform::Etag>,
+        known: Option<cloud::Etag>,
     },
     /// Read the configuration row, for a change.
     Read,
@@ -25,7 +25,7 @@
         /// JSON text.
         value: String,
         /// Condition.
-        when: platform::When,
+        when: cloud::When,
     },
     /// Read the host list.
     List,
@@ -35,13 +35,13 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Answer {
     /// To [`Ask::Poll`].
-    Poll(Result<platform::Newer, Unavailable>),
+    Poll(Result<cloud::Newer, Unavailable>),
     /// To [`Ask::Read`].
-    Read(Result<Option<platform::Row>, Unavailable>),
+    Read(Result<Option<cloud::Row>, Unavailable>),
     /// To [`Ask::Write`].
-    Write(Result<platform::Written, Unavailable>),
+    Write(Result<cloud::Written, Unavailable>),
     /// To [`Ask::List`].
-    List(Result<Vec<platform::Listed>, Unavailable>),
+    List(Result<Vec<cloud::Listed>, Unavailable>),
 }
 
 /// The platform did not answer in time.
@@ -49,7 +49,7 @@
 pub struct Unavailable;
 
 /// Makes the call; blocks for at most [`WITHIN`].
-pub fn serve(ask: &Ask, table: &dyn platform::Table, hosts: &dyn platform::Hosts) -> Answer {
+pub fn serve(ask: &Ask, table: &dyn cloud::Table, hosts: &dyn cloud::Hosts) -> Answer {
     match ask {
         Ask::Poll { known } => {
             let newer = table.read_newer(record::KEY, known.as_ref(), WITHIN);
--- a/src/platform/client.rs
+++ b/src/cloud/client.rs
@@ -8,7 +8,7 @@
 use serde::de;
 use ureq::http;
 
-use crate::{Error, Result, platform};
+use crate::{Error, Result, cloud};
 
 const TABLE: &str = "table";
 const OBJECTS: &str = "object store";
@@ -32,7 +32,7 @@
 #[derive(Clone, Debug)]
 struct Listing {
     etag: String,
-    hosts: Vec<platform::Listed>,
+    hosts: Vec<cloud::Listed>,
 }
 
 impl Client {
@@ -76,11 +76,11 @@
     }
 }
 
-impl platform::Table for Client {
-    fn read(&self, key: &str, within: time::Duration) -> Result<Option<platform::Row>> {
+impl cloud::Table for Client {
+    fn read(&self, key: &str, within: time::Duration) -> Result<Option<cloud::Row>> {
         let answer = self.get(&self.url("table", key), TABLE, within)?;
         match answer.status {
-            200 => Ok(Some(platform::Row { etag: answer.etag()?, value: answer.text()? })),
+            200 => Ok(Some(cloud::Row { etag: answer.etag()?, value: answer.text()? })),
             404 => Ok(None),
             _ => Err(answer.unexpected()),
         }
@@ -89,17 +89,17 @@
     fn read_newer(
         &self,
         key: &str,
-        known: Option<&platform::Etag>,
+        known: Option<&cloud::Etag>,
         within: time::Duration,
-    ) -> Result<platform::Newer> {
+    ) -> Result<cloud::Newer> {
         let known = known.map(|etag| etag.0.as_str());
         let answer = self.get_newer(&self.url("table", key), known, TABLE, within)?;
         match answer.status {
-            304 => Ok(platform::Newer::Unchanged),
-            404 => Ok(platform::Newer::Row(None)),
+            304 => Ok(cloud::Newer::Unchanged),
+            404 => Ok(cloud::Newer::Row(None)),
             200 => {
-                let row = platform::Row { etag: answer.etag()?, value: answer.text()? };
-                Ok(platform::Newer::Row(Some(row)))
+                let row = cloud::Row { etag: answer.etag()?, value: answer.text()? };
+                Ok(cloud::Newer::Row(Some(row)))
             }
             _ => Err(answer.unexpected()),
         }
@@ -109,24 +109,24 @@
         &self,
         key: &str,
         value: &str,
-        when: &platform::When,
+        when: &cloud::When,
         within: time::Duration,
-    ) -> Result<platform::Written> {
+    ) -> Result<cloud::Written> {
         let req = self.agent.put(self.url("table", key));
         let req = match when {
-            platform::When::Absent => req.header("If-None-Match", "*"),
-            platform::When::Unchanged(etag) => req.header("If-Match", &etag.0),
+            cloud::When::Absent => req.header("If-None-Match", "*"),
+            cloud::When::Unchanged(etag) => req.header("If-Match", &etag.0),
         };
         let req = req.config().timeout_global(Some(within)).build();
         let answer = Answer::collect(req.send(value), TABLE)?;
         match answer.status {
-            200 | 201 | 204 => Ok(platform::Written::Done(answer.etag()?)),
-            412 => Ok(platform::Written::Refused),
+            200 | 201 | 204 => Ok(cloud::Written::Done(answer.etag()?)),
+            412 => Ok(cloud::Written::Refused),
             _ => Err(answer.unexpected()),
         }
     }
 
-    fn delete(&self, key: &str, etag: &platform::Etag, within: time::Duration) -> Result<bool> {
+    fn delete(&self, key: &str, etag: &cloud::Etag, within: time::Duration) -> Result<bool> {
         let req = self.agent.delete(self.url("table", key)).header("If-Match", &etag.0);
         let req = req.config().timeout_global(Some(within)).build();
         let answer = Answer::collect(req.call(), TABLE)?;
@@ -138,7 +138,7 @@
     }
 }
 
-impl platform::Objects for Client {
+impl cloud::Objects for Client {
     fn get(&self, key: &str, within: time::Duration) -> Result<Option<Vec<u8>>> {
         let answer = Client::get(self, &self.url("objects", key), OBJECTS, within)?;
         match answer.status {
@@ -159,14 +159,14 @@
     }
 }
 
-impl platform::Hosts for Client {
-    fn list(&self, within: time::Duration) -> Result<Vec<platform::Listed>> {
+impl cloud::Hosts for Client {
+    fn list(&self, within: time::Duration) -> Result<Vec<cloud::Listed>> {
         let kept = self.listing().clone();
         let known = kept.as_ref().map(|kept| kept.etag.as_str());
         let answer = self.get_newer(&format!("{}/hosts", self.root), known, HOSTS, within)?;
         let hosts = match (answer.status, kept) {
             (304, Some(kept)) => return Ok(kept.hosts),
-            (200, _) => answer.json::<Vec<platform::Listed>>()?,
+            (200, _) => answer.json::<Vec<cloud::Listed>>()?,
             _ => return Err(answer.unexpected()),
         };
         let keep = |etag| Listing { etag, hosts: hosts.clone() };
@@ -194,9 +194,9 @@
         Ok(Self { service, status: res.status().as_u16(), etag, body })
     }
 
-    fn etag(&self) -> Result<platform::Etag> {
+    fn etag(&self) -> Result<cloud::Etag> {
         match &self.etag {
-            Some(etag) => Ok(platform::Etag(etag.clone())),
+            Some(etag) => Ok(cloud::Etag(etag.clone())),
             None => Err(down(self.service, "the answer has no ETag".into())),
         }
     }
--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -9,7 +9,7 @@
     courier,
     port::Port,
 };
-use crate::{Result, http, metrics, platform, settings, view};
+use crate::{Result, cloud, http, metrics, settings, view};
 
 /// Starts the agent of the process that takes peers at `peers`, its errands, and
 /// the port for `operators`. Must run inside a `LocalSet`.
@@ -22,7 +22,7 @@
     adopt: impl Fn(Arc<view::View>) + Send + 'static,
     dump: impl Fn(oneshot::Sender<serde_json::Value>) + 'static,
 ) -> Result<Link> {
-    let client = platform::Client::new(&cfg.platform);
+    let client = cloud::Client::new(&cfg.platform);
     let (link, errands) = agent::start(cfg, peers, adopt)?;
     tokio::task::spawn_local(courier::run(client, cfg.token.clone(), link.clone(), errands));
     let port = Port { token: cfg.token.clone(), dump, link: link.clone(), page };
--- a/src/daemon/courier.rs
+++ b/src/daemon/courier.rs
@@ -5,7 +5,7 @@
 use tokio::sync::{Semaphore, mpsc};
 
 use super::agent::{Errand, Event, Link};
-use crate::{agree::store, peer, platform, wire, wire::gossip};
+use crate::{agree::store, cloud, peer, wire, wire::gossip};
 
 /// Most messages under way; more are dropped, which the protocol bears.
 const SENDS: usize = 64;
@@ -15,7 +15,7 @@
 
 /// Runs errands until the agent ends. Must run inside a `LocalSet`.
 pub async fn run(
-    client: platform::Client,
+    client: cloud::Client,
     token: String,
     link: Link,
     mut errands: mpsc::UnboundedReceiver<Errand>,
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -12,9 +12,9 @@
 
 use super::{Ports, Switches, agent, control, courier};
 use crate::{
-    Error, Result,
+    Error, Result, cloud,
     entry::{Core, Event, Front, once},
-    http, metrics, peer, platform, settings, wire,
+    http, metrics, peer, settings, wire,
 };
 
 /// Longest time for which an entry with a configuration waits to know a backend
@@ -190,7 +190,7 @@
         budgets: Default::default(),
         started: time::Instant::now(),
         metrics,
-        claims: once::Claims::new(platform::Client::new(&cfg.platform)),
+        claims: once::Claims::new(cloud::Client::new(&cfg.platform)),
         open,
         heard: Box::new(move |from, version| {
             heard.send(agent::Event::Heard(Some(from), version));
--- a/src/entry/once.rs
+++ b/src/entry/once.rs
@@ -11,7 +11,7 @@
         breaker::Breaker,
         claim::{self, Begun, Claim, Fingerprint, Held, Key, New, Recorded},
     },
-    http, metrics, platform, wire,
+    cloud, http, metrics, wire,
 };
 
 /// Longest time for claiming, for recording and for releasing.
@@ -22,14 +22,14 @@
 
 /// What claims share between requests.
 pub struct Claims {
-    client: platform::Client,
+    client: cloud::Client,
     breaker: cell::RefCell<Breaker>,
     started: time::Instant,
 }
 
 impl Claims {
     /// Claims in the table of `client`.
-    pub fn new(client: platform::Client) -> Self {
+    pub fn new(client: cloud::Client) -> Self {
         Self { client, breaker: Default::default(), started: time::Instant::now() }
     }
 
--- a/src/group/controller.rs
+++ b/src/group/controller.rs
@@ -7,8 +7,8 @@
 
 use std::{collections, time};
 
+use crate::cloud;
 use crate::group::{map, order, rank, row};
-use crate::platform;
 
 /// Time after which an unanswered order is given again.
 pub const RESEND: time::Duration = time::Duration::from_millis(500);
@@ -32,14 +32,14 @@
     /// Read the group's row and pass it to [`Controller::row`].
     Read,
     /// Write the group's row and pass the end of it to [`Controller::written`].
-    Write(row::Row, platform::When),
+    Write(row::Row, cloud::When),
 }
 
 /// How a write of the row ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Written {
     /// Written.
-    Done(platform::Etag),
+    Done(cloud::Etag),
     /// Another writer came first.
     Refused,
     /// Not known.
@@ -75,7 +75,7 @@
     load_within: time::Duration,
     state: State,
     row: row::Row,
-    etag: Option<platform::Etag>,
+    etag: Option<cloud::Etag>,
     /// A read or write of the row is under way.
     pending: bool,
     wanted: Option<map::Id>,
@@ -205,11 +205,7 @@
     }
 
     /// The row was read: `Ok(None)` if there is none, `Err` if the table did not answer.
-    pub fn row(
-        &mut self,
-        now: time::Duration,
-        read: Result<Option<(row::Row, platform::Etag)>, ()>,
-    ) {
+    pub fn row(&mut self, now: time::Duration, read: Result<Option<(row::Row, cloud::Etag)>, ()>) {
         self.pending = false;
         let Ok(found) = read else { return };
         let (row, etag) =
@@ -366,8 +362,8 @@
 
     fn write(&mut self, row: row::Row) -> Vec<Effect> {
         let when = match &self.etag {
-            Some(etag) => platform::When::Unchanged(etag.clone()),
-            None => platform::When::Absent,
+            Some(etag) => cloud::When::Unchanged(etag.clone()),
+            None => cloud::When::Absent,
         };
         self.store(Effect::Write(row, when))
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! `knapweedford`, is for operators. `docs/DESIGN.md` gives the shape.
 
 pub mod agree;
+pub mod cloud;
 pub mod config;
 pub mod daemon;
 pub mod entry;
@@ -15,7 +16,6 @@
 pub mod name;
 pub mod operators;
 pub mod peer;
-pub mod platform;
 pub mod policy;
 pub mod settings;
 pub mod sidecar;
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -9,7 +9,7 @@
         row::{self, Ask},
         store::Unavailable,
     },
-    platform::{self, Table},
+    cloud::{self, Table},
 };
 use proptest::{prelude::*, test_runner};
 
@@ -211,7 +211,7 @@
         for (who, fate) in moves {
             if fate == 7 && !late.is_empty() {
                 let Late { key, value } = late.remove(0);
-                let _ = platform.write(key, &value, &platform::When::Absent, WITHIN);
+                let _ = platform.write(key, &value, &cloud::When::Absent, WITHIN);
                 continue;
             }
             tries[who] = match std::mem::replace(&mut tries[who], Try::Over) {
--- a/tests/maps_fuzz/world.rs
+++ b/tests/maps_fuzz/world.rs
@@ -3,8 +3,8 @@
 use std::{collections, time};
 
 use knapweedford::{
+    cloud,
     group::{controller, map, order, rank, row},
-    platform,
 };
 
 use super::{DEFAULT, Event, LEASE, LOAD_WITHIN, Off, Oracle, RANKS};
@@ -14,7 +14,7 @@
     Order(usize, order::Addressed),
     Answer(usize, order::Answer),
     Read(usize),
-    Write(usize, row::Row, platform::When),
+    Write(usize, row::Row, cloud::When),
 }
 
 struct Node {
@@ -186,12 +186,7 @@
         }
     }
 
-    fn read(
-        &mut self,
-        epoch: usize,
-        c: usize,
-        read: Result<Option<(row::Row, platform::Etag)>, ()>,
-    ) {
+    fn read(&mut self, epoch: usize, c: usize, read: Result<Option<(row::Row, cloud::Etag)>, ()>) {
         if self.nodes[c].epoch == epoch {
             let now = self.now;
             self.nodes[c].machine.row(now, read);
@@ -205,11 +200,11 @@
         }
     }
 
-    fn write(&mut self, row: row::Row, when: &platform::When) -> controller::Written {
+    fn write(&mut self, row: row::Row, when: &cloud::When) -> controller::Written {
         let etag = self.table.map(|(_, etag)| etag);
         let holds = match when {
-            platform::When::Absent => etag.is_none(),
-            platform::When::Unchanged(known) => etag.map(tag).as_ref() == Some(known),
+            cloud::When::Absent => etag.is_none(),
+            cloud::When::Unchanged(known) => etag.map(tag).as_ref() == Some(known),
         };
         match () {
             () if !self.store => controller::Written::Unknown,
@@ -308,6 +303,6 @@
     controller::Controller::new(lease, RANKS, LOAD_WITHIN)
 }
 
-fn tag(etag: u64) -> platform::Etag {
-    platform::Etag(etag.to_string())
+fn tag(etag: u64) -> cloud::Etag {
+    cloud::Etag(etag.to_string())
 }
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -15,7 +15,7 @@
         record::{Effective, Op, Target},
         store,
     },
-    name, platform,
+    cloud, name,
     wire::{frame, gossip},
 };
 use rand::{RngExt, SeedableRng};
@@ -29,9 +29,9 @@
 
 /// Contents, faults and counts of a [`Platform`].
 pub struct State {
-    pub rows: BTreeMap<String, platform::Row>,
+    pub rows: BTreeMap<String, cloud::Row>,
     pub objects: BTreeMap<String, Vec<u8>>,
-    pub hosts: Vec<platform::Listed>,
+    pub hosts: Vec<cloud::Listed>,
     pub down: bool,
     pub lose_answer: f64,
     pub lose_write: f64,
@@ -86,8 +86,8 @@
     }
 }
 
-impl platform::Table for Platform {
-    fn read(&self, key: &str, _: Duration) -> Result<Option<platform::Row>> {
+impl cloud::Table for Platform {
+    fn read(&self, key: &str, _: Duration) -> Result<Option<cloud::Row>> {
         self.state().reads += 1;
         Ok(self.open()?.rows.get(key).cloned())
     }
@@ -95,26 +95,26 @@
     fn read_newer(
         &self,
         key: &str,
-        known: Option<&platform::Etag>,
+        known: Option<&cloud::Etag>,
         _: Duration,
-    ) -> Result<platform::Newer> {
+    ) -> Result<cloud::Newer> {
         self.state().reads += 1;
         let mut state = self.open()?;
         let row = state.rows.get(key).cloned();
         if known.is_some() && row.as_ref().map(|row| &row.etag) == known {
-            return Ok(platform::Newer::Unchanged);
+            return Ok(cloud::Newer::Unchanged);
         }
         state.read_bytes += row.as_ref().map_or(0, |row| row.value.len() as u64);
-        Ok(platform::Newer::Row(row))
+        Ok(cloud::Newer::Row(row))
     }
 
     fn write(
         &self,
         key: &str,
         value: &str,
-        when: &platform::When,
+        when: &cloud::When,
         _: Duration,
-    ) -> Result<platform::Written> {
+    ) -> Result<cloud::Written> {
         self.state().writes += 1;
         let mut state = self.open()?;
         let p = state.lose_write;
@@ -123,23 +123,23 @@
         }
         let holds = match (when, state.rows.get(key)) {
             _ if state.lax => true,
-            (platform::When::Absent, None) => true,
-            (platform::When::Unchanged(etag), Some(row)) => row.etag == *etag,
+            (cloud::When::Absent, None) => true,
+            (cloud::When::Unchanged(etag), Some(row)) => row.etag == *etag,
             _ => false,
         };
         let p = state.lose_answer;
         let lost = state.happens(p);
         if !holds {
-            return if lost { Err(down()) } else { Ok(platform::Written::Refused) };
+            return if lost { Err(down()) } else { Ok(cloud::Written::Refused) };
         }
         state.tag += 1;
-        let etag = platform::Etag(state.tag.to_string());
-        let row = platform::Row { etag: etag.clone(), value: value.into() };
+        let etag = cloud::Etag(state.tag.to_string());
+        let row = cloud::Row { etag: etag.clone(), value: value.into() };
         state.rows.insert(key.into(), row);
-        if lost { Err(down()) } else { Ok(platform::Written::Done(etag)) }
+        if lost { Err(down()) } else { Ok(cloud::Written::Done(etag)) }
     }
 
-    fn delete(&self, key: &str, etag: &platform::Etag, _: Duration) -> Result<bool> {
+    fn delete(&self, key: &str, etag: &cloud::Etag, _: Duration) -> Result<bool> {
         self.state().writes += 1;
         let mut state = self.open()?;
         let held = state.rows.get(key).is_some_and(|row| row.etag == *etag);
@@ -151,14 +151,14 @@
     }
 }
 
-impl platform::Hosts for Platform {
-    fn list(&self, _: Duration) -> Result<Vec<platform::Listed>> {
+impl cloud::Hosts for Platform {
+    fn list(&self, _: Duration) -> Result<Vec<cloud::Listed>> {
         self.state().reads += 1;
         Ok(self.open()?.hosts.clone())
     }
 }
 
-impl platform::Objects for Platform {
+impl cloud::Objects for Platform {
     fn get(&self, key: &str, _: Duration) -> Result<Option<Vec<u8>>> {
         Ok(self.open()?.objects.get(key).cloned())
     }
@@ -247,13 +247,13 @@
     Target::Zone(name.into())
 }
 
-fn listed(i: usize) -> platform::Listed {
-    platform::Listed {
+fn listed(i: usize) -> cloud::Listed {
+    cloud::Listed {
         host: host(i),
         zone: name::Zone::new(format!("z{}", i % 3)),
         peers: address(i),
         server: (!i.is_multiple_of(3)).then(|| name::Server::new(format!("s{i}"))),
-        state: platform::State::Live,
+        state: cloud::State::Live,
     }
 }
 
