Move experts with demand: rank agents on the side hosts

Change: an agent beside each engine reads counts and state at its own host and sends them to the agent of the lowest rank that answers. That one decides by src/group (edits of Loads, few copies a rank) and carries the change out: copy everywhere, hold a pass, arm every rank for it, release. A change that cannot go on disarms all ranks and outdates what is under way.

Ruled out: the engine's count of orders as a guard against late orders.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -8,7 +8,7 @@
 use rand::SeedableRng;
 use tokio::{sync::watch, task};
 
-use crate::{Error, Result, gateway, logging, name, settings, view};
+use crate::{Error, Result, gateway, logging, name, rank, settings, view};
 
 pub mod agent;
 pub mod args;
@@ -76,7 +76,7 @@
         settings::site::Role::Gateway { callers, readiness } => {
             gateway::run(cfg, callers, readiness)
         }
-        settings::site::Role::Rank { .. } => Ok(()),
+        settings::site::Role::Rank { engine, .. } => rank::agent::run(cfg, engine),
     }
 }
 
--- a/src/group/loads.rs
+++ b/src/group/loads.rs
@@ -94,6 +94,16 @@
 
     /// Best edit for rank `hot` by gain per copy loaded, and that gain; `None` if none helps.
     pub fn best(&self, hot: usize, place: &Place<'_>) -> Option<(Edit, f64)> {
+        self.best_where(hot, place, |_| true)
+    }
+
+    /// The same among the edits that `allowed` takes.
+    pub fn best_where(
+        &self,
+        hot: usize,
+        place: &Place<'_>,
+        allowed: impl Fn(Edit) -> bool,
+    ) -> Option<(Edit, f64)> {
         let own = hot * self.slots..(hot + 1) * self.slots;
         let others = || (0..own.start).chain(own.end..self.cells.len());
         let cool: Vec<usize> =
@@ -130,7 +140,7 @@
             .chain(copies)
             .chain(lighter)
             .filter_map(|(edit, gain)| Some((edit, gain? / edit.moves() as f64)))
-            .filter(|(_, gain)| *gain > LEAST)
+            .filter(|(edit, gain)| *gain > LEAST && allowed(*edit))
             .max_by(|a, b| a.1.total_cmp(&b.1))
     }
 
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -18,5 +18,6 @@
 pub mod pack;
 pub mod plan;
 pub mod rank;
+pub mod rebalance;
 pub mod row;
 pub mod straggler;
--- /dev/null
+++ b/src/group/rebalance.rs
@@ -0,0 +1,159 @@
+//! Answers jumps of expert popularity every few seconds: the small edit of the map that pays
+//! within one such span, copying few experts to each rank.
+//!
+//! A pass lasts as long as the ranks' own work and, layer by layer, the expert work of the most
+//! loaded rank. Copying slows passes while it lasts, so an edit is judged by what it saves until
+//! popularity is expected to jump again.
+
+use std::time;
+
+use crate::group::{layout, loads};
+
+/// Experts of one layer, rank by rank.
+pub type Layer = Vec<Vec<u16>>;
+
+/// What bounds an edit, and what it costs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Experts that one rank can hold of each layer.
+    pub slots: usize,
+    /// Experts that one rank may copy for one edit, of each layer.
+    pub copies: usize,
+    /// Time to copy one expert.
+    pub copy: time::Duration,
+    /// Part of a balanced pass that is spent in experts.
+    pub expert_part: f64,
+    /// Part by which passes last longer while experts are copied.
+    pub interference: f64,
+    /// Time for which an edit is expected to pay.
+    pub horizon: time::Duration,
+}
+
+/// An edit that pays.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Edit {
+    /// The map to go to.
+    pub map: Vec<Layer>,
+    /// Mean over layers of the most loaded rank over the mean, before and after.
+    pub skew: (f64, f64),
+    /// Most experts that one rank must copy, over all layers.
+    pub copies: usize,
+    /// Time that the edit saves over the horizon, in seconds, less its cost.
+    pub net_s: f64,
+}
+
+/// Mean over layers of the most loaded rank's load over the mean load.
+pub fn skew(map: &[Layer], weights: &[Vec<f64>]) -> f64 {
+    let skews = map.iter().zip(weights).map(|(layer, weights)| layer_skew(layer, weights));
+    skews.sum::<f64>() / map.len().max(1) as f64
+}
+
+fn layer_skew(layer: &Layer, weights: &[f64]) -> f64 {
+    let mut holders = vec![0.0; weights.len()];
+    layer.iter().flatten().for_each(|expert| holders[usize::from(*expert)] += 1.0);
+    let share = |expert: &u16| weights[usize::from(*expert)] / holders[usize::from(*expert)];
+    let most = layer.iter().map(|own| own.iter().map(share).sum::<f64>()).fold(0.0, f64::max);
+    let mean = weights.iter().sum::<f64>() / layer.len().max(1) as f64;
+    if mean > 0.0 { most / mean } else { 1.0 }
+}
+
+/// The edit of `map` that saves most under `weights`, by layer and expert; `None` if none pays.
+pub fn edit(map: &[Layer], weights: &[Vec<f64>], terms: &Terms) -> Option<Edit> {
+    let before = skew(map, weights);
+    let pass = |skew: f64| 1.0 - terms.expert_part + terms.expert_part * skew;
+    let tried = (1..=terms.copies).map(|copies| {
+        let layers = map.iter().zip(weights);
+        let map: Vec<Layer> = layers
+            .map(|(layer, weights)| layer_edit(layer, weights, terms.slots, copies))
+            .collect();
+        let after = skew(&map, weights);
+        (map, after)
+    });
+    let judged = tried.map(|(to, after)| {
+        let copies = most_copies(map, &to);
+        let copying_s = terms.copy.as_secs_f64() * copies as f64;
+        let gained_s = (terms.horizon.as_secs_f64() - copying_s).max(0.0);
+        let saved = gained_s * (1.0 - pass(after) / pass(before));
+        let net_s = saved - copying_s * terms.interference;
+        Edit { map: to, skew: (before, after), copies, net_s }
+    });
+    judged.filter(|edit| edit.net_s > 0.0).max_by(|a, b| a.net_s.total_cmp(&b.net_s))
+}
+
+/// Most experts that one rank must copy to go from one map to the other.
+fn most_copies(from: &[Layer], to: &[Layer]) -> usize {
+    let ranks = from.first().map_or(0, Vec::len);
+    let new = |rank: usize| {
+        let layers = from.iter().zip(to);
+        let fresh = layers
+            .flat_map(|(from, to)| to[rank].iter().filter(|expert| !from[rank].contains(expert)));
+        fresh.count()
+    };
+    (0..ranks).map(new).max().unwrap_or_default()
+}
+
+/// `layer` with the edits that lower its most loaded ranks, at most `copies` new experts a rank.
+fn layer_edit(layer: &Layer, weights: &[f64], slots: usize, copies: usize) -> Layer {
+    let experts = weights.len();
+    // A free slot holds a stand-in expert without load, a different one in each slot of a rank.
+    let cells: Vec<u16> = layer
+        .iter()
+        .flat_map(|own| {
+            let free = (own.len()..slots).map(|slot| (experts + slot) as u16);
+            own.iter().copied().chain(free)
+        })
+        .collect();
+    let mut padded = weights.to_vec();
+    padded.resize(experts + slots, 0.0);
+    let mut loads = loads::Loads::new(&padded, slots, &cells);
+    let layout = layout::Layout::regular(layer.len(), 1, 1);
+    let place = loads::Place { layout: &layout, spread: 0.0 };
+    let most_edits = layer.len() * copies;
+    for _ in 0..most_edits {
+        let by_rank = loads.by_rank();
+        let hot = (0..by_rank.len()).max_by(|a, b| by_rank[*a].total_cmp(&by_rank[*b]));
+        let allowed = |edit: loads::Edit| {
+            fits(edit, &loads, &cells, slots, copies) && stays(edit, &loads, experts)
+        };
+        match hot.and_then(|hot| loads.best_where(hot, &place, allowed)) {
+            Some((edit, _)) => loads.apply(edit),
+            None => break,
+        }
+    }
+    let own = |own: &[u16]| {
+        let real = own.iter().copied().filter(|expert| usize::from(*expert) < experts);
+        real.collect()
+    };
+    loads.cells().chunks(slots).map(own).collect()
+}
+
+/// Whether every rank has at most `copies` experts after `edit` that `cells` did not give it.
+fn fits(
+    edit: loads::Edit,
+    loads: &loads::Loads,
+    cells: &[u16],
+    slots: usize,
+    copies: usize,
+) -> bool {
+    let new_after = |cell: usize, expert: u16| {
+        let rank = cell / slots;
+        let base = &cells[rank * slots..(rank + 1) * slots];
+        let now = &loads.cells()[rank * slots..(rank + 1) * slots];
+        let kept = now.iter().enumerate().filter(|(i, _)| rank * slots + i != cell);
+        let kept_new = kept.filter(|(_, expert)| !base.contains(expert)).count();
+        kept_new + usize::from(!base.contains(&expert)) <= copies
+    };
+    match edit {
+        loads::Edit::Swap(a, b) => new_after(a, loads.cells()[b]) && new_after(b, loads.cells()[a]),
+        loads::Edit::Put(cell, expert) => new_after(cell, expert),
+    }
+}
+
+/// Whether `edit` moves real experts only.
+fn stays(edit: loads::Edit, loads: &loads::Loads, experts: usize) -> bool {
+    let real = |expert: u16| usize::from(expert) < experts;
+    match edit {
+        loads::Edit::Swap(a, b) => real(loads.cells()[a]) && real(loads.cells()[b]),
+        loads::Edit::Put(_, expert) => real(expert),
+    }
+}
--- /dev/null
+++ b/src/rank/change.rs
@@ -0,0 +1,411 @@
+//! A change of a group's expert map, from the first copy to the pass that uses it.
+//!
+//! All ranks copy the map. One rank holds a pass ahead, so that the group cannot begin it. All
+//! ranks are armed for that pass; only once each of them has said so is the pass released.
+//!
+//! An order without an answer may be carried out seconds later, when what it was for is over.
+//! What makes that harmless:
+//!
+//! - An arm has effect only before its pass begins and while its version is the one prepared. The
+//!   pass is released only if every rank is armed, or if no rank is armed and every rank has
+//!   prepared a newer version.
+//! - No pass is held twice, so a late release finds nothing to release. A late hold is seen in
+//!   the rank's status and settled like a change left behind.
+//! - A late copy order is refused once the rank has had a newer version.
+//!
+//! State and decisions only: [`Change::step`] gives the orders to send.
+
+use std::{collections::BTreeMap, time};
+
+use crate::{
+    group::rebalance::Layer,
+    rank::{Accepted, Act, Order, Status, Step},
+};
+
+/// Passes between the newest one seen and the one that is held: the first may begin before the
+/// hold arrives.
+const AHEAD: u64 = 2;
+/// Longest time from the first arm to the last; then the change is undone. Five tries of one
+/// order.
+const ARMING: time::Duration = time::Duration::from_millis(1_250);
+/// Refusals of one kind of order at one rank after which a change is given up.
+const REFUSALS: u32 = 4;
+/// Pause before an order that had no effect is sent again: the time of a few exchanges.
+const AGAIN: time::Duration = time::Duration::from_millis(15);
+/// Time for which a rank may copy before it is told again, besides the time that copying takes.
+const COPY_SLACK: time::Duration = time::Duration::from_millis(500);
+
+/// Newest status of each rank, by rank.
+pub type Seen = BTreeMap<usize, Status>;
+
+/// How a change ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum End {
+    /// The group uses the new map.
+    Changed,
+    /// The group uses the old map; no order of the change has effect any more.
+    Undone(&'static str),
+    /// The group formed anew; all that belonged to the change is gone.
+    Lost,
+}
+
+/// How far a change is.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Phase {
+    Prepare,
+    Hold { pass: u64 },
+    Arm { pass: u64, since: time::Duration },
+    Release,
+    Await,
+    Undo { why: &'static str, version: u64 },
+    ReleaseUndone { why: &'static str },
+    Over(End),
+}
+
+/// One change of map. The type is the owner's; another owner's change meets it only through the
+/// ranks' statuses.
+#[derive(Clone, Debug)]
+pub struct Change {
+    epoch: u64,
+    ranks: usize,
+    /// Rank that holds the pass.
+    own: usize,
+    version: u64,
+    map: Vec<Layer>,
+    /// Map in use, prepared once more to outdate orders under way.
+    old: Vec<Layer>,
+    copying: time::Duration,
+    phase: Phase,
+    /// Newest pass that was held.
+    held: u64,
+    /// When each rank may get the next order; `None` while one is under way.
+    next: BTreeMap<usize, Option<time::Duration>>,
+    /// Ranks that have begun to copy, and when.
+    copying_since: BTreeMap<usize, time::Duration>,
+    refusals: BTreeMap<usize, u32>,
+}
+
+/// What a change is about.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Epoch of the group.
+    pub epoch: u64,
+    /// Rank that holds the pass: the one beside this process.
+    pub own: usize,
+    /// Ranks of the group.
+    pub ranks: usize,
+    /// Version of the new map, above all that any rank has had.
+    pub version: u64,
+    /// Map to go to.
+    pub map: Vec<Layer>,
+    /// Map in use.
+    pub old: Vec<Layer>,
+    /// Time that the copies take.
+    pub copying: time::Duration,
+    /// Newest pass of the epoch that was held.
+    pub held: u64,
+}
+
+impl Change {
+    /// Begins a change.
+    pub fn new(plan: Plan) -> Self {
+        let Plan { epoch, own, ranks, version, map, old, copying, held } = plan;
+        Self {
+            epoch,
+            ranks,
+            own,
+            version,
+            map,
+            old,
+            copying,
+            phase: Phase::Prepare,
+            held,
+            next: BTreeMap::new(),
+            copying_since: BTreeMap::new(),
+            refusals: BTreeMap::new(),
+        }
+    }
+
+    /// Undoes what another owner, or an order that came late, left behind. `plan.old` is the map
+    /// in use. It never goes on with a change: an order to disarm may still be under way.
+    pub fn settle(plan: Plan, seen: &Seen) -> Self {
+        let mut change = Self::new(plan);
+        change.held = change.held.max(seen.values().filter_map(|s| s.held).max().unwrap_or(0));
+        change.phase = change.undo("left behind", seen);
+        change
+    }
+
+    /// How it ended, once it has.
+    pub fn end(&self) -> Option<&End> {
+        match &self.phase {
+            Phase::Over(end) => Some(end),
+            _ => None,
+        }
+    }
+
+    /// Version of the new map.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The new map.
+    pub fn map(&self) -> &[Layer] {
+        &self.map
+    }
+
+    /// Newest pass that was held.
+    pub fn held(&self) -> u64 {
+        self.held
+    }
+
+    /// Name of the phase, for logs.
+    pub fn phase(&self) -> &'static str {
+        match self.phase {
+            Phase::Prepare => "prepare",
+            Phase::Hold { .. } => "hold",
+            Phase::Arm { .. } => "arm",
+            Phase::Release => "release",
+            Phase::Await => "await",
+            Phase::Undo { .. } => "undo",
+            Phase::ReleaseUndone { .. } => "release-undone",
+            Phase::Over(_) => "over",
+        }
+    }
+
+    /// Takes the answer to the order at `rank`, `None` if there was none. Then
+    /// [`step`](Self::step) goes on with the statuses that followed it.
+    pub fn answer(
+        &mut self,
+        now: time::Duration,
+        rank: usize,
+        order: &Order,
+        got: Option<&Accepted>,
+    ) {
+        self.next.insert(rank, Some(now + AGAIN));
+        match (got, &order.act) {
+            (Some(Accepted::Refused(_)), _) => *self.refusals.entry(rank).or_default() += 1,
+            (Some(_), Act::Prepare { .. }) => {
+                self.copying_since.insert(rank, now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Goes as far as `seen` allows; gives the orders to send, each with its rank.
+    pub fn step(&mut self, now: time::Duration, seen: &Seen) -> Vec<(usize, Order)> {
+        let mut out = Vec::new();
+        loop {
+            let before = self.phase.clone();
+            self.advance(now, seen, &mut out);
+            if self.phase == before {
+                return out;
+            }
+            self.refusals.clear();
+            // What a new phase sends needs no pause.
+            self.next.retain(|_, next| next.is_none());
+        }
+    }
+
+    fn advance(&mut self, now: time::Duration, seen: &Seen, out: &mut Vec<(usize, Order)>) {
+        if matches!(self.phase, Phase::Over(_)) {
+            return;
+        }
+        let epoch = |status: &Status| status.member.as_ref().map(|member| member.epoch);
+        if seen.values().any(|status| epoch(status).is_some_and(|epoch| epoch > self.epoch)) {
+            self.phase = Phase::Over(End::Lost);
+            return;
+        }
+        match self.phase.clone() {
+            Phase::Prepare => self.prepare(now, seen, out),
+            Phase::Hold { pass } => self.hold(now, pass, seen, out),
+            Phase::Arm { pass, since } => {
+                self.arm(now, Step { version: self.version, pass }, since, seen, out)
+            }
+            Phase::Release => {
+                if self.release(now, seen, out) {
+                    self.phase = Phase::Await;
+                }
+            }
+            Phase::Await => {
+                let changed = |status: &Status| status.map == self.version;
+                if seen.len() == self.ranks && seen.values().all(changed) {
+                    self.phase = Phase::Over(End::Changed);
+                }
+            }
+            Phase::Undo { why, version } => self.outdate(now, why, version, seen, out),
+            Phase::ReleaseUndone { why } => {
+                if self.release(now, seen, out) {
+                    self.phase = Phase::Over(End::Undone(why));
+                }
+            }
+            Phase::Over(_) => {}
+        }
+    }
+
+    fn prepare(&mut self, now: time::Duration, seen: &Seen, out: &mut Vec<(usize, Order)>) {
+        let mut ready = 0;
+        for rank in 0..self.ranks {
+            let Some(status) = seen.get(&rank) else { continue };
+            let patience = self.copying + COPY_SLACK;
+            let copying = self.copying_since.get(&rank).is_some_and(|at| now < *at + patience);
+            match status.prepared {
+                Some(version) if version == self.version => ready += 1,
+                Some(version) if version > self.version => {
+                    self.phase = Phase::Over(End::Undone("another owner prepares"));
+                    return;
+                }
+                _ if self.refused_too_often(rank) => {
+                    // Nothing is armed or held yet, and nothing under way can arm a rank.
+                    self.phase = Phase::Over(End::Undone("refused to prepare"));
+                    return;
+                }
+                _ if copying => {}
+                _ => {
+                    let act = Act::Prepare { version: self.version, map: self.map.clone() };
+                    self.send(now, rank, act, out);
+                }
+            }
+        }
+        if ready == self.ranks {
+            self.phase = Phase::Hold { pass: self.ahead(seen) };
+        }
+    }
+
+    fn hold(&mut self, now: time::Duration, pass: u64, seen: &Seen, out: &mut Vec<(usize, Order)>) {
+        let Some(status) = seen.get(&self.own) else { return };
+        match status.held {
+            Some(held) if held == pass => self.phase = Phase::Arm { pass, since: now },
+            Some(_) => self.phase = self.undo("another pass is held", seen),
+            None if newest(seen) >= pass => {
+                self.phase = Phase::Hold { pass: self.ahead(seen) };
+            }
+            None if self.refused_too_often(self.own) => {
+                self.phase = self.undo("refused to hold", seen);
+            }
+            None => self.send(now, self.own, Act::Hold { pass }, out),
+        }
+    }
+
+    fn arm(
+        &mut self,
+        now: time::Duration,
+        step: Step,
+        since: time::Duration,
+        seen: &Seen,
+        out: &mut Vec<(usize, Order)>,
+    ) {
+        if all_armed(seen, self.ranks) == Some(step) {
+            self.phase = Phase::Release;
+            return;
+        }
+        let held = seen.get(&self.own).and_then(|status| status.held);
+        let kept =
+            |status: &Status| status.armed.is_some() || status.prepared == Some(self.version);
+        match () {
+            () if held != Some(step.pass) => self.phase = self.undo("the hold was lost", seen),
+            () if !seen.values().all(kept) => self.phase = self.undo("a copy was lost", seen),
+            () if now > since + ARMING => self.phase = self.undo("arming took too long", seen),
+            () => {
+                for (&rank, status) in seen {
+                    match status.armed {
+                        Some(armed) if armed == step => {}
+                        Some(_) => return self.phase = self.undo("armed by another owner", seen),
+                        None => self.send(now, rank, Act::Arm(step), out),
+                    }
+                }
+            }
+        }
+    }
+
+    /// Releases every held pass; `true` once none is held.
+    fn release(&mut self, now: time::Duration, seen: &Seen, out: &mut Vec<(usize, Order)>) -> bool {
+        let mut free = seen.len() == self.ranks;
+        for (&rank, status) in seen {
+            if let Some(pass) = status.held {
+                free = false;
+                self.send(now, rank, Act::Go { pass }, out);
+            }
+        }
+        free
+    }
+
+    /// Disarms all ranks and has each prepare a newer version of the map in use, which copies
+    /// nothing: an arm that is still under way is then refused.
+    fn outdate(
+        &mut self,
+        now: time::Duration,
+        why: &'static str,
+        version: u64,
+        seen: &Seen,
+        out: &mut Vec<(usize, Order)>,
+    ) {
+        let mut settled = 0;
+        for (&rank, status) in seen {
+            let act = match status.armed {
+                Some(armed) => Act::Disarm { version: armed.version },
+                None if status.prepared == Some(version) => {
+                    settled += 1;
+                    continue;
+                }
+                None => Act::Prepare { version, map: self.old.clone() },
+            };
+            self.send(now, rank, act, out);
+        }
+        match () {
+            () if settled == self.ranks => self.phase = Phase::ReleaseUndone { why },
+            // Another owner has prepared a version above this one: start over with a higher one.
+            () if (0..self.ranks).any(|rank| self.refused_too_often(rank)) => {
+                self.phase = self.undo(why, seen);
+            }
+            () => {}
+        }
+    }
+
+    fn undo(&self, why: &'static str, seen: &Seen) -> Phase {
+        let before = match self.phase {
+            Phase::Undo { version, .. } => version,
+            _ => self.version,
+        };
+        Phase::Undo { why, version: highest(seen).max(before) + 1 }
+    }
+
+    fn refused_too_often(&self, rank: usize) -> bool {
+        self.refusals.get(&rank).is_some_and(|refusals| *refusals >= REFUSALS)
+    }
+
+    /// The pass to hold.
+    fn ahead(&self, seen: &Seen) -> u64 {
+        (newest(seen) + AHEAD).max(self.held + 1)
+    }
+
+    fn send(&mut self, now: time::Duration, rank: usize, act: Act, out: &mut Vec<(usize, Order)>) {
+        if self.next.get(&rank).is_none_or(|next| next.is_some_and(|at| at <= now)) {
+            self.next.insert(rank, None);
+            if let Act::Hold { pass } = act {
+                self.held = self.held.max(pass);
+            }
+            out.push((rank, Order { epoch: self.epoch, act }));
+        }
+    }
+}
+
+/// Newest pass that any rank has begun.
+fn newest(seen: &Seen) -> u64 {
+    seen.values().map(|status| status.pass).max().unwrap_or_default()
+}
+
+/// Highest version that any rank says it has or had.
+pub fn highest(seen: &Seen) -> u64 {
+    let versions = seen.values().flat_map(|status| {
+        let armed = status.armed.map(|step| step.version);
+        [Some(status.map), status.prepared, armed]
+    });
+    versions.flatten().max().unwrap_or_default()
+}
+
+/// The step that every rank is armed for, if it is the same.
+fn all_armed(seen: &Seen, ranks: usize) -> Option<Step> {
+    let first = seen.values().next()?.armed?;
+    let same = seen.len() == ranks && seen.values().all(|status| status.armed == Some(first));
+    same.then_some(first)
+}
--- /dev/null
+++ b/src/rank/duty.rs
@@ -0,0 +1,267 @@
+//! The duty for one group: when its map changes, and to what.
+//!
+//! Every agent holds one of these; the one that gets the pulses of most ranks acts. Two that act
+//! at once are harmless, see [`change`].
+
+use std::{collections::BTreeMap, time};
+
+use super::{
+    Accepted, Status,
+    change::{self, Change, End, Plan, Seen},
+    message::{Errand, Pulse, PulseReply},
+    popularity::Popularity,
+};
+use crate::{
+    group::rebalance::{self, Layer},
+    site::catalog::Experts,
+};
+
+/// Age at which a rank's status is too old to decide on.
+const FRESH: time::Duration = time::Duration::from_millis(700);
+/// Time for which an edit of the map is expected to pay; popularity is known to jump every three
+/// to four seconds at the users' sites.
+const HORIZON: time::Duration = time::Duration::from_millis(2_500);
+/// Part of a balanced pass that is spent in experts; the users' sites state 0.85.
+const EXPERT_PART: f64 = 0.85;
+/// Part by which passes last longer while experts are copied, as the platform states it.
+const INTERFERENCE: f64 = 0.15;
+/// Pause after a change that was undone, so that two owners do not undo each other's for long.
+const AFTER_UNDO: time::Duration = time::Duration::from_millis(400);
+/// Span from which a version's increment is drawn, so that two owners do not use the same one.
+const VERSION_SPAN: u64 = 1 << 12;
+
+/// A rank as its pulses show it.
+struct Rank {
+    status: Status,
+    at: time::Duration,
+    placed: Option<(u64, Vec<Vec<u16>>)>,
+}
+
+/// State of the duty at one agent.
+pub struct Duty {
+    shape: Experts,
+    own: Option<usize>,
+    epoch: u64,
+    ranks: BTreeMap<usize, Rank>,
+    size: usize,
+    popularity: Popularity,
+    change: Option<Change>,
+    began: time::Duration,
+    pause_until: time::Duration,
+    /// Newest pass that was held in this epoch. None is held twice, so that a release that
+    /// arrives late finds nothing to release.
+    held: u64,
+    acting: bool,
+}
+
+impl Duty {
+    /// A duty for a group of engines of this shape.
+    pub fn new(shape: Experts) -> Self {
+        Self {
+            shape,
+            own: None,
+            epoch: 0,
+            ranks: BTreeMap::new(),
+            size: 0,
+            popularity: Popularity::default(),
+            change: None,
+            began: time::Duration::ZERO,
+            pause_until: time::Duration::ZERO,
+            held: 0,
+            acting: false,
+        }
+    }
+
+    /// Sets the rank beside this process.
+    pub fn beside(&mut self, rank: usize) {
+        self.own = Some(rank);
+    }
+
+    /// Takes the pulse of a rank.
+    pub fn pulse(&mut self, now: time::Duration, pulse: Pulse) -> PulseReply {
+        let Some(member) = pulse.status.member.clone() else { return PulseReply::default() };
+        if member.epoch < self.epoch {
+            return PulseReply::default();
+        }
+        if member.epoch > self.epoch {
+            self.form(member.epoch, member.ranks);
+        }
+        if let Some(demand) = pulse.demand.filter(|demand| demand.epoch == self.epoch) {
+            self.popularity.add(now, member.rank, demand);
+        }
+        self.learn(now, member.rank, pulse.status);
+        let Some(rank) = self.ranks.get_mut(&member.rank) else { return PulseReply::default() };
+        if let Some(placed) = pulse.placed.filter(|placed| placed.epoch == self.epoch) {
+            rank.placed = Some((placed.version, placed.experts));
+        }
+        let version = rank.placed.as_ref().map(|(version, _)| *version);
+        PulseReply { want_placed: version != Some(rank.status.map) }
+    }
+
+    /// Takes the answer to an order; `None` if there was none.
+    pub fn answer(
+        &mut self,
+        now: time::Duration,
+        errand: &Errand,
+        accepted: Option<&Accepted>,
+        status: Option<Status>,
+    ) {
+        let why = match accepted {
+            Some(Accepted::Refused(why)) => Some(why.as_str()),
+            Some(_) => None,
+            None => Some("no answer"),
+        };
+        if let Some(why) = why {
+            let act = errand.order.act.label();
+            log::info!(rank = errand.rank, act, epoch = errand.order.epoch, why; "order not taken");
+        }
+        if let Some(status) = status {
+            self.learn(now, errand.rank, status);
+        }
+        if let Some(change) = &mut self.change {
+            change.answer(now, errand.rank, &errand.order, accepted);
+        }
+    }
+
+    /// Goes on; gives the orders to send. `draw` is a random number.
+    pub fn step(&mut self, now: time::Duration, draw: u64) -> Vec<Errand> {
+        let Some(seen) = self.seen(now) else { return Vec::new() };
+        if self.change.is_none() {
+            self.change = self.begin(now, &seen, draw);
+        }
+        let Some(change) = &mut self.change else { return Vec::new() };
+        let orders = change.step(now, &seen);
+        self.held = self.held.max(change.held());
+        if let Some(end) = change.end().cloned() {
+            self.over(now, &end);
+        }
+        orders.into_iter().map(|(rank, order)| Errand { rank, order }).collect()
+    }
+
+    fn form(&mut self, epoch: u64, size: usize) {
+        log::info!(epoch, before = self.epoch, size; "group formed");
+        (self.epoch, self.size) = (epoch, size);
+        self.ranks.clear();
+        self.popularity.clear();
+        self.change = None;
+        self.held = 0;
+    }
+
+    fn learn(&mut self, now: time::Duration, rank: usize, status: Status) {
+        let epoch = status.member.as_ref().map(|member| member.epoch);
+        if epoch != Some(self.epoch) {
+            return;
+        }
+        match self.ranks.get_mut(&rank) {
+            // A pulse may be overtaken by the answer to an order.
+            Some(known) if is_older(&status, &known.status) => {}
+            Some(known) => (known.status, known.at) = (status, now),
+            None => {
+                self.ranks.insert(rank, Rank { status, at: now, placed: None });
+            }
+        }
+    }
+
+    /// The newest statuses, if this process is to act on them: it has heard of every rank in
+    /// this epoch, of most of them lately, and of its own.
+    fn seen(&mut self, now: time::Duration) -> Option<Seen> {
+        let fresh = |rank: &&Rank| rank.at + FRESH >= now;
+        let lately = self.ranks.values().filter(fresh).count();
+        let own = self.own.and_then(|own| self.ranks.get(&own)).is_some_and(|rank| fresh(&rank));
+        let acts = self.size > 0 && self.ranks.len() == self.size && lately * 2 > self.size && own;
+        if acts != self.acting {
+            self.acting = acts;
+            log::info!(epoch = self.epoch, acts, lately, of = self.size; "duty for the map");
+        }
+        acts.then(|| self.ranks.iter().map(|(rank, known)| (*rank, known.status.clone())).collect())
+    }
+
+    fn begin(&mut self, now: time::Duration, seen: &Seen, draw: u64) -> Option<Change> {
+        let own = self.own?;
+        let map = self.map()?;
+        let open = seen.values().all(|status| status.member.as_ref().is_some_and(|m| m.open));
+        let left_behind =
+            seen.values().any(|status| status.armed.is_some() || status.held.is_some());
+        let version = change::highest(seen) + 1 + draw % VERSION_SPAN;
+        let (epoch, ranks, held) = (self.epoch, self.size, self.held);
+        let plan = |to: Vec<Layer>, old: &[Layer], copying| Plan {
+            epoch,
+            own,
+            ranks,
+            version,
+            map: to,
+            old: old.to_vec(),
+            copying,
+            held,
+        };
+        if left_behind {
+            log::warn!(epoch = self.epoch, version; "settling a change left behind");
+            self.began = now;
+            return Some(Change::settle(plan(map.clone(), &map, time::Duration::ZERO), seen));
+        }
+        if !open || now < self.pause_until {
+            return None;
+        }
+        let weights = self.popularity.weights(now)?;
+        let terms = rebalance::Terms {
+            slots: self.shape.places,
+            copies: self.shape.spare,
+            copy: self.shape.copy,
+            expert_part: EXPERT_PART,
+            interference: INTERFERENCE,
+            horizon: HORIZON,
+        };
+        let edit = rebalance::edit(&map, &weights, &terms)?;
+        log::info!(
+            epoch = self.epoch,
+            version,
+            skew_before = format!("{:.2}", edit.skew.0),
+            skew_after = format!("{:.2}", edit.skew.1),
+            copies = edit.copies,
+            net_ms = (edit.net_s * 1000.0) as u64;
+            "map change begins"
+        );
+        self.began = now;
+        let copying = self.shape.copy * edit.copies as u32;
+        Some(Change::new(plan(edit.map, &map, copying)))
+    }
+
+    /// The map in use by set and rank, once every rank has said what it holds of the same one.
+    fn map(&self) -> Option<Vec<Layer>> {
+        let version = self.ranks.values().next()?.status.map;
+        let own = |rank: &Rank| {
+            let (placed, experts) = rank.placed.as_ref()?;
+            (rank.status.map == version && *placed == version).then(|| experts.clone())
+        };
+        let by_rank: Vec<Vec<Vec<u16>>> = self.ranks.values().map(own).collect::<Option<_>>()?;
+        let layer = |set: usize| by_rank.iter().map(|sets| sets.get(set).cloned()).collect();
+        (0..self.shape.sets).map(layer).collect()
+    }
+
+    fn over(&mut self, now: time::Duration, end: &End) {
+        let Some(change) = self.change.take() else { return };
+        let took_ms = now.saturating_sub(self.began).as_millis() as u64;
+        log::info!(
+            epoch = self.epoch,
+            version = change.version(),
+            end:? = end,
+            took_ms;
+            "map change over"
+        );
+        match end {
+            End::Changed => {
+                for (rank, known) in &mut self.ranks {
+                    let experts = change.map().iter().map(|layer| layer[*rank].clone());
+                    known.placed = Some((change.version(), experts.collect()));
+                }
+            }
+            End::Undone(_) => self.pause_until = now + AFTER_UNDO,
+            End::Lost => {}
+        }
+    }
+}
+
+/// Whether `status` was read before `known` by the same process.
+fn is_older(status: &Status, known: &Status) -> bool {
+    status.read.0 == known.read.0 && status.read.1 < known.read.1
+}
--- /dev/null
+++ b/src/rank/message.rs
@@ -0,0 +1,46 @@
+//! What rank agents say to each other.
+
+use serde::{Deserialize, Serialize};
+
+use super::{Accepted, Demand, Order, Placed, Status};
+
+/// Path of the exchange that carries a [`Pulse`] and one [`PulseReply`].
+pub const PULSE: &str = "/pulse";
+/// Path of the exchange that carries an [`Order`] and one [`OrderReply`].
+pub const ORDER: &str = "/order";
+
+/// State of one engine, sent to the owner of the group's duty.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Pulse {
+    /// State of the engine.
+    pub status: Status,
+    /// What its requests chose.
+    pub demand: Option<Demand>,
+    /// What it holds; sent when the owner asked for it.
+    pub placed: Option<Placed>,
+}
+
+/// The owner's answer to a pulse.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PulseReply {
+    /// Whether the next pulse is to say what the engine holds.
+    pub want_placed: bool,
+}
+
+/// An agent's answer to an order.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct OrderReply {
+    /// The engine's answer; `None` if it gave none, and the order may be carried out later.
+    pub accepted: Option<Accepted>,
+    /// State of the engine after it.
+    pub status: Option<Status>,
+}
+
+/// An order with the place that it is for, as the owner sends it out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Errand {
+    /// Rank that the order is for.
+    pub rank: usize,
+    /// The order.
+    pub order: Order,
+}
--- /dev/null
+++ b/src/rank/state.rs
@@ -0,0 +1,142 @@
+//! What an engine says of itself, and what it is told.
+
+use serde::{Deserialize, Serialize};
+
+/// Part of a group that an engine is.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Member {
+    /// The group.
+    pub group: String,
+    /// Counts up each time that the group forms; maps and orders end with it.
+    pub epoch: u64,
+    /// Place in the group, from 0.
+    pub rank: usize,
+    /// Ranks of the group; 0 if the engine does not say.
+    pub ranks: usize,
+    /// Whether the group works.
+    pub open: bool,
+}
+
+/// A change of map at the beginning of a pass.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Step {
+    /// Version of the map.
+    pub version: u64,
+    /// The first pass that uses it.
+    pub pass: u64,
+}
+
+/// State of an engine, as it says itself.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Status {
+    /// When it was read, by whom: a process's draw and its count of readings.
+    pub read: (u64, u64),
+    /// Requests that wait.
+    pub queued: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// Part of its memory in use, from 0 to 1.
+    pub memory: f64,
+    /// Slowness; 1 is normal.
+    pub pace: f64,
+    /// Its group, if it is in one.
+    pub member: Option<Member>,
+    /// Last pass that was begun.
+    pub pass: u64,
+    /// Version of the map in use; 0 is the one that a group forms with.
+    pub map: u64,
+    /// Version that is copied and ready to use.
+    pub prepared: Option<u64>,
+    /// Change that will happen.
+    pub armed: Option<Step>,
+    /// Pass that will not begin before it is released.
+    pub held: Option<u64>,
+    /// Start of the engine, in Unix milliseconds.
+    pub born_ms: u64,
+}
+
+/// How often requests chose each expert.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Demand {
+    /// Epoch of the group.
+    pub epoch: u64,
+    /// Last pass counted.
+    pub pass: u64,
+    /// Counts since the engine started, by set and expert.
+    pub counts: Vec<Vec<u64>>,
+}
+
+/// Experts that an engine holds.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Placed {
+    /// Epoch of the group.
+    pub epoch: u64,
+    /// Version of the map in use.
+    pub version: u64,
+    /// Experts of this rank in use, by set.
+    pub experts: Vec<Vec<u16>>,
+    /// Version that is copied, and its experts of this rank by set.
+    pub prepared: Option<(u64, Vec<Vec<u16>>)>,
+}
+
+/// What an engine is told to do.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Act {
+    /// Copy the experts of a map that are new to this rank.
+    Prepare {
+        /// Version of the map.
+        version: u64,
+        /// Experts by set and rank.
+        map: Vec<Vec<Vec<u16>>>,
+    },
+    /// Change to a copied map as a pass begins.
+    Arm(Step),
+    /// Do not change to this map.
+    Disarm {
+        /// Version of the map.
+        version: u64,
+    },
+    /// Do not begin a pass before it is released. Does not expire.
+    Hold {
+        /// The pass.
+        pass: u64,
+    },
+    /// Release a pass.
+    Go {
+        /// The pass.
+        pass: u64,
+    },
+}
+
+impl Act {
+    /// Its name, for logs.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Prepare { .. } => "prepare",
+            Self::Arm(_) => "arm",
+            Self::Disarm { .. } => "disarm",
+            Self::Hold { .. } => "hold",
+            Self::Go { .. } => "go",
+        }
+    }
+}
+
+/// An order to an engine.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Order {
+    /// Epoch in which it holds.
+    pub epoch: u64,
+    /// What to do.
+    pub act: Act,
+}
+
+/// An engine's answer to an order.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Accepted {
+    /// Begun.
+    Begun,
+    /// Done, or so already.
+    Holds,
+    /// Not done, for this reason.
+    Refused(String),
+}
--- a/src/site/catalog.rs
+++ b/src/site/catalog.rs
@@ -69,6 +69,8 @@
     pub places: usize,
     /// Experts that a rank may copy for one change, in each set.
     pub spare: usize,
+    /// Time to copy one expert.
+    pub copy: time::Duration,
 }
 
 /// A service.
--- a/src/site/register.rs
+++ b/src/site/register.rs
@@ -5,7 +5,7 @@
     net, time,
 };
 
-use crate::name;
+use crate::{name, rank};
 
 /// Silence of the store after which missing servers may have lapsed without having gone.
 /// Above the pause between two regular reads, below the three heartbeats after which the
@@ -32,6 +32,8 @@
     pub cold: time::Duration,
     /// Start of this incarnation, in Unix milliseconds; 0 if it does not say.
     pub born_ms: u64,
+    /// Group that it is part of, for engines that run in lock-step.
+    pub member: Option<rank::Member>,
 }
 
 /// What one read of the register changed.
