Count a 421 as a retry, share the budget by counted gateways, reload settings

After the power cut workers came back under other ids while the register still had the old ones, and a 421 was neither budgeted nor remembered. Now it is a retry, and ejects the server. The bound is shared by the gateways that say in the store that they run, and a process's first window uses a fifth. Now it reloads the settings, as a silent change of the file does. An edit now weighs its copies and how busy the group is.

--- a/src/balance/budget.rs
+++ b/src/balance/budget.rs
@@ -7,6 +7,9 @@
 
 /// Part of the bound that is used, so that windows that start at another moment keep it too.
 const USED: f64 = 0.8;
+/// The same within the first window after the process began: the one before it may have used its
+/// whole part in that window.
+const USED_AT_FIRST: f64 = 0.2;
 
 /// Retries of one service.
 #[derive(Clone, Debug)]
@@ -17,7 +20,7 @@
 }
 
 impl Budget {
-    /// Nothing sent yet.
+    /// Nothing sent yet. Times given later are counted from the start of the process.
     pub fn new(terms: Retries) -> Self {
         Self { terms, firsts: Window::new(terms.window), retries: Window::new(terms.window) }
     }
@@ -30,7 +33,8 @@
     /// Takes one retry; `false` if none is left. `gateways` share what no request pays for.
     pub fn retry(&mut self, now: time::Duration, gateways: usize) -> bool {
         let free = self.terms.free / gateways.max(1) as f64;
-        let most = USED * (self.terms.share * self.firsts.count(now) as f64 + free);
+        let used = if now < self.terms.window { USED_AT_FIRST } else { USED };
+        let most = used * (self.terms.share * self.firsts.count(now) as f64 + free);
         let granted = self.retries.count(now) as f64 + 1.0 <= most;
         if granted {
             self.retries.add(now);
--- a/src/balance/fleet.rs
+++ b/src/balance/fleet.rs
@@ -57,6 +57,8 @@
     Good,
     /// Failed by the server's fault.
     Bad,
+    /// Another server has its address now.
+    Replaced,
     /// Says nothing about the server.
     Neutral,
 }
@@ -178,6 +180,7 @@
                     load.failures = FAILURES - 1;
                 }
             }
+            Outcome::Replaced => load.ejected_until = now + LONGEST_EJECTION,
             Outcome::Neutral => {}
         }
     }
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -4,8 +4,10 @@
 
 pub mod budget;
 pub mod fleet;
+pub mod presence;
 pub mod window;
 
 pub use budget::Budget;
 pub use fleet::{Choice, Fleet};
+pub use presence::Presence;
 pub use window::Window;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -19,6 +19,7 @@
 pub mod port;
 pub mod ports;
 pub mod reactor;
+pub mod reload;
 pub mod sidecar;
 pub mod signals;
 
@@ -74,9 +75,9 @@
     log::info!(host:% = cfg.host, role:? = cfg.role; "starting");
     match cfg.role.clone() {
         settings::site::Role::Gateway { callers, readiness } => {
-            gateway::run(cfg, callers, readiness)
+            gateway::run(cfg, path, callers, readiness)
         }
-        settings::site::Role::Rank { engine, .. } => rank::agent::run(cfg, engine),
+        settings::site::Role::Rank { engine, .. } => rank::agent::run(cfg, path, engine),
     }
 }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -77,10 +77,9 @@
     let said = exchange::judge(head.status, &head.headers, &job.id);
     match said {
         Said::NotRun | Said::OtherServer => {
-            let why = if said == Said::NotRun { "refused" } else { "other-server" };
-            let outcome = match said {
-                Said::OtherServer => fleet::Outcome::Bad,
-                _ => fleet::Outcome::Neutral,
+            let (why, outcome) = match said {
+                Said::OtherServer => ("other-server", fleet::Outcome::Replaced),
+                _ => ("refused", fleet::Outcome::Bad),
             };
             seat.note(outcome);
             let mut rest = Reading::new(seat.addr, conn, body);
@@ -89,7 +88,7 @@
                 while let Some(Ok(_)) = rest.next(&desk.pool).await {}
             })
             .await;
-            Sent::NotRun { why, arrived: said == Said::NotRun }
+            Sent::NotRun { why, arrived: true }
         }
         Said::OtherRequest => {
             seat.note(fleet::Outcome::Bad);
--- a/src/gateway/desk.rs
+++ b/src/gateway/desk.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    balance::{Budget, Choice, Fleet, fleet},
+    balance::{Budget, Choice, Fleet, Presence, fleet},
     daemon, http,
     http::client,
     metrics, name, platform,
@@ -15,9 +15,6 @@
     site::{Catalog, Register, catalog},
 };
 
-/// Gateways that share budgets until this one knows better: the most that a site of today has,
-/// with those that may be added.
-const GATEWAYS: usize = 8;
 /// Idle time of callers' connections while no configuration is known.
 const IDLE: time::Duration = time::Duration::from_secs(20);
 
@@ -29,7 +26,7 @@
     pub metrics: metrics::Entry,
     zone: name::Zone,
     started: Instant,
-    retries: site::Retries,
+    retries: cell::Cell<site::Retries>,
     state: cell::RefCell<State>,
 }
 
@@ -38,6 +35,7 @@
     register: Register,
     fleet: Fleet,
     budgets: BTreeMap<name::Service, Budget>,
+    presence: Presence,
     rng: Pcg64,
     leaving: bool,
 }
@@ -85,6 +83,7 @@
             register: Register::default(),
             fleet: Fleet::default(),
             budgets: BTreeMap::new(),
+            presence: Presence::default(),
             rng: daemon::generator(&cfg.host),
             leaving: false,
         };
@@ -93,7 +92,7 @@
             metrics,
             zone: cfg.zone.clone(),
             started: Instant::now(),
-            retries: cfg.retries,
+            retries: cell::Cell::new(cfg.retries),
             state: cell::RefCell::new(state),
         })
     }
@@ -148,6 +147,25 @@
         changes.gone.iter().for_each(|server| state.fleet.forget(server));
     }
 
+    /// Takes the latest words of all gateways.
+    pub fn gateways(&self, words: BTreeMap<name::Host, u64>) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let before = state.presence.count(now);
+        state.presence.update(words, now);
+        let gateways = state.presence.count(now);
+        if gateways != before {
+            log::info!(gateways, before; "gateways counted");
+        }
+    }
+
+    /// Takes settings that may change while the process runs.
+    pub fn reload(&self, cfg: &site::Settings) {
+        if self.retries.replace(cfg.retries) != cfg.retries {
+            self.state.borrow_mut().budgets.clear();
+        }
+    }
+
     /// Whether the balancer should send callers here.
     pub fn ready(&self) -> bool {
         let state = self.state.borrow();
@@ -191,14 +209,15 @@
         tried: &[name::Server],
     ) -> Result<Seat, NoSeat> {
         let fallback = catalog::Service::default();
+        let now = self.now();
+        let state = &mut *self.state.borrow_mut();
         let ask = fleet::Ask {
             service: catalog.services.get(service).unwrap_or(&fallback),
             zone: &self.zone,
-            gateways: GATEWAYS,
+            gateways: state.presence.count(now),
             tried,
-            now: self.now(),
+            now,
         };
-        let state = &mut *self.state.borrow_mut();
         match state.fleet.choose(state.register.open(service), ask, &mut state.rng) {
             Choice::Server { server, addr, in_flight } => Ok(Seat {
                 desk: rc::Rc::clone(self),
@@ -217,15 +236,16 @@
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let budget = state.budgets.entry(service.clone());
-        budget.or_insert_with(|| Budget::new(self.retries)).first(now);
+        budget.or_insert_with(|| Budget::new(self.retries.get())).first(now);
     }
 
     /// Takes a retry at `service` from the budget; `false` if there is none left.
     pub fn retry(&self, service: &name::Service) -> bool {
         let now = self.now();
         let mut state = self.state.borrow_mut();
+        let gateways = state.presence.count(now);
         let budget = state.budgets.entry(service.clone());
-        budget.or_insert_with(|| Budget::new(self.retries)).retry(now, GATEWAYS)
+        budget.or_insert_with(|| Budget::new(self.retries.get())).retry(now, gateways)
     }
 
     /// A number between `from` and `to`.
@@ -258,6 +278,7 @@
                 state.register.read_at().map(|at| now.saturating_sub(at).as_millis() as u64),
             "emptied": state.register.emptied().iter().map(name::Zone::as_str).collect::<Vec<_>>(),
             "leaving": state.leaving,
+            "gateways": state.presence.count(now),
             "servers": servers,
         })
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,7 +4,7 @@
 //! it current from the store, [`forward`] sends a request and tries again where that is safe,
 //! [`relay`] passes a stream of events on.
 
-use std::{rc, time};
+use std::{net, path, rc, time};
 
 use tokio::{sync::watch as switch, task};
 
@@ -34,22 +34,25 @@
 /// Runs until told to end.
 pub fn run(
     cfg: site::Settings,
-    callers: std::net::SocketAddr,
-    readiness: std::net::SocketAddr,
+    path: &path::Path,
+    callers: net::SocketAddr,
+    readiness: net::SocketAddr,
 ) -> Result {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|source| Error::Thread { source })?;
-    let ended = task::LocalSet::new().block_on(&runtime, serve(cfg, callers, readiness));
+    let ended =
+        task::LocalSet::new().block_on(&runtime, serve(cfg, path.into(), callers, readiness));
     runtime.shutdown_timeout(time::Duration::ZERO);
     ended
 }
 
 async fn serve(
     cfg: site::Settings,
-    callers: std::net::SocketAddr,
-    readiness: std::net::SocketAddr,
+    path: path::PathBuf,
+    callers: net::SocketAddr,
+    readiness: net::SocketAddr,
 ) -> Result {
     let grace = cfg.grace;
     let callers = http::listen(callers).await?;
@@ -60,7 +63,10 @@
     let desk = desk::Desk::new(&cfg, metrics.clone());
     let store = platform::Store::new(cfg.store);
     task::spawn_local(watch::orders(store.clone(), rc::Rc::clone(&desk)));
-    task::spawn_local(watch::servers(store, rc::Rc::clone(&desk)));
+    task::spawn_local(watch::servers(store.clone(), rc::Rc::clone(&desk)));
+    task::spawn_local(watch::gateways(store, rc::Rc::clone(&desk), cfg.host.clone()));
+    let reloading = rc::Rc::clone(&desk);
+    task::spawn_local(daemon::reload::watch(cfg.clone(), path, move |cfg| reloading.reload(cfg)));
     task::spawn_local(tidy(rc::Rc::clone(&desk)));
     let answer = rc::Rc::new(ready::Ready { desk: rc::Rc::clone(&desk) });
     task::spawn_local(http::serve(readiness, http::Limits::default, answer, stop.subscribe()));
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -3,7 +3,11 @@
 use std::{rc, time};
 
 use super::desk::Desk;
-use crate::platform::{Store, store::Changed};
+use crate::{
+    balance::presence,
+    name,
+    platform::{Store, store::Changed},
+};
 
 /// Longest wait of one question for changes; bounds how long a connection that went silent
 /// delays a change, which must be in force within 2 s.
@@ -94,3 +98,22 @@
         }
     }
 }
+
+/// Says that this gateway runs, and counts the others.
+pub async fn gateways(store: Store, desk: rc::Rc<Desk>, host: name::Host) {
+    let mut reach = Reach::new("gateways");
+    loop {
+        let step = async {
+            store.present(&host).await?;
+            store.gateways().await
+        };
+        match step.await {
+            Ok(words) => {
+                reach.good(&desk);
+                desk.gateways(words);
+                tokio::time::sleep(presence::EVERY.mul_f64(desk.between(0.9, 1.1))).await;
+            }
+            Err(err) => reach.bad(&desk, &err).await,
+        }
+    }
+}
--- a/src/group/rebalance.rs
+++ b/src/group/rebalance.rs
@@ -9,6 +9,9 @@
 
 use crate::group::{layout, loads};
 
+/// Least net gain of an edit, in seconds of group time: popularity is known to a few percent only.
+const LEAST_NET_S: f64 = 0.03;
+
 /// Experts of one layer, rank by rank.
 pub type Layer = Vec<Vec<u16>>;
 
@@ -27,6 +30,10 @@
     pub interference: f64,
     /// Time for which an edit is expected to pay.
     pub horizon: time::Duration,
+    /// Group time that one copied expert is worth: copies load links that others use too.
+    pub per_copy: time::Duration,
+    /// How busy the group is, from 0 to 1: an idle group gains nothing from shorter passes.
+    pub busy: f64,
 }
 
 /// An edit that pays.
@@ -61,27 +68,32 @@
 pub fn edit(map: &[Layer], weights: &[Vec<f64>], terms: &Terms) -> Option<Edit> {
     let before = skew(map, weights);
     let pass = |skew: f64| 1.0 - terms.expert_part + terms.expert_part * skew;
+    // Group time saved by a fall of one layer's skew by one.
+    let worth = terms.busy * terms.horizon.as_secs_f64() * terms.expert_part
+        / pass(before)
+        / map.len().max(1) as f64;
     let tried = (1..=terms.copies).map(|copies| {
         let layers = map.iter().zip(weights);
-        let map: Vec<Layer> = layers
-            .map(|(layer, weights)| layer_edit(layer, weights, terms.slots, copies))
-            .collect();
+        let edited =
+            layers.map(|(layer, weights)| layer_edit(layer, weights, terms, copies, worth));
+        let map: Vec<Layer> = edited.collect();
         let after = skew(&map, weights);
         (map, after)
     });
     let judged = tried.map(|(to, after)| {
-        let copies = most_copies(map, &to);
+        let (copies, all) = copies(map, &to);
         let copying_s = terms.copy.as_secs_f64() * copies as f64;
         let gained_s = (terms.horizon.as_secs_f64() - copying_s).max(0.0);
-        let saved = gained_s * (1.0 - pass(after) / pass(before));
-        let net_s = saved - copying_s * terms.interference;
-        Edit { map: to, skew: (before, after), copies, net_s }
+        let saved = terms.busy * gained_s * (1.0 - pass(after) / pass(before));
+        let cost =
+            copying_s * terms.interference * terms.busy + terms.per_copy.as_secs_f64() * all as f64;
+        Edit { map: to, skew: (before, after), copies, net_s: saved - cost }
     });
-    judged.filter(|edit| edit.net_s > 0.0).max_by(|a, b| a.net_s.total_cmp(&b.net_s))
+    judged.filter(|edit| edit.net_s > LEAST_NET_S).max_by(|a, b| a.net_s.total_cmp(&b.net_s))
 }
 
-/// Most experts that one rank must copy to go from one map to the other.
-fn most_copies(from: &[Layer], to: &[Layer]) -> usize {
+/// Most experts that one rank must copy to go from one map to the other, and the copies of all.
+fn copies(from: &[Layer], to: &[Layer]) -> (usize, usize) {
     let ranks = from.first().map_or(0, Vec::len);
     let new = |rank: usize| {
         let layers = from.iter().zip(to);
@@ -89,12 +101,14 @@
             .flat_map(|(from, to)| to[rank].iter().filter(|expert| !from[rank].contains(expert)));
         fresh.count()
     };
-    (0..ranks).map(new).max().unwrap_or_default()
+    let by_rank: Vec<usize> = (0..ranks).map(new).collect();
+    (by_rank.iter().copied().max().unwrap_or_default(), by_rank.iter().sum())
 }
 
-/// `layer` with the edits that lower its most loaded ranks, at most `copies` new experts a rank.
-fn layer_edit(layer: &Layer, weights: &[f64], slots: usize, copies: usize) -> Layer {
-    let experts = weights.len();
+/// `layer` with the edits that lower its most loaded ranks, at most `copies` new experts a rank,
+/// as far as they pay. `worth` is the time saved by a fall of its skew by one, in seconds.
+fn layer_edit(layer: &Layer, weights: &[f64], terms: &Terms, copies: usize, worth: f64) -> Layer {
+    let (experts, slots) = (weights.len(), terms.slots);
     // A free slot holds a stand-in expert without load, a different one in each slot of a rank.
     let cells: Vec<u16> = layer
         .iter()
@@ -108,23 +122,31 @@
     let mut loads = loads::Loads::new(&padded, slots, &cells);
     let layout = layout::Layout::regular(layer.len(), 1, 1);
     let place = loads::Place { layout: &layout, spread: 0.0 };
-    let most_edits = layer.len() * copies;
-    for _ in 0..most_edits {
+    let mut best = (0.0, cells.clone());
+    let (start, mut made) = (loads.skew(), 0);
+    while made < layer.len() * copies {
         let by_rank = loads.by_rank();
         let hot = (0..by_rank.len()).max_by(|a, b| by_rank[*a].total_cmp(&by_rank[*b]));
         let allowed = |edit: loads::Edit| {
             fits(edit, &loads, &cells, slots, copies) && stays(edit, &loads, experts)
         };
         match hot.and_then(|hot| loads.best_where(hot, &place, allowed)) {
-            Some((edit, _)) => loads.apply(edit),
+            Some((edit, _)) => {
+                loads.apply(edit);
+                made += edit.moves();
+            }
             None => break,
         }
+        let net = worth * (start - loads.skew()) - terms.per_copy.as_secs_f64() * made as f64;
+        if net > best.0 {
+            best = (net, loads.cells().to_vec());
+        }
     }
     let own = |own: &[u16]| {
         let real = own.iter().copied().filter(|expert| usize::from(*expert) < experts);
         real.collect()
     };
-    loads.cells().chunks(slots).map(own).collect()
+    best.1.chunks(slots).map(own).collect()
 }
 
 /// Whether every rank has at most `copies` experts after `edit` that `cells` did not give it.
--- a/src/rank/agent.rs
+++ b/src/rank/agent.rs
@@ -3,7 +3,7 @@
 use std::{
     cell,
     collections::BTreeMap,
-    net, rc,
+    net, path, rc,
     time::{self, Duration},
 };
 
@@ -42,12 +42,12 @@
 const STORE_SELDOM: Duration = Duration::from_secs(15);
 
 /// Runs until told to end.
-pub fn run(cfg: site::Settings, engine: net::SocketAddr) -> Result {
+pub fn run(cfg: site::Settings, path: &path::Path, engine: net::SocketAddr) -> Result {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|source| Error::Thread { source })?;
-    let ended = task::LocalSet::new().block_on(&runtime, serve(cfg, engine));
+    let ended = task::LocalSet::new().block_on(&runtime, serve(cfg, path.into(), engine));
     runtime.shutdown_timeout(Duration::ZERO);
     ended
 }
@@ -88,7 +88,7 @@
     Answer(Errand, OrderReply),
 }
 
-async fn serve(cfg: site::Settings, engine: net::SocketAddr) -> Result {
+async fn serve(cfg: site::Settings, path: path::PathBuf, engine: net::SocketAddr) -> Result {
     let listener = http::listen(cfg.peers).await?;
     let operators = http::listen(cfg.operators).await?;
     let (duty, mut events) = mpsc::unbounded_channel();
@@ -117,6 +117,8 @@
     task::spawn_local(peer::serve(listener, token, handle, stop.subscribe()));
     task::spawn_local(rc::Rc::clone(&agent).follow_store());
     task::spawn_local(rc::Rc::clone(&agent).look());
+    // Nothing that an agent uses can change without a new port, but SIGHUP must not end it.
+    task::spawn_local(daemon::reload::watch(agent.cfg.clone(), path, |_| {}));
 
     let mut stakker = Stakker::new(time::Instant::now());
     let rng = daemon::generator(&agent.cfg.host);
--- a/src/rank/duty.rs
+++ b/src/rank/duty.rs
@@ -25,6 +25,11 @@
 const EXPERT_PART: f64 = 0.85;
 /// Part by which passes last longer while experts are copied, as the platform states it.
 const INTERFERENCE: f64 = 0.15;
+/// Group time that one copied expert is worth: by the users' prices a copy costs what the group
+/// earns in about 2 ms.
+const PER_COPY: time::Duration = time::Duration::from_millis(2);
+/// Requests of a rank, over its slots, from which the group counts as wholly busy.
+const BUSY_AT: f64 = 0.6;
 /// Pause after a change that was undone, so that two owners do not undo each other's for long.
 const AFTER_UNDO: time::Duration = time::Duration::from_millis(400);
 /// Span from which a version's increment is drawn, so that two owners do not use the same one.
@@ -210,6 +215,8 @@
             expert_part: EXPERT_PART,
             interference: INTERFERENCE,
             horizon: HORIZON,
+            per_copy: PER_COPY,
+            busy: self.busy(seen),
         };
         let edit = rebalance::edit(&map, &weights, &terms)?;
         log::info!(
@@ -226,6 +233,13 @@
         Some(Change::new(plan(edit.map, &map, copying)))
     }
 
+    /// How busy the group is, from 0 to 1.
+    fn busy(&self, seen: &Seen) -> f64 {
+        let requests: u32 = seen.values().map(|status| status.running + status.queued).sum();
+        let places = f64::from(self.shape.slots) * self.size as f64 * BUSY_AT;
+        (f64::from(requests) / places.max(1.0)).clamp(0.0, 1.0)
+    }
+
     /// The map in use by set and rank, once every rank has said what it holds of the same one.
     fn map(&self) -> Option<Vec<Layer>> {
         let version = self.ranks.values().next()?.status.map;
--- a/src/site/catalog.rs
+++ b/src/site/catalog.rs
@@ -61,6 +61,8 @@
 /// Shape of the expert map of a group.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Experts {
+    /// Requests that run at once on one rank.
+    pub slots: u32,
     /// Sets of layers that share one placement.
     pub sets: usize,
     /// Experts in each set.
