Edit the map in small steps after a jump of popularity

A change already under way for a skew of 1.15 delayed the answer, and the first edit mixed choices from before and after the jump.

Ruled out: too many requests in flight as the main cause: with a balanced map 144 in flight make passes of 64 to 85 ms.

--- a/src/group/rebalance.rs
+++ b/src/group/rebalance.rs
@@ -9,8 +9,12 @@
 
 use crate::group::{layout, loads};
 
-/// Least net gain of an edit, in seconds of group time: popularity is known to a few percent only.
-const LEAST_NET_S: f64 = 0.03;
+/// Least net gain of an edit, in seconds of group time. An edit that gains less is not worth that
+/// the next jump finds a change under way.
+const LEAST_NET_S: f64 = 0.2;
+
+/// Copies a rank that are tried for one edit, over all layers: few bring relief soon.
+const COPIES_A_RANK: [usize; 5] = [1, 2, 3, 4, 8];
 
 /// Experts of one layer, rank by rank.
 pub type Layer = Vec<Vec<u16>>;
@@ -72,11 +76,8 @@
     let worth = terms.busy * terms.horizon.as_secs_f64() * terms.expert_part
         / pass(before)
         / map.len().max(1) as f64;
-    let tried = (1..=terms.copies).map(|copies| {
-        let layers = map.iter().zip(weights);
-        let edited =
-            layers.map(|(layer, weights)| layer_edit(layer, weights, terms, copies, worth));
-        let map: Vec<Layer> = edited.collect();
+    let tried = COPIES_A_RANK.iter().map(|most| {
+        let map = edit_within(map, weights, terms, *most, worth);
         let after = skew(&map, weights);
         (map, after)
     });
@@ -92,6 +93,32 @@
     judged.filter(|edit| edit.net_s > LEAST_NET_S).max_by(|a, b| a.net_s.total_cmp(&b.net_s))
 }
 
+/// `map` with the edits of all layers, at most `most` new experts a rank over all of them; the
+/// layers with the most loaded ranks come first.
+fn edit_within(
+    map: &[Layer],
+    weights: &[Vec<f64>],
+    terms: &Terms,
+    most: usize,
+    worth: f64,
+) -> Vec<Layer> {
+    let mut order: Vec<usize> = (0..map.len()).collect();
+    let skews: Vec<f64> = map.iter().zip(weights).map(|(l, w)| layer_skew(l, w)).collect();
+    order.sort_by(|a, b| skews[*b].total_cmp(&skews[*a]));
+    let mut left = vec![most; map.first().map_or(0, Vec::len)];
+    let mut edited = map.to_vec();
+    for layer in order {
+        let quota: Vec<usize> = left.iter().map(|left| (*left).min(terms.copies)).collect();
+        edited[layer] = layer_edit(&map[layer], &weights[layer], terms, &quota, worth);
+        for (rank, left) in left.iter_mut().enumerate() {
+            let old = &map[layer][rank];
+            let new = edited[layer][rank].iter().filter(|expert| !old.contains(expert)).count();
+            *left = left.saturating_sub(new);
+        }
+    }
+    edited
+}
+
 /// Most experts that one rank must copy to go from one map to the other, and the copies of all.
 fn copies(from: &[Layer], to: &[Layer]) -> (usize, usize) {
     let ranks = from.first().map_or(0, Vec::len);
@@ -105,9 +132,9 @@
     (by_rank.iter().copied().max().unwrap_or_default(), by_rank.iter().sum())
 }
 
-/// `layer` with the edits that lower its most loaded ranks, at most `copies` new experts a rank,
+/// `layer` with the edits that lower its most loaded ranks, at most `quota` new experts by rank,
 /// as far as they pay. `worth` is the time saved by a fall of its skew by one, in seconds.
-fn layer_edit(layer: &Layer, weights: &[f64], terms: &Terms, copies: usize, worth: f64) -> Layer {
+fn layer_edit(layer: &Layer, weights: &[f64], terms: &Terms, quota: &[usize], worth: f64) -> Layer {
     let (experts, slots) = (weights.len(), terms.slots);
     // A free slot holds a stand-in expert without load, a different one in each slot of a rank.
     let cells: Vec<u16> = layer
@@ -124,11 +151,11 @@
     let place = loads::Place { layout: &layout, spread: 0.0 };
     let mut best = (0.0, cells.clone());
     let (start, mut made) = (loads.skew(), 0);
-    while made < layer.len() * copies {
+    while made < quota.iter().sum::<usize>() {
         let by_rank = loads.by_rank();
         let hot = (0..by_rank.len()).max_by(|a, b| by_rank[*a].total_cmp(&by_rank[*b]));
         let allowed = |edit: loads::Edit| {
-            fits(edit, &loads, &cells, slots, copies) && stays(edit, &loads, experts)
+            fits(edit, &loads, &cells, slots, quota) && stays(edit, &loads, experts)
         };
         match hot.and_then(|hot| loads.best_where(hot, &place, allowed)) {
             Some((edit, _)) => {
@@ -149,13 +176,13 @@
     best.1.chunks(slots).map(own).collect()
 }
 
-/// Whether every rank has at most `copies` experts after `edit` that `cells` did not give it.
+/// Whether every rank has at most its `quota` of experts after `edit` that `cells` did not give it.
 fn fits(
     edit: loads::Edit,
     loads: &loads::Loads,
     cells: &[u16],
     slots: usize,
-    copies: usize,
+    quota: &[usize],
 ) -> bool {
     let new_after = |cell: usize, expert: u16| {
         let rank = cell / slots;
@@ -163,7 +190,7 @@
         let now = &loads.cells()[rank * slots..(rank + 1) * slots];
         let kept = now.iter().enumerate().filter(|(i, _)| rank * slots + i != cell);
         let kept_new = kept.filter(|(_, expert)| !base.contains(expert)).count();
-        kept_new + usize::from(!base.contains(&expert)) <= copies
+        kept_new + usize::from(!base.contains(&expert)) <= quota[rank]
     };
     match edit {
         loads::Edit::Swap(a, b) => new_after(a, loads.cells()[b]) && new_after(b, loads.cells()[a]),
--- a/src/rank/agent.rs
+++ b/src/rank/agent.rs
@@ -23,13 +23,16 @@
 };
 
 /// Time between two looks at the engine; a pass takes some 30 to 100 ms.
-const LOOK_EVERY: Duration = Duration::from_millis(100);
+const LOOK_EVERY: Duration = Duration::from_millis(70);
 /// The same while an order takes effect.
 const LOOK_SOON: Duration = Duration::from_millis(30);
 /// Time after an order for which the engine is looked at more often.
 const SOON_FOR: Duration = Duration::from_millis(1_000);
 /// Longest time for a question to the engine beside this process; it answers within 5 ms.
 const ENGINE_TIME: Duration = Duration::from_millis(250);
+/// Longest time for an order to the engine. It answers within 5 ms or, where orders are delayed,
+/// not at all; a group may be waiting.
+const ORDER_TIME: Duration = Duration::from_millis(80);
 /// Longest time for an exchange with another agent.
 const PEER_TIME: Duration = Duration::from_millis(400);
 /// Time for which an agent that did not answer is passed over.
@@ -368,7 +371,7 @@
     /// Gives an order to an engine, and looks at it afterwards.
     async fn carry_out(&self, engine: net::SocketAddr, order: &Order) -> OrderReply {
         self.state.borrow_mut().soon_until = self.now() + SOON_FOR;
-        let accepted = platform::engine::order(&self.engines, engine, order, ENGINE_TIME).await;
+        let accepted = platform::engine::order(&self.engines, engine, order, ORDER_TIME).await;
         let accepted = accepted
             .inspect_err(|failure| log::debug!("order without answer: {}", failure.problem()))
             .ok();
--- a/src/rank/change.rs
+++ b/src/rank/change.rs
@@ -25,6 +25,9 @@
 /// Passes between the newest one seen and the one that is held: the first may begin before the
 /// hold arrives.
 const AHEAD: u64 = 2;
+/// Passes that are added while orders go unanswered, so that the group waits less for those that
+/// are sent again.
+const AHEAD_OF_TROUBLE: u64 = 3;
 /// Longest time from the first arm to the last; then the change is undone. Five tries of one
 /// order.
 const ARMING: time::Duration = time::Duration::from_millis(1_250);
@@ -83,6 +86,8 @@
     /// Ranks that have begun to copy, and when.
     copying_since: BTreeMap<usize, time::Duration>,
     refusals: BTreeMap<usize, u32>,
+    /// Whether an order went unanswered.
+    troubled: bool,
 }
 
 /// What a change is about.
@@ -123,6 +128,7 @@
             next: BTreeMap::new(),
             copying_since: BTreeMap::new(),
             refusals: BTreeMap::new(),
+            troubled: false,
         }
     }
 
@@ -182,6 +188,7 @@
         got: Option<&Accepted>,
     ) {
         self.next.insert(rank, Some(now + AGAIN));
+        self.troubled |= got.is_none();
         match (got, &order.act) {
             (Some(Accepted::Refused(_)), _) => *self.refusals.entry(rank).or_default() += 1,
             (Some(_), Act::Prepare { .. }) => {
@@ -375,7 +382,8 @@
 
     /// The pass to hold.
     fn ahead(&self, seen: &Seen) -> u64 {
-        (newest(seen) + AHEAD).max(self.held + 1)
+        let trouble = if self.troubled { AHEAD_OF_TROUBLE } else { 0 };
+        (newest(seen) + AHEAD + trouble).max(self.held + 1)
     }
 
     fn send(&mut self, now: time::Duration, rank: usize, act: Act, out: &mut Vec<(usize, Order)>) {
