Drop a change that only copies once popularity has jumped

Cause: a change begun just before a jump was carried to its end (0.4 to 0.56 s) for choices that had passed. Ranks only copy in that phase, so it can be dropped for one with a higher version.

--- a/src/rank/change.rs
+++ b/src/rank/change.rs
@@ -159,6 +159,11 @@
         &self.map
     }
 
+    /// Whether ranks only copy so far.
+    pub fn is_preparing(&self) -> bool {
+        self.phase == Phase::Prepare
+    }
+
     /// Newest pass that was held.
     pub fn held(&self) -> u64 {
         self.held
--- a/src/rank/duty.rs
+++ b/src/rank/duty.rs
@@ -30,6 +30,8 @@
 const PER_COPY: time::Duration = time::Duration::from_millis(2);
 /// Requests of a rank, over its slots, from which the group counts as wholly busy.
 const BUSY_AT: f64 = 0.6;
+/// Rise of a planned map's skew, over what was expected of it, from which it is planned anew.
+const OUTDATED: f64 = 0.6;
 /// Pause after a change that was undone, so that two owners do not undo each other's for long.
 const AFTER_UNDO: time::Duration = time::Duration::from_millis(400);
 /// Span from which a version's increment is drawn, so that two owners do not use the same one.
@@ -56,6 +58,8 @@
     /// Newest pass that was held in this epoch. None is held twice, so that a release that
     /// arrives late finds nothing to release.
     held: u64,
+    /// Skew expected after the change under way.
+    expected: f64,
     acting: bool,
 }
 
@@ -73,6 +77,7 @@
             began: time::Duration::ZERO,
             pause_until: time::Duration::ZERO,
             held: 0,
+            expected: 1.0,
             acting: false,
         }
     }
@@ -131,6 +136,10 @@
     /// Goes on; gives the orders to send. `draw` is a random number.
     pub fn step(&mut self, now: time::Duration, draw: u64) -> Vec<Errand> {
         let Some(seen) = self.seen(now) else { return Vec::new() };
+        if self.is_outdated(now) {
+            self.over(now, &End::Undone("popularity jumped"));
+            self.pause_until = now;
+        }
         if self.change.is_none() {
             self.change = self.begin(now, &seen, draw);
         }
@@ -228,11 +237,22 @@
             net_ms = (edit.net_s * 1000.0) as u64;
             "map change begins"
         );
-        self.began = now;
+        (self.began, self.expected) = (now, edit.skew.1);
         let copying = self.shape.copy * edit.copies as u32;
         Some(Change::new(plan(edit.map, &map, copying)))
     }
 
+    /// Whether a change that has only begun to copy is for a popularity that has passed. Nothing
+    /// is armed or held then, so it can be dropped; the next one has a higher version.
+    fn is_outdated(&self, now: time::Duration) -> bool {
+        let Some(change) = self.change.as_ref().filter(|change| change.is_preparing()) else {
+            return false;
+        };
+        let weights = self.popularity.weights(now);
+        let skew = weights.map(|weights| rebalance::skew(change.map(), &weights));
+        skew.is_some_and(|skew| skew > self.expected + OUTDATED)
+    }
+
     /// How busy the group is, from 0 to 1.
     fn busy(&self, seen: &Seen) -> f64 {
         let requests: u32 = seen.values().map(|status| status.running + status.queued).sum();
