Tell gateways the engines' loads, and keep pauses within the aim

Change: the agent that holds the duty tells gateways the requests of each engine every 100 ms over h2; balance::pace takes from the engine's stated cost how many a rank may run so that pauses hold also after a jump. A request waits at most a tenth of its aim for a place, then it is refused.

--- a/src/balance/fleet.rs
+++ b/src/balance/fleet.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 
-use super::Window;
+use super::{Window, pace};
 use crate::{
     name,
     site::{catalog, register::Listed},
@@ -25,6 +25,11 @@
 const PER_FAILURE: f64 = 2.0;
 /// Requests at once on a server of a plain service, per gateway, for want of a stated limit.
 const PLAIN_SLOTS: u32 = 16;
+/// Age at which a server's report no longer counts.
+const REPORT_AGE: time::Duration = time::Duration::from_millis(1_000);
+/// Part of an equal share that one gateway may use of servers without a report: callers do not
+/// come evenly to all gateways.
+const UNEVEN: f64 = 1.5;
 /// Part of the bound on requests to a cold server that is used.
 const COLD_USED: f64 = 0.8;
 
@@ -36,6 +41,15 @@
     ejected_until: time::Duration,
     /// Sends of the latest second.
     sends: Window,
+    report: Option<Report>,
+}
+
+/// What a server had to do by its own word.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    at: time::Duration,
+    /// Requests of other gateways.
+    others: u32,
 }
 
 impl Load {
@@ -46,10 +60,32 @@
             ejections: 0,
             ejected_until: time::Duration::ZERO,
             sends: Window::new(time::Duration::from_secs(1)),
+            report: None,
         }
     }
 }
 
+impl Load {
+    /// Requests of other gateways, if the server's word is recent.
+    fn others(&self, now: time::Duration) -> Option<u32> {
+        let report = self.report.filter(|report| report.at + REPORT_AGE >= now);
+        report.map(|report| report.others)
+    }
+}
+
+/// Requests that one server may have at once.
+fn most(ask: &Ask<'_>) -> u32 {
+    match &ask.service.engine {
+        Some(engine) => pace::most(engine, ask.pause),
+        None => PLAIN_SLOTS,
+    }
+}
+
+/// What one gateway may use of `most` while it does not know what the others use.
+fn share(most: u32, gateways: usize) -> f64 {
+    (f64::from(most) / gateways.max(1) as f64 * UNEVEN).max(1.0)
+}
+
 /// What became of a request, for the server's record.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -88,6 +124,8 @@
     pub service: &'a catalog::Service,
     /// Zone of this gateway.
     pub zone: &'a name::Zone,
+    /// Longest pause between events with which the answer is on time.
+    pub pause: Option<time::Duration>,
     /// Gateways that share the servers, this one included.
     pub gateways: usize,
     /// Servers that this request was at already.
@@ -114,7 +152,7 @@
         if open.is_empty() {
             return Choice::Nobody;
         }
-        let most = self.most(&ask);
+        let most = most(&ask);
         let ejected = open.iter().filter(|known| self.ejected(known, ask.now)).count();
         let heed = ejected * EJECTED_PART <= open.len();
         let mut best: Option<(f64, &Listed)> = None;
@@ -125,9 +163,11 @@
                 continue;
             }
             let load = self.loads.get(&known.entry.server);
-            let (in_flight, failures) = load.map_or((0, 0), |load| (load.in_flight, load.failures));
+            let failures = load.map_or(0, |load| load.failures);
+            let requests =
+                load.map_or(0, |load| load.in_flight + load.others(ask.now).unwrap_or(0));
             let far = if known.entry.zone == *ask.zone { 0.0 } else { OTHER_ZONE };
-            let score = f64::from(in_flight)
+            let score = f64::from(requests)
                 + f64::from(failures) * PER_FAILURE
                 + far
                 + rng.random::<f64>() * OTHER_ZONE;
@@ -144,14 +184,6 @@
         Choice::Server { server, addr: known.entry.address, in_flight }
     }
 
-    /// Requests that this gateway may have at one server.
-    fn most(&self, ask: &Ask<'_>) -> u32 {
-        match &ask.service.engine {
-            Some(engine) => engine.slots,
-            None => PLAIN_SLOTS,
-        }
-    }
-
     fn ejected(&self, known: &Listed, now: time::Duration) -> bool {
         self.loads.get(&known.entry.server).is_some_and(|load| load.ejected_until > now)
     }
@@ -162,7 +194,11 @@
         let cold = COLD_USED * per_s / ask.gateways.max(1) as f64;
         // A server may turn cold before the register says so, hence the bound holds always.
         let warm_enough = per_s == 0.0 || (load.sends.count(ask.now) as f64) < cold.max(1.0);
-        load.in_flight < most && warm_enough
+        let room = match load.others(ask.now) {
+            Some(others) => load.in_flight + others < most,
+            None => f64::from(load.in_flight) < share(most, ask.gateways),
+        };
+        room && warm_enough
     }
 
     /// Counts that a request is no longer at `server`.
@@ -185,6 +221,13 @@
         }
     }
 
+    /// Takes a server's word that it has `requests` to do, those of this gateway included.
+    pub fn report(&mut self, server: &name::Server, requests: u32, now: time::Duration) {
+        let load = self.loads.entry(server.clone()).or_insert_with(Load::new);
+        let others = requests.saturating_sub(load.in_flight);
+        load.report = Some(Report { at: now, others });
+    }
+
     /// Forgets a server that is not listed any more.
     pub fn forget(&mut self, server: &name::Server) {
         if self.loads.get(server).is_some_and(|load| load.in_flight == 0) {
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod budget;
 pub mod fleet;
+pub mod pace;
 pub mod presence;
 pub mod window;
 
--- a/src/gateway/desk.rs
+++ b/src/gateway/desk.rs
@@ -1,10 +1,10 @@
 //! What a gateway knows, and the decisions that follow from it.
 
-use std::{cell, collections::BTreeMap, rc, time};
+use std::{cell, collections::BTreeMap, net, rc, time};
 
 use rand::RngExt;
 use rand_pcg::Pcg64;
-use tokio::time::Instant;
+use tokio::{sync::Notify, time::Instant};
 
 use crate::{
     balance::{Budget, Choice, Fleet, Presence, fleet},
@@ -27,6 +27,8 @@
     zone: name::Zone,
     started: Instant,
     retries: cell::Cell<site::Retries>,
+    /// Told when a place may be free.
+    pub freed: Notify,
     state: cell::RefCell<State>,
 }
 
@@ -46,7 +48,7 @@
     /// The server.
     pub server: name::Server,
     /// Its address.
-    pub addr: std::net::SocketAddr,
+    pub addr: net::SocketAddr,
     /// Requests of this gateway that it had before.
     pub in_flight: u32,
     outcome: fleet::Outcome,
@@ -63,6 +65,7 @@
     fn drop(&mut self) {
         let now = self.desk.now();
         self.desk.state.borrow_mut().fleet.release(&self.server, self.outcome, now);
+        self.desk.freed.notify_one();
     }
 }
 
@@ -93,6 +96,7 @@
             zone: cfg.zone.clone(),
             started: Instant::now(),
             retries: cell::Cell::new(cfg.retries),
+            freed: Notify::new(),
             state: cell::RefCell::new(state),
         })
     }
@@ -147,6 +151,32 @@
         changes.gone.iter().for_each(|server| state.fleet.forget(server));
     }
 
+    /// Groups of engines, each with the addresses of its engines in the order of their ranks.
+    pub fn groups(&self) -> BTreeMap<String, Vec<net::SocketAddr>> {
+        let state = self.state.borrow();
+        let mut groups: BTreeMap<String, BTreeMap<usize, net::SocketAddr>> = BTreeMap::new();
+        for known in state.register.all() {
+            if let Some(member) = &known.entry.member {
+                let group = groups.entry(member.group.clone()).or_default();
+                group.insert(member.rank, known.entry.address);
+            }
+        }
+        groups.into_iter().map(|(name, ranks)| (name, ranks.into_values().collect())).collect()
+    }
+
+    /// Takes the word of engines, by address, on the requests that they have.
+    pub fn loads(&self, engines: &[(net::SocketAddr, u32)]) {
+        let now = self.now();
+        let state = &mut *self.state.borrow_mut();
+        let engines: BTreeMap<_, _> = engines.iter().copied().collect();
+        for known in state.register.all() {
+            if let Some(requests) = engines.get(&known.entry.address) {
+                state.fleet.report(&known.entry.server, *requests, now);
+            }
+        }
+        self.freed.notify_waiters();
+    }
+
     /// Takes the latest words of all gateways.
     pub fn gateways(&self, words: BTreeMap<name::Host, u64>) {
         let now = self.now();
@@ -206,6 +236,7 @@
         self: &rc::Rc<Self>,
         catalog: &Catalog,
         service: &name::Service,
+        pause: Option<time::Duration>,
         tried: &[name::Server],
     ) -> Result<Seat, NoSeat> {
         let fallback = catalog::Service::default();
@@ -214,6 +245,7 @@
         let ask = fleet::Ask {
             service: catalog.services.get(service).unwrap_or(&fallback),
             zone: &self.zone,
+            pause,
             gateways: state.presence.count(now),
             tried,
             now,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -28,6 +28,9 @@
 /// Part of a caller's remaining time after which it is asked to come back, at least and at most.
 /// Callers heed up to a third.
 const COME_BACK: (f64, f64) = (0.08, 0.3);
+/// Part of the time in which an answer is worth most that a request may wait for a place. Longer
+/// waits only delay the refusal.
+const WAITING_PART: f64 = 0.1;
 /// Latest time after which a caller is asked to come back, in seconds.
 const COME_BACK_S: f64 = 1.5;
 
@@ -168,7 +171,7 @@
 
     async fn run(&self, mut job: Job, mut trail: Trail) -> http::Response {
         loop {
-            let mut seat = match self.desk.seat(&job.catalog, &job.service, &job.tried) {
+            let mut seat = match self.seat(&job).await {
                 Ok(seat) => seat,
                 Err(none) => {
                     let refusal = match none {
@@ -218,6 +221,23 @@
         }
     }
 
+    /// A place at a server. Waits for one, but not longer than leaves the answer on time.
+    async fn seat(&self, job: &Job) -> Result<Seat, NoSeat> {
+        let until = Instant::now() + job.route.aim.mul_f64(WAITING_PART);
+        loop {
+            let freed = self.desk.freed.notified();
+            let pause = job.route.pause;
+            let seat = self.desk.seat(&job.catalog, &job.service, pause, &job.tried);
+            match seat {
+                Err(NoSeat::Full) if job.arrivals == 0 => {}
+                seat => return seat,
+            }
+            if tokio::time::timeout_at(until, freed).await.is_err() {
+                return Err(NoSeat::Full);
+            }
+        }
+    }
+
     /// Reads a whole answer and passes it on; `None` if the request is to be sent again.
     async fn whole(
         &self,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -67,6 +67,8 @@
     task::spawn_local(watch::gateways(store, rc::Rc::clone(&desk), cfg.host.clone()));
     let reloading = rc::Rc::clone(&desk);
     task::spawn_local(daemon::reload::watch(cfg.clone(), path, move |cfg| reloading.reload(cfg)));
+    let (desk_of_loads, port) = (rc::Rc::clone(&desk), cfg.peers.port());
+    task::spawn_local(watch::loads(desk_of_loads, cfg.token.clone(), port));
     task::spawn_local(tidy(rc::Rc::clone(&desk)));
     let answer = rc::Rc::new(ready::Ready { desk: rc::Rc::clone(&desk) });
     task::spawn_local(http::serve(readiness, http::Limits::default, answer, stop.subscribe()));
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -142,7 +142,7 @@
         return None;
     }
     while job.again(desk) {
-        let mut seat = desk.seat(&job.catalog, &job.service, &job.tried).ok()?;
+        let mut seat = desk.seat(&job.catalog, &job.service, job.route.pause, &job.tried).ok()?;
         trail.sent(&seat.server, seat.in_flight);
         job.tried.push(seat.server.clone());
         match attempt::send(desk, &mut seat, job, last).await {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -1,12 +1,13 @@
 //! Keeps the desk current from the platform's store.
 
-use std::{rc, time};
+use std::{cell, collections::BTreeSet, net, rc, time};
 
 use super::desk::Desk;
 use crate::{
     balance::presence,
-    name,
+    name, peer,
     platform::{Store, store::Changed},
+    rank::message,
 };
 
 /// Longest wait of one question for changes; bounds how long a connection that went silent
@@ -20,6 +21,13 @@
 /// Longest pause after a failed call; the store's return must be noticed within a second.
 const LONGEST_PAUSE: time::Duration = time::Duration::from_millis(400);
 
+/// Time between two looks for groups of engines that nobody follows yet.
+const GROUPS_EVERY: time::Duration = time::Duration::from_millis(500);
+/// Silence of a group's owner after which another agent is asked; its words come every 100 ms.
+const LOADS_SILENT: time::Duration = time::Duration::from_millis(600);
+/// Pause before another agent is asked.
+const LOADS_AGAIN: time::Duration = time::Duration::from_millis(150);
+
 /// Whether the store answers, for the log.
 struct Reach {
     what: &'static str,
@@ -117,3 +125,65 @@
         }
     }
 }
+
+/// Follows the loads of each group of engines, as the owner of the group's duty tells them.
+pub async fn loads(desk: rc::Rc<Desk>, token: String, port: u16) {
+    let followed = rc::Rc::new(cell::RefCell::new(BTreeSet::new()));
+    let peers = peer::Pool::new(&token);
+    loop {
+        for group in desk.groups().into_keys() {
+            if followed.borrow_mut().insert(group.clone()) {
+                let (desk, peers) = (rc::Rc::clone(&desk), rc::Rc::clone(&peers));
+                let followed = rc::Rc::clone(&followed);
+                tokio::task::spawn_local(async move {
+                    follow(&desk, &peers, &group, port).await;
+                    followed.borrow_mut().remove(&group);
+                });
+            }
+        }
+        tokio::time::sleep(GROUPS_EVERY).await;
+    }
+}
+
+/// Follows one group until it is not listed any more.
+async fn follow(desk: &Desk, peers: &peer::Pool, group: &str, port: u16) {
+    let mut heard = false;
+    loop {
+        let Some(engines) = desk.groups().remove(group) else { return };
+        for engine in engines {
+            let agent = net::SocketAddr::new(engine.ip(), port);
+            let words = listen(desk, peers, agent).await;
+            if words > 0 {
+                log::info!(group, agent:%, words; "loads of the group lost");
+                heard = false;
+            }
+        }
+        if !std::mem::replace(&mut heard, true) {
+            log::info!(group; "no agent tells the loads of the group");
+        }
+        tokio::time::sleep(LOADS_AGAIN).await;
+    }
+}
+
+/// Takes the words of one agent as long as it acts; gives their number.
+async fn listen(desk: &Desk, peers: &peer::Pool, agent: net::SocketAddr) -> u64 {
+    let starting = peers.exchange(agent, message::LOADS, &());
+    let mut words = 0;
+    let Ok(Ok(mut source)) = tokio::time::timeout(LOADS_SILENT, starting).await else {
+        peers.forget(agent);
+        return words;
+    };
+    while let Ok(Ok(Some(loads))) = tokio::time::timeout(LOADS_SILENT, source.next()).await {
+        let loads: message::Loads = loads;
+        if !loads.acts {
+            return words;
+        }
+        if words == 0 {
+            log::info!(agent:%, engines = loads.engines.len(); "loads of a group heard");
+        }
+        words += 1;
+        desk.loads(&loads.engines);
+    }
+    peers.forget(agent);
+    words
+}
--- a/src/rank/agent.rs
+++ b/src/rank/agent.rs
@@ -15,7 +15,7 @@
 use super::{
     Order, Status,
     duty::Duty,
-    message::{self, Errand, OrderReply, Pulse, PulseReply},
+    message::{self, Errand, Loads, OrderReply, Pulse, PulseReply},
 };
 use crate::{
     Error, Result, daemon, http, http::client, metrics, peer, platform, settings::site,
@@ -39,6 +39,8 @@
 const PASSED_OVER: Duration = Duration::from_secs(2);
 /// Time between two steps of the duty without news.
 const STEP_EVERY: Duration = Duration::from_millis(50);
+/// Time between two words on the engines' loads to a gateway.
+const LOADS_EVERY: Duration = Duration::from_millis(100);
 /// Time between two reads of the store while the group is not known.
 const STORE_EVERY: Duration = Duration::from_millis(700);
 /// Time between two reads of the store once it is: agents do not move.
@@ -69,6 +71,7 @@
     /// Readings of engines that were begun.
     reads: cell::Cell<u64>,
     duty: mpsc::UnboundedSender<Event>,
+    loads: watch::Sender<Loads>,
 }
 
 #[derive(Default)]
@@ -104,6 +107,7 @@
         state: cell::RefCell::default(),
         draw: daemon::generator(&cfg.host).random(),
         reads: cell::Cell::new(0),
+        loads: watch::Sender::default(),
         duty,
         cfg,
     });
@@ -179,6 +183,8 @@
 
     fn step(&mut self) {
         let Some(duty) = &mut self.duty else { return };
+        let requests = duty.requests();
+        self.agent.loads.send_replace(self.agent.loads_of(requests));
         for errand in duty.step(self.agent.now(), self.rng.random()) {
             let agent = rc::Rc::clone(&self.agent);
             task::spawn_local(async move {
@@ -194,6 +200,16 @@
         self.started.elapsed()
     }
 
+    /// What gateways are told of the ranks' `requests`; `None` if this agent does not act.
+    fn loads_of(&self, requests: Option<BTreeMap<usize, u32>>) -> Loads {
+        let state = self.state.borrow();
+        let acts = requests.is_some();
+        let engines = requests.into_iter().flatten();
+        let engines =
+            engines.filter_map(|(rank, requests)| Some((*state.group.get(&rank)?, requests)));
+        Loads { acts, engines: engines.collect() }
+    }
+
     /// Hands an event to the duty, which lives as long as the process.
     fn tell(&self, event: Event) {
         let _ = self.duty.send(event);
@@ -407,6 +423,14 @@
                 let reply = self.carry_out(self.engine, &order).await;
                 incoming.reply.send(&reply).await?;
             }
+            message::LOADS => loop {
+                let loads = self.loads.borrow().clone();
+                incoming.reply.send(&loads).await?;
+                if !loads.acts {
+                    break;
+                }
+                tokio::time::sleep(LOADS_EVERY).await;
+            },
             path => log::warn!("a peer asked for {path}, which is not known here"),
         }
         incoming.reply.finish();
--- a/src/rank/duty.rs
+++ b/src/rank/duty.rs
@@ -133,6 +133,12 @@
         }
     }
 
+    /// Requests that each rank runs or has waiting; `None` if this process does not act.
+    pub fn requests(&self) -> Option<BTreeMap<usize, u32>> {
+        let requests = |rank: &Rank| rank.status.running + rank.status.queued;
+        self.acting.then(|| self.ranks.iter().map(|(n, rank)| (*n, requests(rank))).collect())
+    }
+
     /// Goes on; gives the orders to send. `draw` is a random number.
     pub fn step(&mut self, now: time::Duration, draw: u64) -> Vec<Errand> {
         let Some(seen) = self.seen(now) else { return Vec::new() };
--- a/src/rank/message.rs
+++ b/src/rank/message.rs
@@ -1,5 +1,7 @@
 //! What rank agents say to each other.
 
+use std::net;
+
 use serde::{Deserialize, Serialize};
 
 use super::{Accepted, Demand, Order, Placed, Status};
@@ -9,6 +11,18 @@
 /// Path of the exchange that carries an [`Order`] and one [`OrderReply`].
 pub const ORDER: &str = "/order";
 
+/// Path of the exchange that asks for [`Loads`], again and again; its request is `()`.
+pub const LOADS: &str = "/loads";
+
+/// What the engines of one group have to do, as the owner of its duty knows it.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Loads {
+    /// Whether the sender holds the duty; if not, another agent does.
+    pub acts: bool,
+    /// Requests that run or wait, by the engine's address.
+    pub engines: Vec<(net::SocketAddr, u32)>,
+}
+
 /// State of one engine, sent to the owner of the group's duty.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Pulse {
--- a/src/site/catalog.rs
+++ b/src/site/catalog.rs
@@ -39,6 +39,8 @@
     pub timeout: time::Duration,
     /// Time within which an answer, or the first event of a stream, is worth most.
     pub aim: time::Duration,
+    /// Longest pause between two events with which a stream is on time.
+    pub pause: Option<time::Duration>,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
     /// Services; never empty.
@@ -49,11 +51,35 @@
     pub public: bool,
 }
 
-/// Cost of passes of a model engine, as the operator states it.
+/// Cost of an engine's passes, as operators state it. A pass makes some tokens for each request
+/// that writes, and reads prompts on the side.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cost {
+    /// Steps of a pass, each of which makes one token a request.
+    pub stride: f64,
+    /// Time of a step without requests, in milliseconds.
+    pub step_ms: f64,
+    /// Time that each request adds to a step, in milliseconds.
+    pub per_request_ms: f64,
+    /// Time that 1,000 tokens of a request's context add to a step, in milliseconds.
+    pub per_k_ms: f64,
+    /// Prompt tokens read in a millisecond.
+    pub read_per_ms: f64,
+    /// Part of the work for tokens that is done by experts, from 0 to 1.
+    pub expert_share: f64,
+    /// Tokens of a usual prompt.
+    pub prompt: f64,
+    /// Tokens of a usual answer.
+    pub answer: f64,
+}
+
+/// A model engine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Engine {
     /// Requests that run at once on one server.
     pub slots: u32,
+    /// Cost of passes, where it is stated.
+    pub cost: Option<Cost>,
     /// Expert group, for engines that run in lock-step.
     pub experts: Option<Experts>,
 }
