Tests of the gateway before stand-ins, of routes, register, balance and maps

Also: logs go to stdout by a thread of their own that never delays a request; ranks send what was chosen since their last pulse, one byte an expert, and about sixteen of them speak for a group.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -35,7 +35,11 @@
 /// Runs the daemon with the process's arguments.
 pub fn run() -> process::ExitCode {
     match args::parse(env::args_os().skip(1)) {
-        Ok(args::Args::Run { settings }) => finish(start(&settings)),
+        Ok(args::Args::Run { settings }) => {
+            let ended = start(&settings);
+            logging::finish();
+            finish(ended)
+        }
         Ok(args::Args::Print(text)) => {
             print!("{text}");
             process::ExitCode::SUCCESS
--- a/src/rank/agent.rs
+++ b/src/rank/agent.rs
@@ -13,7 +13,7 @@
 use tokio::{sync::mpsc, sync::oneshot, sync::watch, task};
 
 use super::{
-    Order, Status,
+    Choices, Demand, Member, Order, Status,
     duty::Duty,
     message::{self, Errand, Loads, OrderReply, Pulse, PulseReply},
 };
@@ -22,6 +22,12 @@
     site::catalog,
 };
 
+/// Ranks that tell what requests chose, about: more say nothing new, as requests come to ranks at
+/// random.
+const SAMPLING: usize = 16;
+/// Pulses a second that the owner takes, from all ranks together; at some 2 KB each they use a
+/// quarter of the slowest link of today, 8 Mbit/s.
+const PULSES_A_SECOND: u32 = 250;
 /// Time between two looks at the engine; a pass takes some 30 to 100 ms.
 const LOOK_EVERY: Duration = Duration::from_millis(70);
 /// The same while an order takes effect.
@@ -70,6 +76,8 @@
     state: cell::RefCell<State>,
     /// Tells this run of the process from others.
     draw: u64,
+    /// Ranks of the group.
+    ranks: cell::Cell<u32>,
     /// Readings of engines that were begun.
     reads: cell::Cell<u64>,
     duty: mpsc::UnboundedSender<Event>,
@@ -87,6 +95,8 @@
     soon_until: Duration,
     want_placed: bool,
     owner: Option<usize>,
+    /// Counts of the last look.
+    demand: Option<Demand>,
 }
 
 /// What reaches the duty.
@@ -108,6 +118,7 @@
         rng: cell::RefCell::new(daemon::generator(&cfg.host)),
         state: cell::RefCell::default(),
         draw: daemon::generator(&cfg.host).random(),
+        ranks: cell::Cell::new(0),
         reads: cell::Cell::new(0),
         loads: watch::Sender::default(),
         duty,
@@ -278,6 +289,7 @@
                 group.insert(other.rank, entry.address);
             }
         }
+        self.ranks.set(member.ranks as u32);
         let whole = group.len() == member.ranks && self.state.borrow().shape.is_some();
         self.state.borrow_mut().group = group;
         Ok(whole)
@@ -301,18 +313,16 @@
                 }
             }
             let soon = self.now() < self.state.borrow().soon_until;
-            tokio::time::sleep(if soon { LOOK_SOON } else { LOOK_EVERY }).await;
+            let fair = Duration::from_secs(1) / PULSES_A_SECOND * self.ranks.get();
+            tokio::time::sleep(if soon { LOOK_SOON } else { LOOK_EVERY }.max(fair)).await;
         }
     }
 
     async fn pulse(&self) -> Result<Pulse, client::Failure> {
         let status = self.read(self.engine).await?;
         let shape = self.state.borrow().shape;
-        let demand = match shape {
-            Some(shape) => Some(
-                platform::engine::demand(&self.engines, self.engine, shape.sets, ENGINE_TIME)
-                    .await?,
-            ),
+        let choices = match shape.filter(|_| samples(status.member.as_ref())) {
+            Some(shape) => self.choices(shape.sets).await?,
             None => None,
         };
         let wanted = self.state.borrow().want_placed;
@@ -320,7 +330,15 @@
             true => Some(platform::engine::placed(&self.engines, self.engine, ENGINE_TIME).await?),
             false => None,
         };
-        Ok(Pulse { status, demand, placed })
+        Ok(Pulse { status, choices, placed })
+    }
+
+    /// What requests chose since the last look.
+    async fn choices(&self, sets: usize) -> Result<Option<Choices>, client::Failure> {
+        let demand =
+            platform::engine::demand(&self.engines, self.engine, sets, ENGINE_TIME).await?;
+        let before = self.state.borrow_mut().demand.replace(demand.clone());
+        Ok(before.and_then(|before| Choices::between(&before, &demand)))
     }
 
     /// Sends a pulse to the agent of the lowest rank that answers.
@@ -465,6 +483,12 @@
     }
 }
 
+/// Whether a rank tells what its requests chose. All do in a small group; in a large one some
+/// speak for all, as the owner's link is slow.
+fn samples(member: Option<&Member>) -> bool {
+    member.is_some_and(|member| member.rank % member.ranks.div_ceil(SAMPLING).max(1) == 0)
+}
+
 /// Metrics for operators.
 struct Operators {
     page: metrics::Page,
--- a/src/rank/duty.rs
+++ b/src/rank/duty.rs
@@ -103,8 +103,8 @@
         if member.epoch > self.epoch {
             self.form(member.epoch, member.ranks);
         }
-        if let Some(demand) = pulse.demand.filter(|demand| demand.epoch == self.epoch) {
-            self.popularity.add(now, member.rank, demand);
+        if let Some(choices) = pulse.choices.filter(|choices| choices.epoch == self.epoch) {
+            self.popularity.add(now, &choices);
         }
         self.learn(now, member.rank, pulse.status);
         let Some(rank) = self.ranks.get_mut(&member.rank) else { return PulseReply::default() };
--- a/src/rank/message.rs
+++ b/src/rank/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Accepted, Demand, Order, Placed, Status};
+use super::{Accepted, Choices, Order, Placed, Status};
 
 /// Path of the exchange that carries a [`Pulse`] and one [`PulseReply`].
 pub const PULSE: &str = "/pulse";
@@ -28,8 +28,8 @@
 pub struct Pulse {
     /// State of the engine.
     pub status: Status,
-    /// What its requests chose.
-    pub demand: Option<Demand>,
+    /// What its requests chose since the last pulse that said so.
+    pub choices: Option<Choices>,
     /// What it holds; sent when the owner asked for it.
     pub placed: Option<Placed>,
 }
--- a/src/rank/mod.rs
+++ b/src/rank/mod.rs
@@ -11,4 +11,4 @@
 pub mod popularity;
 pub mod state;
 
-pub use state::{Accepted, Act, Demand, Member, Order, Placed, Status, Step};
+pub use state::{Accepted, Act, Choices, Demand, Member, Order, Placed, Status, Step};
--- a/src/rank/state.rs
+++ b/src/rank/state.rs
@@ -66,6 +66,41 @@
     pub counts: Vec<Vec<u64>>,
 }
 
+/// What requests chose over a span, by set and expert, scaled so that it takes little room: only
+/// the proportions within a set matter.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Choices {
+    /// Epoch of the group.
+    pub epoch: u64,
+    /// Choices of each set: the number that a share of 255 stands for, and the shares.
+    pub sets: Vec<(u64, Vec<u8>)>,
+}
+
+impl Choices {
+    /// What was chosen between two counts; `None` if nothing was, or the engine counts anew.
+    pub fn between(before: &Demand, after: &Demand) -> Option<Self> {
+        let same = before.epoch == after.epoch && before.counts.len() == after.counts.len();
+        let set = |(before, after): (&Vec<u64>, &Vec<u64>)| {
+            let chosen = before.iter().zip(after).map(|(b, a)| a.checked_sub(*b));
+            let chosen = chosen.collect::<Option<Vec<u64>>>()?;
+            let most = chosen.iter().copied().max().filter(|most| *most > 0)?;
+            let share = |n: &u64| ((n * 255 + most / 2) / most) as u8;
+            Some((most, chosen.iter().map(share).collect()))
+        };
+        let sets = before.counts.iter().zip(&after.counts).map(set);
+        let sets = sets.collect::<Option<Vec<_>>>().filter(|_| same)?;
+        Some(Self { epoch: after.epoch, sets })
+    }
+
+    /// The choices as numbers.
+    pub fn weights(&self) -> Vec<Vec<f64>> {
+        let set = |(most, shares): &(u64, Vec<u8>)| {
+            shares.iter().map(|share| f64::from(*share) / 255.0 * *most as f64).collect()
+        };
+        self.sets.iter().map(set).collect()
+    }
+}
+
 /// Experts that an engine holds.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Placed {
--- /dev/null
+++ b/stand-ins/store.rs
@@ -0,0 +1,187 @@
+//! The calls of the users' metadata store that this system makes, in the memory of one process.
+
+use std::{
+    collections::BTreeMap,
+    net, sync, thread,
+    time::{self, Duration},
+};
+
+use base64::Engine;
+
+/// How the store treats calls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Mode {
+    /// As it should.
+    Good,
+    /// Refuses each call with this status.
+    Refusing(u16),
+    /// Answers nothing.
+    Silent,
+}
+
+#[derive(Clone)]
+struct Row {
+    value: String,
+    ver: u64,
+    tombstone: bool,
+}
+
+struct State {
+    mode: Mode,
+    ver: u64,
+    /// Versions up to this one are no longer in the history.
+    forgotten: u64,
+    rows: BTreeMap<(String, String), Row>,
+    calls: BTreeMap<String, u64>,
+}
+
+/// A store that runs until the process ends.
+#[derive(Clone)]
+pub struct Store {
+    /// Where it listens.
+    pub addr: net::SocketAddr,
+    state: sync::Arc<(sync::Mutex<State>, sync::Condvar)>,
+}
+
+impl Store {
+    /// Starts an empty store.
+    pub fn start() -> Self {
+        let server = tiny_http::Server::http("127.0.0.1:0").expect("a port is free");
+        let addr = server.server_addr().to_ip().expect("an IP address");
+        let state = State {
+            mode: Mode::Good,
+            ver: 1,
+            forgotten: 0,
+            rows: BTreeMap::new(),
+            calls: BTreeMap::new(),
+        };
+        let store =
+            Self { addr, state: sync::Arc::new((sync::Mutex::new(state), Default::default())) };
+        let serving = store.clone();
+        thread::spawn(move || {
+            for req in server.incoming_requests() {
+                let store = serving.clone();
+                thread::spawn(move || store.answer(req));
+            }
+        });
+        store
+    }
+
+    /// Writes a row as an outside writer.
+    pub fn put(&self, table: &str, key: &str, value: &str) {
+        let value = base64::engine::general_purpose::STANDARD.encode(value);
+        self.change(|state| {
+            state.ver += 1;
+            let row = Row { value, ver: state.ver, tombstone: false };
+            state.rows.insert((table.into(), key.into()), row);
+        });
+    }
+
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.change(|state| {
+            state.ver += 1;
+            let row = Row { value: String::new(), ver: state.ver, tombstone: true };
+            state.rows.insert((table.into(), key.into()), row);
+        });
+    }
+
+    /// Changes how calls are treated.
+    pub fn mode(&self, mode: Mode) {
+        self.change(|state| state.mode = mode);
+    }
+
+    /// Drops the history.
+    pub fn forget(&self) {
+        self.change(|state| state.forgotten = state.ver);
+    }
+
+    /// Calls so far, by path.
+    pub fn calls(&self, path: &str) -> u64 {
+        self.state.0.lock().expect("no panics").calls.get(path).copied().unwrap_or_default()
+    }
+
+    fn change(&self, change: impl FnOnce(&mut State)) {
+        change(&mut self.state.0.lock().expect("no panics"));
+        self.state.1.notify_all();
+    }
+
+    fn answer(&self, mut req: tiny_http::Request) {
+        let url = req.url().to_owned();
+        let (path, query) = url.split_once('?').unwrap_or((&url, ""));
+        let query: BTreeMap<&str, &str> =
+            query.split('&').filter_map(|pair| pair.split_once('=')).collect();
+        let mode = {
+            let mut state = self.state.0.lock().expect("no panics");
+            *state.calls.entry(path.into()).or_default() += 1;
+            state.mode
+        };
+        let table = query.get("table").copied().unwrap_or_default();
+        let (status, body) = match (mode, path) {
+            (Mode::Silent, _) => {
+                thread::sleep(Duration::from_secs(5));
+                return;
+            }
+            (Mode::Refusing(status), _) => (status, serde_json::json!({})),
+            (Mode::Good, "/-/rows-get") => (200, self.get(table)),
+            (Mode::Good, "/-/rows-feed") => {
+                let number = |key| query.get(key).and_then(|n| n.parse().ok()).unwrap_or(0);
+                self.feed(table, number("after"), Duration::from_millis(number("wait_ms")))
+            }
+            (Mode::Good, "/-/rows-tx") => {
+                let mut body = String::new();
+                let read = std::io::Read::read_to_string(req.as_reader(), &mut body);
+                read.expect("a body");
+                self.transact(&serde_json::from_str(&body).expect("JSON"))
+            }
+            _ => (404, serde_json::json!({})),
+        };
+        let res = tiny_http::Response::from_string(body.to_string()).with_status_code(status);
+        // The caller may have gone.
+        let _ = req.respond(res);
+    }
+
+    fn get(&self, table: &str) -> serde_json::Value {
+        let state = self.state.0.lock().expect("no panics");
+        let rows = state.rows.iter().filter(|((of, _), row)| of == table && !row.tombstone);
+        let rows: Vec<_> = rows.map(|((of, key), row)| shown(of, key, row)).collect();
+        serde_json::json!({ "rows": rows, "truncated": false, "ver": state.ver, "now_ms": 1 })
+    }
+
+    fn feed(&self, table: &str, after: u64, wait: Duration) -> (u16, serde_json::Value) {
+        let until = time::Instant::now() + wait;
+        let mut state = self.state.0.lock().expect("no panics");
+        loop {
+            if after < state.forgotten {
+                return (410, serde_json::json!({}));
+            }
+            let changed = state.rows.iter().filter(|((of, _), row)| of == table && row.ver > after);
+            let rows: Vec<_> = changed.map(|((of, key), row)| shown(of, key, row)).collect();
+            let left = until.saturating_duration_since(time::Instant::now());
+            if !rows.is_empty() || left.is_zero() {
+                return (200, serde_json::json!({ "rows": rows, "ver": state.ver, "now_ms": 1 }));
+            }
+            state = self.state.1.wait_timeout(state, left).expect("no panics").0;
+        }
+    }
+
+    fn transact(&self, call: &serde_json::Value) -> (u16, serde_json::Value) {
+        let puts = call["puts"].as_array().cloned().unwrap_or_default();
+        self.change(|state| {
+            state.ver += 1;
+            for put in puts {
+                let text = |key: &str| put[key].as_str().unwrap_or_default().to_owned();
+                let row = Row { value: text("value"), ver: state.ver, tombstone: false };
+                state.rows.insert((text("table"), text("key")), row);
+            }
+        });
+        (200, serde_json::json!({ "ver": 1, "now_ms": 1 }))
+    }
+}
+
+fn shown(table: &str, key: &str, row: &Row) -> serde_json::Value {
+    serde_json::json!({
+        "table": table, "part": "", "key": key, "value": row.value, "ver": row.ver,
+        "tombstone": row.tombstone,
+    })
+}
--- /dev/null
+++ b/tests/catalog.rs
@@ -0,0 +1,107 @@
+//! The operators' configuration on the users' platform: reading it, and finding a route.
+
+use std::time;
+
+use knapweedford::{
+    platform::catalog,
+    site::{
+        Catalog,
+        catalog::{Repeat, UnknownKey},
+    },
+};
+
+/// The platform's own example, shortened.
+const TEXT: &str = r#"{"version":7,"routes":[
+  {"name":"split","host":"a.example","prefix":"/lohu/","kind":"streaming","timeout_ms":8000,
+   "target_latency_ms":400,"priority":1,"backends":[{"service":"llm","weight":90},
+   {"service":"other","weight":10}],"max_attempts":2,"public":false,"sticky":true,
+   "resumable":true,"gap_aim_ms":120},
+  {"name":"deeper","host":"a.example","prefix":"/lohu/930/","kind":"safe","timeout_ms":1500,
+   "service":"ledger","max_attempts":2,"public":true},
+  {"name":"posting","host":"a.example","prefix":"/post/","kind":"unsafe","timeout_ms":1500,
+   "service":"ledger"},
+  {"name":"strange","host":"a.example","prefix":"/new/","kind":"odd","timeout_ms":1500,
+   "service":"ledger"},
+  {"name":"nowhere","host":"a.example","prefix":"/none/","kind":"safe","timeout_ms":1500}],
+ "services":[{"name":"llm","health_path":"/healthz","max_conns":408,"protocol":"h1","tls":false,
+   "cold_start_s":3.0,"cold_per_s":36.0,"engine":{"slots":12,"kv_capacity":494000,
+   "link_mbps":180000.0,"stride":6,"step_ms":4.84,"per_seq_ms":0.362,"context_per_k":0.011,
+   "read_per_s":74800.0,"chunk":512,"usual":{"prompt":835,"answer":159},"sets":4,"experts":72,
+   "places":8,"spare":3,"expert_mb":2200.0,"expert_share":0.85}},
+  {"name":"ledger","health_path":"/healthz","max_conns":100}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
+   "idle_timeout_ms":15000},
+ "tenants":[{"name":"hule930","api_keys":["key-1","key-2"],"priority":1}]}"#;
+
+fn read() -> Catalog {
+    catalog::read(TEXT.as_bytes()).expect("the example reads")
+}
+
+fn name(catalog: &Catalog, host: &str, path: &str) -> Option<String> {
+    catalog.route(host, path).map(|route| route.name.clone())
+}
+
+#[test]
+fn longest_prefix() {
+    let catalog = read();
+    assert_eq!(name(&catalog, "a.example", "/lohu/2f").as_deref(), Some("split"));
+    assert_eq!(name(&catalog, "a.example", "/lohu/930/2f").as_deref(), Some("deeper"));
+    assert_eq!(name(&catalog, "A.Example:8227", "/lohu/2f").as_deref(), Some("split"));
+    assert_eq!(name(&catalog, "a.example", "/lohu"), None);
+    assert_eq!(name(&catalog, "b.example", "/lohu/2f"), None);
+}
+
+#[test]
+fn kinds_decide() {
+    let catalog = read();
+    let repeat = |path| catalog.route("a.example", path).map(|route| route.repeat);
+    assert_eq!(repeat("/lohu/1"), Some(Repeat::Resumable));
+    assert_eq!(repeat("/lohu/930/1"), Some(Repeat::Safe));
+    assert_eq!(repeat("/post/1"), Some(Repeat::Once));
+    assert_eq!(repeat("/new/1"), Some(Repeat::Once), "an unknown kind runs once");
+    assert_eq!(repeat("/none/1"), None, "a route without a service is left out");
+}
+
+#[test]
+fn keys_checked() {
+    let catalog = read();
+    let (split, public) = ("/lohu/1", "/lohu/930/1");
+    let holder = |path: &str, key| {
+        let route = catalog.route("a.example", path).expect("the route is there");
+        catalog.holder(route, key).map(|holder| holder.map(|h| h.workspace.to_string()))
+    };
+    assert_eq!(holder(split, Some("key-2")), Ok(Some("hule930".into())));
+    assert_eq!(holder(split, Some("key-3")), Err(UnknownKey));
+    assert_eq!(holder(split, None), Err(UnknownKey));
+    assert_eq!(holder(public, None), Ok(None));
+}
+
+#[test]
+fn weights_shared() {
+    let catalog = read();
+    let route = catalog.route("a.example", "/lohu/1").expect("the route is there");
+    assert_eq!(route.target(0.0).as_str(), "llm");
+    assert_eq!(route.target(0.89).as_str(), "llm");
+    assert_eq!(route.target(0.91).as_str(), "other");
+    assert_eq!(route.target(1.0).as_str(), "other");
+}
+
+#[test]
+fn engine_read() {
+    let catalog = read();
+    let engine = catalog.services["llm"].engine.as_ref().expect("an engine");
+    let experts = engine.experts.expect("a group");
+    assert_eq!((experts.sets, experts.experts, experts.places, experts.spare), (4, 72, 8, 3));
+    let copy_ms = experts.copy.as_millis();
+    assert_eq!(copy_ms, 97, "2,200 MB at 180,000 Mbit/s");
+    assert!(catalog.services["ledger"].engine.is_none());
+    assert_eq!(catalog.limits.idle, time::Duration::from_secs(15));
+}
+
+#[test]
+fn broken_text() {
+    assert!(catalog::read(b"").is_none());
+    assert!(catalog::read(br#"{"version":"seven"}"#).is_none());
+    let bare = catalog::read(br#"{"version":1}"#).expect("a version is enough");
+    assert_eq!(bare.route_count(), 0);
+}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -1,8 +1,15 @@
 //! Integration tests: one module a feature.
 
+#[path = "../stand-ins/chunks.rs"]
+mod chunks;
+#[path = "../stand-ins/store.rs"]
+mod store;
+
 mod admission;
 mod agreement;
 mod backends;
+mod balance;
+mod catalog;
 mod claims;
 mod cluster;
 mod cold;
@@ -18,6 +25,7 @@
 mod fuzz_answers;
 mod fuzz_gate;
 mod gate;
+mod gateway;
 mod host_settings;
 mod hostile;
 mod keyed;
@@ -33,6 +41,8 @@
 mod peers;
 mod platform;
 mod processes;
+mod rebalance;
+mod register;
 mod replays;
 mod retries;
 mod routes;
--- /dev/null
+++ b/tests/rebalance.rs
@@ -0,0 +1,157 @@
+//! Edits of an expert map after popularity jumped, and how a jump is seen.
+
+use std::time::Duration;
+
+use knapweedford::{
+    group::rebalance::{self, Layer, Terms},
+    rank::{Choices, Demand, popularity::Popularity},
+};
+
+const RANKS: usize = 12;
+const EXPERTS: usize = 72;
+const SETS: usize = 4;
+
+fn terms() -> Terms {
+    Terms {
+        slots: 8,
+        copies: 3,
+        copy: Duration::from_millis(98),
+        expert_part: 0.85,
+        interference: 0.15,
+        horizon: Duration::from_millis(2_500),
+        per_copy: Duration::from_millis(2),
+        busy: 1.0,
+    }
+}
+
+/// The map a group forms with: experts dealt out in turn, two places of each rank free.
+fn first() -> Vec<Layer> {
+    let own = |rank: usize| (rank..EXPERTS).step_by(RANKS).map(|e| e as u16).collect();
+    vec![(0..RANKS).map(own).collect(); SETS]
+}
+
+/// The shape of popularity on the users' sites; `from` moves which experts are liked.
+fn liked(from: usize) -> Vec<Vec<f64>> {
+    let mut weights = vec![1.5; EXPERTS];
+    for (n, share) in [25.0, 10.0, 6.0, 4.0, 3.0].into_iter().enumerate() {
+        weights[(from + n * 7) % EXPERTS] = share;
+    }
+    (0..SETS).map(|set| [&weights[set..], &weights[..set]].concat()).collect()
+}
+
+fn check(map: &[Layer], before: &[Layer], terms: &Terms) {
+    for (layer, old) in map.iter().zip(before) {
+        let mut copies = [0; EXPERTS];
+        for (own, old) in layer.iter().zip(old) {
+            assert!(own.len() <= terms.slots, "{own:?}");
+            let new = own.iter().filter(|expert| !old.contains(expert)).count();
+            assert!(new <= terms.copies, "{new} new experts at a rank");
+            own.iter().for_each(|expert| copies[usize::from(*expert)] += 1);
+            let mut sorted = own.clone();
+            sorted.sort_unstable();
+            sorted.dedup();
+            assert_eq!(sorted.len(), own.len(), "a rank holds an expert twice");
+        }
+        assert!(copies.iter().all(|copies| *copies > 0), "an expert has no copy");
+    }
+}
+
+#[test]
+fn first_edit() {
+    let (map, weights, terms) = (first(), liked(0), terms());
+    let before = rebalance::skew(&map, &weights);
+    let edit = rebalance::edit(&map, &weights, &terms).expect("an edit pays");
+    check(&edit.map, &map, &terms);
+    assert!(before > 2.0 && edit.skew.1 < 1.3, "{before} to {}", edit.skew.1);
+}
+
+/// Other experts are in demand every few seconds, for a whole day.
+#[test]
+fn popularity_jumps() {
+    let terms = terms();
+    let mut map = first();
+    let mut copied = 0;
+    for jump in 0..20 {
+        let weights = liked(jump * 11);
+        for _ in 0..3 {
+            let Some(edit) = rebalance::edit(&map, &weights, &terms) else { break };
+            check(&edit.map, &map, &terms);
+            assert!(edit.copies <= 8, "{} copies a rank take too long", edit.copies);
+            copied += edit.copies;
+            map = edit.map;
+        }
+        let skew = rebalance::skew(&map, &weights);
+        assert!(skew < 1.3, "jump {jump}: {skew}");
+    }
+    assert!(copied < 20 * 8, "{copied} copies a rank in 20 jumps");
+}
+
+#[test]
+fn idle_group_rests() {
+    let idle = Terms { busy: 0.0, ..terms() };
+    assert_eq!(rebalance::edit(&first(), &liked(0), &idle), None);
+}
+
+#[test]
+fn balanced_rests() {
+    let (terms, weights) = (terms(), liked(0));
+    let mut map = first();
+    while let Some(edit) = rebalance::edit(&map, &weights, &terms) {
+        map = edit.map;
+    }
+    let noisy: Vec<Vec<f64>> = weights
+        .iter()
+        .map(|set| set.iter().enumerate().map(|(n, w)| w * (1.0 + (n % 3) as f64 * 0.03)).collect())
+        .collect();
+    assert_eq!(rebalance::edit(&map, &noisy, &terms), None, "small changes move nothing");
+}
+
+fn demand(counts: &[u64]) -> Demand {
+    Demand { epoch: 1, pass: 1, counts: vec![counts.to_vec()] }
+}
+
+fn choices(counts: &[u64]) -> Choices {
+    Choices::between(&demand(&vec![0; counts.len()]), &demand(counts)).expect("some are chosen")
+}
+
+#[test]
+fn jump_seen() {
+    let mut popularity = Popularity::default();
+    let ms = Duration::from_millis;
+    for step in 1..10 {
+        popularity.add(ms(step * 50), &choices(&[100, 0]));
+    }
+    assert_eq!(popularity.weights(ms(450)), Some(vec![vec![900.0, 0.0]]));
+    for step in 10..13 {
+        popularity.add(ms(step * 50), &choices(&[0, 100]));
+    }
+    // Only what was chosen since the jump counts.
+    assert_eq!(popularity.weights(ms(600)), Some(vec![vec![0.0, 300.0]]));
+}
+
+#[test]
+fn restarted_counts() {
+    assert_eq!(Choices::between(&demand(&[500, 500]), &demand(&[10, 0])), None);
+    assert_eq!(Choices::between(&demand(&[10, 0]), &demand(&[10, 0])), None);
+    let fresh = Choices::between(&demand(&[10, 0]), &demand(&[20, 5]));
+    assert_eq!(fresh.map(|fresh| fresh.sets), Some(vec![(10, vec![255, 128])]));
+}
+
+/// What a decision costs at the size of the grown sites, on hosts with a seventh of a core.
+#[test]
+fn large_group() {
+    let (ranks, experts, sets) = (63, 252, 8);
+    let own = |rank: usize| (rank..experts).step_by(ranks).map(|e| e as u16).collect();
+    let map: Vec<Layer> = vec![(0..ranks).map(own).collect(); sets];
+    let mut weights = vec![1.0; experts];
+    for (n, share) in [40.0, 20.0, 15.0, 10.0, 8.0, 6.0].into_iter().enumerate() {
+        weights[n * 41] = share;
+    }
+    let weights = vec![weights; sets];
+    let terms = Terms { slots: 5, ..terms() };
+    let since = std::time::Instant::now();
+    let edit = rebalance::edit(&map, &weights, &terms).expect("an edit pays");
+    let took = since.elapsed();
+    assert!(edit.skew.1 < edit.skew.0 / 2.0, "{:?}", edit.skew);
+    eprintln!("{took:?} {:?} {}", edit.skew, edit.copies);
+}
--- a/tests/starter.rs
+++ b/tests/starter.rs
@@ -60,6 +60,7 @@
         let log = fs::File::create(base.with_extension("log")).unwrap();
         let child = process::Command::new(env!("CARGO_BIN_EXE_knapweedfordd"))
             .arg(&settings)
+            .stdout(log.try_clone().unwrap())
             .stderr(log)
             .spawn()
             .unwrap();
