Decide on map edits on a thread of their own, and only where one may pay

Change: a cheap bound first, drafts carried on instead of begun anew for each number of copies, and the search on another thread. Agents read the store less.

--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -12,10 +12,10 @@
 
 /// Longest wait of one question for changes; bounds how long a connection that went silent
 /// delays a change, which must be in force within 2 s.
-const CHANGE_WAIT: time::Duration = time::Duration::from_millis(900);
+const CHANGE_WAIT: time::Duration = time::Duration::from_millis(1_000);
 /// Time between two reads of the register. A server that is leaving must get nothing new 2 s
 /// after it said so; this leaves time for a second read if the first is lost.
-const REGISTER_EVERY: time::Duration = time::Duration::from_millis(700);
+const REGISTER_EVERY: time::Duration = time::Duration::from_millis(900);
 /// First pause after a failed call, doubled up to [`LONGEST_PAUSE`].
 const FIRST_PAUSE: time::Duration = time::Duration::from_millis(50);
 /// Longest pause after a failed call; the store's return must be noticed within a second.
--- a/src/group/rebalance.rs
+++ b/src/group/rebalance.rs
@@ -13,6 +13,8 @@
 /// the next jump finds a change under way.
 const LEAST_NET_S: f64 = 0.2;
 
+/// Skew at which a layer counts as even.
+const EVEN: f64 = 1.05;
 /// Copies a rank that are tried for one edit, over all layers: few bring relief soon.
 const COPIES_A_RANK: [usize; 5] = [1, 2, 3, 4, 8];
 
@@ -68,6 +70,12 @@
     if mean > 0.0 { most / mean } else { 1.0 }
 }
 
+/// Whether any edit could pay at this skew: even a balanced map would have to.
+pub fn may_pay(skew: f64, terms: &Terms) -> bool {
+    let pass = |skew: f64| 1.0 - terms.expert_part + terms.expert_part * skew;
+    terms.busy * terms.horizon.as_secs_f64() * (1.0 - pass(1.0) / pass(skew)) > LEAST_NET_S
+}
+
 /// The edit of `map` that saves most under `weights`, by layer and expert; `None` if none pays.
 pub fn edit(map: &[Layer], weights: &[Vec<f64>], terms: &Terms) -> Option<Edit> {
     let before = skew(map, weights);
@@ -76,10 +84,18 @@
     let worth = terms.busy * terms.horizon.as_secs_f64() * terms.expert_part
         / pass(before)
         / map.len().max(1) as f64;
+    let mut drafts: Vec<Draft> =
+        map.iter().zip(weights).map(|(layer, w)| Draft::new(layer, w, terms.slots)).collect();
+    drafts.sort_by(|a, b| b.start.total_cmp(&a.start));
+    let order: Vec<usize> = order_of(map, weights);
     let tried = COPIES_A_RANK.iter().map(|most| {
-        let map = edit_within(map, weights, terms, *most, worth);
-        let after = skew(&map, weights);
-        (map, after)
+        edit_within(&mut drafts, terms, *most, worth);
+        let mut to = map.to_vec();
+        for (layer, draft) in order.iter().zip(&drafts) {
+            to[*layer] = draft.layer();
+        }
+        let after = skew(&to, weights);
+        (to, after)
     });
     let judged = tried.map(|(to, after)| {
         let (copies, all) = copies(map, &to);
@@ -93,30 +109,26 @@
     judged.filter(|edit| edit.net_s > LEAST_NET_S).max_by(|a, b| a.net_s.total_cmp(&b.net_s))
 }
 
-/// `map` with the edits of all layers, at most `most` new experts a rank over all of them; the
-/// layers with the most loaded ranks come first.
-fn edit_within(
-    map: &[Layer],
-    weights: &[Vec<f64>],
-    terms: &Terms,
-    most: usize,
-    worth: f64,
-) -> Vec<Layer> {
-    let mut order: Vec<usize> = (0..map.len()).collect();
+/// Layers, those with the most loaded ranks first.
+fn order_of(map: &[Layer], weights: &[Vec<f64>]) -> Vec<usize> {
     let skews: Vec<f64> = map.iter().zip(weights).map(|(l, w)| layer_skew(l, w)).collect();
+    let mut order: Vec<usize> = (0..map.len()).collect();
     order.sort_by(|a, b| skews[*b].total_cmp(&skews[*a]));
-    let mut left = vec![most; map.first().map_or(0, Vec::len)];
-    let mut edited = map.to_vec();
-    for layer in order {
-        let quota: Vec<usize> = left.iter().map(|left| (*left).min(terms.copies)).collect();
-        edited[layer] = layer_edit(&map[layer], &weights[layer], terms, &quota, worth);
-        for (rank, left) in left.iter_mut().enumerate() {
-            let old = &map[layer][rank];
-            let new = edited[layer][rank].iter().filter(|expert| !old.contains(expert)).count();
-            *left = left.saturating_sub(new);
+    order
+}
+
+/// Carries the drafts on until each rank copies at most `most` experts over all of them.
+fn edit_within(drafts: &mut [Draft], terms: &Terms, most: usize, worth: f64) {
+    for at in 0..drafts.len() {
+        let others = drafts.iter().enumerate().filter(|(other, _)| *other != at);
+        let mut quota = vec![most; drafts[at].ranks()];
+        for (_, other) in others {
+            let copied = (0..quota.len()).map(|rank| other.copied(rank));
+            quota.iter_mut().zip(copied).for_each(|(q, copied)| *q = q.saturating_sub(copied));
         }
+        quota.iter_mut().for_each(|quota| *quota = (*quota).min(terms.copies));
+        drafts[at].climb(&quota, terms, worth);
     }
-    edited
 }
 
 /// Most experts that one rank must copy to go from one map to the other, and the copies of all.
@@ -132,48 +144,83 @@
     (by_rank.iter().copied().max().unwrap_or_default(), by_rank.iter().sum())
 }
 
-/// `layer` with the edits that lower its most loaded ranks, at most `quota` new experts by rank,
-/// as far as they pay. `worth` is the time saved by a fall of its skew by one, in seconds.
-fn layer_edit(layer: &Layer, weights: &[f64], terms: &Terms, quota: &[usize], worth: f64) -> Layer {
-    let (experts, slots) = (weights.len(), terms.slots);
-    // A free slot holds a stand-in expert without load, a different one in each slot of a rank.
-    let cells: Vec<u16> = layer
-        .iter()
-        .flat_map(|own| {
-            let free = (own.len()..slots).map(|slot| (experts + slot) as u16);
-            own.iter().copied().chain(free)
-        })
-        .collect();
-    let mut padded = weights.to_vec();
-    padded.resize(experts + slots, 0.0);
-    let mut loads = loads::Loads::new(&padded, slots, &cells);
-    let layout = layout::Layout::regular(layer.len(), 1, 1);
-    let place = loads::Place { layout: &layout, spread: 0.0 };
-    let mut best = (0.0, cells.clone());
-    let (start, mut made) = (loads.skew(), 0);
-    while made < quota.iter().sum::<usize>() {
-        let by_rank = loads.by_rank();
-        let hot = (0..by_rank.len()).max_by(|a, b| by_rank[*a].total_cmp(&by_rank[*b]));
-        let allowed = |edit: loads::Edit| {
-            fits(edit, &loads, &cells, slots, quota) && stays(edit, &loads, experts)
-        };
-        match hot.and_then(|hot| loads.best_where(hot, &place, allowed)) {
-            Some((edit, _)) => {
-                loads.apply(edit);
-                made += edit.moves();
+/// A layer under edits.
+struct Draft {
+    slots: usize,
+    experts: usize,
+    /// Cells before the first edit.
+    base: Vec<u16>,
+    loads: loads::Loads,
+    /// Skew before the first edit.
+    start: f64,
+    /// Copies made so far.
+    made: usize,
+    /// Net gain of the best cells so far, in seconds, and those cells.
+    best: (f64, Vec<u16>),
+}
+
+impl Draft {
+    fn new(layer: &Layer, weights: &[f64], slots: usize) -> Self {
+        let experts = weights.len();
+        // A free slot holds a stand-in expert without load, a different one in each slot of a rank.
+        let cells: Vec<u16> = layer
+            .iter()
+            .flat_map(|own| {
+                let free = (own.len()..slots).map(|slot| (experts + slot) as u16);
+                own.iter().copied().chain(free)
+            })
+            .collect();
+        let mut padded = weights.to_vec();
+        padded.resize(experts + slots, 0.0);
+        let loads = loads::Loads::new(&padded, slots, &cells);
+        let start = layer_skew(layer, weights);
+        Self { slots, experts, base: cells.clone(), loads, start, made: 0, best: (0.0, cells) }
+    }
+
+    fn ranks(&self) -> usize {
+        self.base.len() / self.slots
+    }
+
+    /// Experts that `rank` would copy.
+    fn copied(&self, rank: usize) -> usize {
+        let own = rank * self.slots..(rank + 1) * self.slots;
+        let base = &self.base[own.clone()];
+        self.best.1[own].iter().filter(|expert| !base.contains(expert)).count()
+    }
+
+    /// Lowers the most loaded ranks, at most `quota` new experts by rank, as far as it pays.
+    /// `worth` is the time saved by a fall of the skew by one, in seconds.
+    fn climb(&mut self, quota: &[usize], terms: &Terms, worth: f64) {
+        let layout = layout::Layout::regular(self.ranks(), 1, 1);
+        let place = loads::Place { layout: &layout, spread: 0.0 };
+        while self.made < quota.iter().sum::<usize>() && self.loads.skew() > EVEN {
+            let by_rank = self.loads.by_rank();
+            let hot = (0..by_rank.len()).max_by(|a, b| by_rank[*a].total_cmp(&by_rank[*b]));
+            let allowed = |edit: loads::Edit| {
+                fits(edit, &self.loads, &self.base, self.slots, quota)
+                    && stays(edit, &self.loads, self.experts)
+            };
+            let Some((edit, _)) = hot.and_then(|hot| self.loads.best_where(hot, &place, allowed))
+            else {
+                return;
+            };
+            self.loads.apply(edit);
+            self.made += edit.moves();
+            let gained = worth * (self.start - self.loads.skew());
+            let net = gained - terms.per_copy.as_secs_f64() * self.made as f64;
+            if net > self.best.0 {
+                self.best = (net, self.loads.cells().to_vec());
             }
-            None => break,
-        }
-        let net = worth * (start - loads.skew()) - terms.per_copy.as_secs_f64() * made as f64;
-        if net > best.0 {
-            best = (net, loads.cells().to_vec());
         }
     }
-    let own = |own: &[u16]| {
-        let real = own.iter().copied().filter(|expert| usize::from(*expert) < experts);
-        real.collect()
-    };
-    best.1.chunks(slots).map(own).collect()
+
+    /// The layer with the edits that pay.
+    fn layer(&self) -> Layer {
+        let own = |own: &[u16]| {
+            own.iter().copied().filter(|expert| usize::from(*expert) < self.experts).collect()
+        };
+        self.best.1.chunks(self.slots).map(own).collect()
+    }
 }
 
 /// Whether every rank has at most its `quota` of experts after `edit` that `cells` did not give it.
--- a/src/rank/agent.rs
+++ b/src/rank/agent.rs
@@ -10,16 +10,19 @@
 use rand::RngExt;
 use rand_pcg::Pcg64;
 use stakker::{CX, Stakker, actor, after, call, ret_nop};
-use tokio::{sync::mpsc, sync::oneshot, sync::watch, task};
+use tokio::{
+    sync::{Notify, mpsc, oneshot, watch},
+    task,
+};
 
 use super::{
     Choices, Demand, Member, Order, Status,
-    duty::Duty,
+    duty::{Duty, Question},
     message::{self, Errand, Loads, OrderReply, Pulse, PulseReply},
 };
 use crate::{
-    Error, Result, daemon, http, http::client, metrics, peer, platform, settings::site,
-    site::catalog,
+    Error, Result, daemon, group::rebalance, http, http::client, metrics, peer, platform,
+    settings::site, site::catalog,
 };
 
 /// Ranks that tell what requests chose, about: more say nothing new, as requests come to ranks at
@@ -50,9 +53,9 @@
 /// Time between two steps from which what was known before counts as old.
 const STOOD_STILL: Duration = Duration::from_millis(500);
 /// Time between two reads of the store while the group is not known.
-const STORE_EVERY: Duration = Duration::from_millis(700);
+const STORE_EVERY: Duration = Duration::from_millis(2_000);
 /// Time between two reads of the store once it is: agents do not move.
-const STORE_SELDOM: Duration = Duration::from_secs(15);
+const STORE_SELDOM: Duration = Duration::from_secs(40);
 
 /// Runs until told to end.
 pub fn run(cfg: site::Settings, path: &path::Path, engine: net::SocketAddr) -> Result {
@@ -76,6 +79,8 @@
     state: cell::RefCell<State>,
     /// Tells this run of the process from others.
     draw: u64,
+    /// Told when another agent does not answer.
+    silent: Notify,
     /// Ranks of the group.
     ranks: cell::Cell<u32>,
     /// Readings of engines that were begun.
@@ -104,6 +109,7 @@
     Shape(catalog::Experts),
     Pulse(Box<Pulse>, bool, oneshot::Sender<PulseReply>),
     Answer(Errand, OrderReply),
+    Edit(Box<Question>, Option<Box<rebalance::Edit>>),
 }
 
 async fn serve(cfg: site::Settings, path: path::PathBuf, engine: net::SocketAddr) -> Result {
@@ -118,6 +124,7 @@
         rng: cell::RefCell::new(daemon::generator(&cfg.host)),
         state: cell::RefCell::default(),
         draw: daemon::generator(&cfg.host).random(),
+        silent: Notify::new(),
         ranks: cell::Cell::new(0),
         reads: cell::Cell::new(0),
         loads: watch::Sender::default(),
@@ -159,6 +166,8 @@
 struct Owner {
     agent: rc::Rc<Agent>,
     duty: Option<Duty>,
+    /// Whether an edit of the map is being decided on.
+    deciding: bool,
     clock: Clock,
     rng: Pcg64,
 }
@@ -186,7 +195,7 @@
 impl Owner {
     fn init(cx: CX![], agent: rc::Rc<Agent>, rng: Pcg64) -> Option<Self> {
         after!(STEP_EVERY, [cx], tick());
-        Some(Self { agent, duty: None, clock: Clock::new(), rng })
+        Some(Self { agent, duty: None, deciding: false, clock: Clock::new(), rng })
     }
 
     fn tick(&mut self, cx: CX![]) {
@@ -215,7 +224,14 @@
                 duty.answer(now, &errand, reply.accepted.as_ref(), reply.status);
                 self.step();
             }
-            (Event::Pulse(..) | Event::Answer(..), None) => {}
+            (Event::Edit(question, edit), Some(duty)) => {
+                self.deciding = false;
+                if let Some(edit) = edit {
+                    duty.begin(now, &question, *edit, self.rng.random());
+                }
+                self.step();
+            }
+            (Event::Pulse(..) | Event::Answer(..) | Event::Edit(..), None) => {}
         }
     }
 
@@ -223,7 +239,21 @@
         let Some(duty) = &mut self.duty else { return };
         let requests = duty.requests();
         self.agent.loads.send_replace(self.agent.loads_of(requests));
-        for errand in duty.step(self.agent.now(), self.rng.random()) {
+        let now = self.agent.now();
+        if !self.deciding
+            && let Some(question) = duty.question(now)
+        {
+            self.deciding = true;
+            let agent = rc::Rc::clone(&self.agent);
+            task::spawn_local(async move {
+                let question = Box::new(question);
+                let asked = question.clone();
+                // On another thread, as pulses must be answered meanwhile.
+                let edit = task::spawn_blocking(move || asked.answer().map(Box::new)).await;
+                agent.tell(Event::Edit(question, edit.ok().flatten()));
+            });
+        }
+        for errand in duty.step(now, self.rng.random()) {
             let agent = rc::Rc::clone(&self.agent);
             task::spawn_local(async move {
                 let reply = agent.send(&errand).await;
@@ -263,7 +293,11 @@
             }
             let pause = if known.unwrap_or(false) { STORE_SELDOM } else { STORE_EVERY };
             let spread: f64 = self.rng.borrow_mut().random();
-            tokio::time::sleep(pause.mul_f64(0.75 + spread / 2.0)).await;
+            tokio::select! {
+                () = tokio::time::sleep(pause.mul_f64(0.75 + spread / 2.0)) => {}
+                // An agent that does not answer may have been replaced by one elsewhere.
+                () = self.silent.notified() => tokio::time::sleep(STORE_EVERY).await,
+            }
         }
     }
 
@@ -372,6 +406,7 @@
 
     fn pass_over(&self, rank: usize) {
         log::info!(rank; "agent does not answer");
+        self.silent.notify_one();
         let until = self.now() + PASSED_OVER;
         self.state.borrow_mut().passed_over.insert(rank, until);
     }
--- a/src/rank/duty.rs
+++ b/src/rank/duty.rs
@@ -48,6 +48,24 @@
     placed: Option<(u64, Vec<Vec<u16>>)>,
 }
 
+/// What an edit of the map is decided on.
+#[derive(Clone, Debug)]
+pub struct Question {
+    epoch: u64,
+    /// Version of the map.
+    version: u64,
+    map: Vec<Layer>,
+    weights: Vec<Vec<f64>>,
+    terms: rebalance::Terms,
+}
+
+impl Question {
+    /// The edit that saves most, if one pays.
+    pub fn answer(&self) -> Option<rebalance::Edit> {
+        rebalance::edit(&self.map, &self.weights, &self.terms)
+    }
+}
+
 /// State of the duty at one agent.
 pub struct Duty {
     shape: Experts,
@@ -163,7 +181,7 @@
             self.pause_until = now;
         }
         if self.change.is_none() {
-            self.change = self.begin(now, &seen, draw);
+            self.settle(now, &seen, draw);
         }
         let Some(change) = &mut self.change else { return Vec::new() };
         let orders = change.step(now, &seen);
@@ -174,6 +192,98 @@
         orders.into_iter().map(|(rank, order)| Errand { rank, order }).collect()
     }
 
+    /// What an edit of the map is to be decided on, if one may pay now. Deciding takes long in a
+    /// large group, so it is done elsewhere and comes back by [`begin`](Self::begin).
+    pub fn question(&mut self, now: time::Duration) -> Option<Question> {
+        let seen = self.seen(now)?;
+        let open = seen.values().all(|status| status.member.as_ref().is_some_and(|m| m.open));
+        if self.change.is_some() || !open || now < self.pause_until {
+            return None;
+        }
+        let weights = self.popularity.weights(now)?;
+        let terms = rebalance::Terms {
+            slots: self.shape.places,
+            copies: self.shape.spare,
+            copy: self.shape.copy,
+            expert_part: EXPERT_PART,
+            interference: INTERFERENCE,
+            horizon: HORIZON,
+            per_copy: PER_COPY,
+            busy: self.busy(&seen),
+        };
+        let map = self.map()?;
+        let pays = rebalance::may_pay(rebalance::skew(&map, &weights), &terms);
+        let version = self.ranks.values().next()?.status.map;
+        pays.then_some(Question { epoch: self.epoch, version, map, weights, terms })
+    }
+
+    /// Begins the edit that was decided on, unless the group has moved on meanwhile.
+    pub fn begin(
+        &mut self,
+        now: time::Duration,
+        question: &Question,
+        edit: rebalance::Edit,
+        draw: u64,
+    ) {
+        let Some(seen) = self.seen(now) else { return };
+        let used = self.ranks.values().next().map(|rank| rank.status.map);
+        let same = self.epoch == question.epoch && used == Some(question.version);
+        if self.change.is_some() || !same {
+            return;
+        }
+        let weights = self.popularity.weights(now);
+        let skew = weights.map(|weights| rebalance::skew(&edit.map, &weights));
+        if skew.is_some_and(|skew| skew > edit.skew.1 + OUTDATED) {
+            log::info!(epoch = self.epoch; "map change not begun: popularity jumped");
+            return;
+        }
+        let copying = self.shape.copy * edit.copies as u32;
+        let Some(plan) = self.plan(&seen, edit.map, &question.map, copying, draw) else { return };
+        log::info!(
+            epoch = self.epoch,
+            version = plan.version,
+            skew_before = format!("{:.2}", edit.skew.0),
+            skew_after = format!("{:.2}", edit.skew.1),
+            copies = edit.copies,
+            net_ms = (edit.net_s * 1000.0) as u64;
+            "map change begins"
+        );
+        (self.began, self.expected) = (now, edit.skew.1);
+        self.change = Some(Change::new(plan));
+    }
+
+    /// Takes up what was left armed or held, if anything was.
+    fn settle(&mut self, now: time::Duration, seen: &Seen, draw: u64) {
+        let left = seen.values().any(|status| status.armed.is_some() || status.held.is_some());
+        let Some(map) = self.map().filter(|_| left) else { return };
+        let Some(plan) = self.plan(seen, map.clone(), &map, time::Duration::ZERO, draw) else {
+            return;
+        };
+        log::warn!(epoch = self.epoch, version = plan.version; "settling a change left behind");
+        self.began = now;
+        self.change = Some(Change::settle(plan, seen));
+    }
+
+    fn plan(
+        &self,
+        seen: &Seen,
+        map: Vec<Layer>,
+        old: &[Layer],
+        copying: time::Duration,
+        draw: u64,
+    ) -> Option<Plan> {
+        Some(Plan {
+            epoch: self.epoch,
+            own: self.own?,
+            ranks: self.size,
+            version: change::highest(seen) + 1 + draw % VERSION_SPAN,
+            map,
+            old: old.to_vec(),
+            copying,
+            held: self.held,
+        })
+    }
+
     fn form(&mut self, epoch: u64, size: usize) {
         log::info!(epoch, before = self.epoch, size; "group formed");
         (self.epoch, self.size) = (epoch, size);
@@ -218,58 +328,6 @@
             .then(|| self.ranks.iter().map(|(rank, known)| (*rank, known.status.clone())).collect())
     }
 
-    fn begin(&mut self, now: time::Duration, seen: &Seen, draw: u64) -> Option<Change> {
-        let own = self.own?;
-        let map = self.map()?;
-        let open = seen.values().all(|status| status.member.as_ref().is_some_and(|m| m.open));
-        let left_behind =
-            seen.values().any(|status| status.armed.is_some() || status.held.is_some());
-        let version = change::highest(seen) + 1 + draw % VERSION_SPAN;
-        let (epoch, ranks, held) = (self.epoch, self.size, self.held);
-        let plan = |to: Vec<Layer>, old: &[Layer], copying| Plan {
-            epoch,
-            own,
-            ranks,
-            version,
-            map: to,
-            old: old.to_vec(),
-            copying,
-            held,
-        };
-        if left_behind {
-            log::warn!(epoch = self.epoch, version; "settling a change left behind");
-            self.began = now;
-            return Some(Change::settle(plan(map.clone(), &map, time::Duration::ZERO), seen));
-        }
-        if !open || now < self.pause_until {
-            return None;
-        }
-        let weights = self.popularity.weights(now)?;
-        let terms = rebalance::Terms {
-            slots: self.shape.places,
-            copies: self.shape.spare,
-            copy: self.shape.copy,
-            expert_part: EXPERT_PART,
-            interference: INTERFERENCE,
-            horizon: HORIZON,
-            per_copy: PER_COPY,
-            busy: self.busy(seen),
-        };
-        let edit = rebalance::edit(&map, &weights, &terms)?;
-        log::info!(
-            epoch = self.epoch,
-            version,
-            skew_before = format!("{:.2}", edit.skew.0),
-            skew_after = format!("{:.2}", edit.skew.1),
-            copies = edit.copies,
-            net_ms = (edit.net_s * 1000.0) as u64;
-            "map change begins"
-        );
-        (self.began, self.expected) = (now, edit.skew.1);
-        let copying = self.shape.copy * edit.copies as u32;
-        Some(Change::new(plan(edit.map, &map, copying)))
-    }
-
     /// Whether a change that has only begun to copy is for a popularity that has passed. Nothing
     /// is armed or held then, so it can be dropped; the next one has a higher version.
     fn is_outdated(&self, now: time::Duration) -> bool {
--- a/tests/rebalance.rs
+++ b/tests/rebalance.rs
@@ -41,7 +41,8 @@
 
 fn check(map: &[Layer], before: &[Layer], terms: &Terms) {
     for (layer, old) in map.iter().zip(before) {
-        let mut copies = [0; EXPERTS];
+        let experts = before[0].iter().flatten().max().map_or(0, |most| usize::from(*most) + 1);
+        let mut copies = vec![0; experts];
         for (own, old) in layer.iter().zip(old) {
             assert!(own.len() <= terms.slots, "{own:?}");
             let new = own.iter().filter(|expert| !old.contains(expert)).count();
@@ -137,7 +138,7 @@
     assert_eq!(fresh.map(|fresh| fresh.sets), Some(vec![(10, vec![255, 128])]));
 }
 
-/// What a decision costs at the size of the grown sites, on hosts with a seventh of a core.
+/// A group of the grown sites: few copies a rank, although many experts are in demand.
 #[test]
 fn large_group() {
     let (ranks, experts, sets) = (63, 252, 8);
@@ -149,9 +150,8 @@
     }
     let weights = vec![weights; sets];
     let terms = Terms { slots: 5, ..terms() };
-    let since = std::time::Instant::now();
     let edit = rebalance::edit(&map, &weights, &terms).expect("an edit pays");
-    let took = since.elapsed();
+    check(&edit.map, &map, &terms);
     assert!(edit.skew.1 < edit.skew.0 / 2.0, "{:?}", edit.skew);
-    eprintln!("{took:?} {:?} {}", edit.skew, edit.copies);
+    assert!(edit.copies <= 8, "{} copies a rank", edit.copies);
 }
