Never call a request that ran one that did not; decide at most every 100 ms

Cause 1: in an incident a read ran, failed with 500 at one server, and was answered 503 because no other server had room; 503 says that it did not run. The test gateway::ran_then_refused failed (503 for 500) before the change. Now the server's failure is passed on, or 502 if there was no answer.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -77,6 +77,10 @@
     pub tried: Vec<name::Server>,
     /// Sends that arrived at a server.
     pub arrivals: u32,
+    /// Whether a send may have run.
+    pub may_have_run: bool,
+    /// A server's failure, passed on if no other server does better.
+    pub failure: Option<http::Response>,
 }
 
 impl Job {
@@ -146,6 +150,8 @@
             deadline,
             tried: Vec::new(),
             arrivals: 0,
+            may_have_run: false,
+            failure: None,
         };
         self.desk.first(&job.service);
         self.run(job, trail).await
@@ -179,7 +185,7 @@
                         NoSeat::Full => Refusal::Full,
                         NoSeat::Nobody => Refusal::Nobody,
                     };
-                    return self.refuse(refusal, Some(&job), &mut trail);
+                    return self.give_up(refusal, job, &mut trail);
                 }
             };
             trail.sent(&seat.server, seat.in_flight);
@@ -195,14 +201,15 @@
                     trail.got(why);
                     job.arrivals += u32::from(arrived);
                     if !job.again(&self.desk) {
-                        return self.refuse(Refusal::NotRun, Some(&job), &mut trail);
+                        return self.give_up(Refusal::NotRun, job, &mut trail);
                     }
                 }
                 Ok(Sent::Unknown(failure)) => {
                     trail.failed(&failure);
                     job.arrivals += 1;
+                    job.may_have_run = true;
                     if !job.repeatable() || !job.again(&self.desk) {
-                        return self.refuse(Refusal::NoAnswer, Some(&job), &mut trail);
+                        return self.give_up(Refusal::NoAnswer, job, &mut trail);
                     }
                 }
                 Ok(Sent::Answer { head, body, good }) => {
@@ -212,6 +219,7 @@
                         let stream = relay::Stream { head, body, seat, job, trail };
                         return relay::start(rc::Rc::clone(&self.desk), stream);
                     }
+                    job.may_have_run = true;
                     match self.whole(&mut job, &mut seat, (head, body), good, &mut trail).await {
                         Some(res) => return res,
                         None => continue,
@@ -265,19 +273,30 @@
         };
         seat.note(if good { fleet::Outcome::Good } else { fleet::Outcome::Bad });
         trail.got(head.status.as_str());
-        let failed = head.status.is_server_error();
-        if failed && job.repeatable() && job.again(&self.desk) {
+        let mut res = hyper::Response::new(http::Body::whole(data));
+        *res.status_mut() = head.status;
+        *res.headers_mut() = exchange::answer_headers(&head.headers);
+        if head.status.is_server_error() && job.repeatable() && job.again(&self.desk) {
+            job.failure = Some(res);
             return None;
         }
         trail.piece();
         let ending = if good { metrics::Ending::Whole } else { metrics::Ending::Failed };
         trail.end(ending, head.status.as_u16(), "answered");
-        let mut res = hyper::Response::new(http::Body::whole(data));
-        *res.status_mut() = head.status;
-        *res.headers_mut() = exchange::answer_headers(&head.headers);
         Some(res)
     }
 
+    /// Ends a request that no server answered well: with a server's failure if there was one,
+    /// and never saying that it did not run if it may have.
+    fn give_up(&self, refusal: Refusal, mut job: Job, trail: &mut Trail) -> http::Response {
+        if let Some(failure) = job.failure.take() {
+            trail.end(metrics::Ending::Failed, failure.status().as_u16(), "answered");
+            return failure;
+        }
+        let refusal = if job.may_have_run { Refusal::NoAnswer } else { refusal };
+        self.refuse(refusal, Some(&job), trail)
+    }
+
     fn refuse(&self, refusal: Refusal, job: Option<&Job>, trail: &mut Trail) -> http::Response {
         self.desk.metrics.refused(refusal.label());
         let ending = match refusal.status() {
--- a/src/rank/agent.rs
+++ b/src/rank/agent.rs
@@ -48,6 +48,8 @@
 const PASSED_OVER: Duration = Duration::from_secs(2);
 /// Time between two steps of the duty without news.
 const STEP_EVERY: Duration = Duration::from_millis(50);
+/// Time between two decisions on an edit: what was chosen since says nothing new before that.
+const DECIDE_EVERY: Duration = Duration::from_millis(100);
 /// Time between two words on the engines' loads to a gateway.
 const LOADS_EVERY: Duration = Duration::from_millis(100);
 /// Time between two steps from which what was known before counts as old.
@@ -168,6 +170,8 @@
     duty: Option<Duty>,
     /// Whether an edit of the map is being decided on.
     deciding: bool,
+    /// When the next edit may be decided on.
+    decide_from: Duration,
     clock: Clock,
     rng: Pcg64,
 }
@@ -195,7 +199,14 @@
 impl Owner {
     fn init(cx: CX![], agent: rc::Rc<Agent>, rng: Pcg64) -> Option<Self> {
         after!(STEP_EVERY, [cx], tick());
-        Some(Self { agent, duty: None, deciding: false, clock: Clock::new(), rng })
+        Some(Self {
+            agent,
+            duty: None,
+            deciding: false,
+            decide_from: Duration::ZERO,
+            clock: Clock::new(),
+            rng,
+        })
     }
 
     fn tick(&mut self, cx: CX![]) {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -349,6 +349,23 @@
     }
 }
 
+/// A request that ran and failed is not called one that did not run, although no other server
+/// takes it.
+#[test]
+fn ran_then_refused() {
+    let site = Site::start(2, false);
+    site.servers[0].does(Does::Fail);
+    site.servers[1].does(Does::Refuse);
+    for n in 0..6 {
+        let answer = site.ask("GET", "/read/a", &format!("id-{n}"));
+        let tried = site.servers[0]
+            .got()
+            .iter()
+            .any(|got| got.headers.get("x-knapweedford-request-id") == Some(&format!("id-{n}")));
+        assert_eq!(answer.status, if tried { 500 } else { 503 }, "request {n}");
+    }
+}
+
 /// A server whose address another one has now.
 #[test]
 fn address_reused() {
