--- a/src/rank/agent.rs
+++ b/src/rank/agent.rs
@@ -50,12 +50,14 @@
 const STEP_EVERY: Duration = Duration::from_millis(50);
 /// Time between two decisions on an edit: what was chosen since says nothing new before that.
 const DECIDE_EVERY: Duration = Duration::from_millis(100);
+/// Ranks up to which an edit is decided on at once: it takes a few milliseconds of a core then.
+const DECIDED_AT_ONCE: u32 = 16;
 /// Time between two words on the engines' loads to a gateway.
 const LOADS_EVERY: Duration = Duration::from_millis(100);
 /// Time between two steps from which what was known before counts as old.
 const STOOD_STILL: Duration = Duration::from_millis(500);
 /// Time between two reads of the store while the group is not known.
-const STORE_EVERY: Duration = Duration::from_millis(2_000);
+const STORE_EVERY: Duration = Duration::from_millis(700);
 /// Time between two reads of the store once it is: agents do not move.
 const STORE_SELDOM: Duration = Duration::from_secs(40);
 
@@ -252,17 +254,25 @@
         self.agent.loads.send_replace(self.agent.loads_of(requests));
         let now = self.agent.now();
         if !self.deciding
+            && now >= self.decide_from
             && let Some(question) = duty.question(now)
         {
-            self.deciding = true;
-            let agent = rc::Rc::clone(&self.agent);
-            task::spawn_local(async move {
-                let question = Box::new(question);
-                let asked = question.clone();
-                // On another thread, as pulses must be answered meanwhile.
-                let edit = task::spawn_blocking(move || asked.answer().map(Box::new)).await;
-                agent.tell(Event::Edit(question, edit.ok().flatten()));
-            });
+            (self.deciding, self.decide_from) = (true, now + DECIDE_EVERY);
+            if self.agent.ranks.get() <= DECIDED_AT_ONCE {
+                if let Some(edit) = question.answer() {
+                    duty.begin(now, &question, edit, self.rng.random());
+                }
+                self.deciding = false;
+            } else {
+                let agent = rc::Rc::clone(&self.agent);
+                task::spawn_local(async move {
+                    let question = Box::new(question);
+                    let asked = question.clone();
+                    // On another thread, as pulses must be answered meanwhile.
+                    let edit = task::spawn_blocking(move || asked.answer().map(Box::new)).await;
+                    agent.tell(Event::Edit(question, edit.ok().flatten()));
+                });
+            }
         }
         for errand in duty.step(now, self.rng.random()) {
             let agent = rc::Rc::clone(&self.agent);
