--- a/src/rank/duty.rs
+++ b/src/rank/duty.rs
@@ -77,6 +77,8 @@
     change: Option<Change>,
     began: time::Duration,
     pause_until: time::Duration,
+    /// Newest version that this process had in this epoch; ranks do not show one that they copy.
+    last: u64,
     /// Newest pass that was held in this epoch. None is held twice, so that a release that
     /// arrives late finds nothing to release.
     held: u64,
@@ -100,6 +102,7 @@
             change: None,
             began: time::Duration::ZERO,
             pause_until: time::Duration::ZERO,
+            last: 0,
             held: 0,
             expected: 1.0,
             acting: false,
@@ -249,6 +252,7 @@
             "map change begins"
         );
         (self.began, self.expected) = (now, edit.skew.1);
+        self.last = plan.version;
         self.change = Some(Change::new(plan));
     }
 
@@ -261,6 +265,7 @@
         };
         log::warn!(epoch = self.epoch, version = plan.version; "settling a change left behind");
         self.began = now;
+        self.last = plan.version;
         self.change = Some(Change::settle(plan, seen));
     }
 
@@ -276,7 +281,7 @@
             epoch: self.epoch,
             own: self.own?,
             ranks: self.size,
-            version: change::highest(seen) + 1 + draw % VERSION_SPAN,
+            version: change::highest(seen).max(self.last) + 1 + draw % VERSION_SPAN,
             map,
             old: old.to_vec(),
             copying,
@@ -290,7 +295,7 @@
         self.ranks.clear();
         self.popularity.clear();
         self.change = None;
-        self.held = 0;
+        (self.held, self.last) = (0, 0);
     }
 
     fn learn(&mut self, now: time::Duration, rank: usize, status: Status) {
--- /dev/null
+++ b/tests/duty.rs
@@ -0,0 +1,111 @@
+//! The duty for a group's map, from pulses to orders.
+
+use std::time::Duration;
+
+use knapweedford::{
+    rank::{
+        Act, Choices, Member, Placed, Status,
+        duty::Duty,
+        message::{Errand, Pulse},
+    },
+    site::catalog::Experts,
+};
+
+const RANKS: usize = 4;
+
+fn duty() -> Duty {
+    let copy = Duration::from_millis(98);
+    let mut duty = Duty::new(Experts { slots: 4, sets: 1, experts: 8, places: 4, spare: 2, copy });
+    duty.beside(0);
+    duty
+}
+
+/// Pulses of the first `ranks` ranks; every request chose the first expert.
+fn pulses(duty: &mut Duty, now: Duration, ranks: usize) {
+    for rank in 0..ranks {
+        let member = Member { group: "g".into(), epoch: 1, rank, ranks: RANKS, open: true };
+        let status = Status {
+            read: (rank as u64, now.as_millis() as u64),
+            queued: 0,
+            running: 4,
+            memory: 0.1,
+            pace: 1.0,
+            member: Some(member),
+            pass: now.as_millis() as u64 / 50,
+            map: 0,
+            prepared: None,
+            armed: None,
+            held: None,
+            born_ms: 1,
+        };
+        let experts = vec![vec![rank as u16, (rank + RANKS) as u16]];
+        let placed = Some(Placed { epoch: 1, version: 0, experts, prepared: None });
+        let choices = Choices { epoch: 1, sets: vec![(100, vec![255, 9, 9, 9, 9, 9, 9, 9])] };
+        duty.pulse(now, Pulse { status, choices: Some(choices), placed });
+    }
+}
+
+/// Pulses for two seconds, so that the duty may act.
+fn settled(duty: &mut Duty, from: Duration, ranks: usize) -> Duration {
+    let mut now = from;
+    for _ in 0..40 {
+        now += Duration::from_millis(50);
+        pulses(duty, now, ranks);
+        duty.step(now, 0);
+    }
+    now
+}
+
+fn begin(duty: &mut Duty, now: Duration) -> Vec<Errand> {
+    let question = duty.question(now).expect("an edit may pay");
+    let edit = question.answer().expect("an edit pays");
+    duty.begin(now, &question, edit, 0);
+    duty.step(now, 0)
+}
+
+fn version(orders: &[Errand]) -> u64 {
+    match orders.first().map(|errand| &errand.order.act) {
+        Some(Act::Prepare { version, .. }) => *version,
+        other => panic!("not an order to copy: {other:?}"),
+    }
+}
+
+#[test]
+fn copies_everywhere() {
+    let mut duty = duty();
+    let now = settled(&mut duty, Duration::ZERO, RANKS);
+    let orders = begin(&mut duty, now);
+    assert_eq!(orders.len(), RANKS);
+    assert!(duty.question(now).is_none(), "one change at a time");
+}
+
+/// Ranks do not show a version while they copy it; it must not be given to another map.
+#[test]
+fn versions_grow() {
+    let mut duty = duty();
+    let now = settled(&mut duty, Duration::ZERO, RANKS);
+    let first = version(&begin(&mut duty, now));
+    duty.stood_still();
+    let now = settled(&mut duty, now, RANKS);
+    let second = version(&begin(&mut duty, now));
+    assert!(second > first, "{second} after {first}");
+}
+
+#[test]
+fn half_is_too_few() {
+    let mut duty = duty();
+    let now = settled(&mut duty, Duration::ZERO, RANKS);
+    assert!(duty.requests().is_some());
+    let now = settled(&mut duty, now, RANKS / 2);
+    assert!(duty.requests().is_none(), "another process may act for the other half");
+    assert!(duty.question(now).is_none());
+}
+
+#[test]
+fn waits_to_act() {
+    let mut duty = duty();
+    let now = Duration::from_millis(50);
+    pulses(&mut duty, now, RANKS);
+    duty.step(now, 0);
+    assert!(duty.question(now).is_none(), "the owner before may still act");
+}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -16,6 +16,7 @@
 mod collecting;
 mod days;
 mod deaths;
+mod duty;
 mod edits;
 mod fairness;
 mod faults;
