--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -1,6 +1,6 @@
 //! Log lines of real processes name the request that they are about.
 
-use crate::processes::{Plan, Site};
+use crate::processes::{Plan, Site, until};
 
 /// Whether a line with `msg` and the request `id` stands in `logs`.
 fn says(logs: &str, msg: &str, id: &str) -> bool {
@@ -26,10 +26,14 @@
     let mut seen = ids(&site.engines[0].counts());
     seen.extend(ids(&site.plains[0].counts()));
     assert_eq!(seen.len(), 2);
-    let logs = site.logs();
     for id in seen {
-        assert!(says(&logs, "admitted", &id), "the sidecar does not name {id}:\n{logs}");
-        assert!(says(&logs, "answered", &id), "the entry does not name {id}:\n{logs}");
+        // Lines are written by a thread that gathers them.
+        until(&format!("the sidecar names {id}"), || {
+            says(&site.logs(), "admitted", &id).then_some(())
+        });
+        until(&format!("the entry names {id}"), || {
+            says(&site.logs(), "answered", &id).then_some(())
+        });
     }
 }
 
@@ -38,7 +42,9 @@
     let site = Site::start(&Plan { engines: 1, ..Plan::default() });
     site.engines[0].faults(r#"{"cut": 2}"#);
     assert!(!site.stream(0, "a", 30).whole());
-    let logs = site.logs();
+    let logs = until("the failure is named", || {
+        Some(site.logs()).filter(|logs| logs.contains("broke off"))
+    });
     let path = |line: &&str| line.contains(" module=entry::") || line.contains(" module=sidecar::");
     let about: Vec<_> = logs.lines().filter(path).collect();
     assert!(about.iter().any(|line| line.contains("broke off")), "{logs}");
