Bound sends to unreachable servers, name what routing finds

Cause: a request that reached no server was tried at all of them, half a second each, past its time; it is refused after three now. Reading the change as a newcomer: a tuple of four became a type, a refusal that nothing used went.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -25,6 +25,8 @@
 const ANSWER_BYTES: usize = 16 << 20;
 /// Longest time allowed to a caller that states none and whose route states none.
 const LONGEST: time::Duration = time::Duration::from_secs(60);
+/// Servers that may be unreachable before the request is refused; each takes up to half a second.
+const UNSENT: u32 = 3;
 /// Part of a caller's remaining time after which it is asked to come back, at least and at most.
 /// Callers heed up to a third.
 const COME_BACK: (f64, f64) = (0.08, 0.3);
@@ -51,6 +53,14 @@
     }
 }
 
+/// What the configuration says of a request.
+struct Found {
+    catalog: rc::Rc<Catalog>,
+    route: catalog::Route,
+    workspace: Option<name::Workspace>,
+    priority: u8,
+}
+
 /// A request whose route and caller are known, with its whole body.
 pub struct Job {
     /// The caller's head.
@@ -103,12 +113,14 @@
         self.route.repeat != catalog::Repeat::Once
     }
 
-    /// Whether one more send is allowed by the route and the budget.
+    /// Whether one more send is allowed by the time left, the route and the budget.
     pub fn again(&self, desk: &Desk) -> bool {
-        self.arrivals == 0
-            || (self.arrivals < self.route.attempts
-                && Instant::now() < self.until
-                && desk.retry(&self.service))
+        let unsent = self.tried.len() as u32 - self.arrivals.min(self.tried.len() as u32);
+        match self.arrivals {
+            _ if Instant::now() >= self.until || unsent >= UNSENT => false,
+            0 => true,
+            arrivals => arrivals < self.route.attempts && desk.retry(&self.service),
+        }
     }
 }
 
@@ -124,11 +136,11 @@
             }
         };
         let mut trail = Trail::new(&envelope.id);
-        let found = self.route(&head, &envelope, &mut trail);
-        let (catalog, route, workspace, priority) = match found {
-            Ok(found) => found,
-            Err(refusal) => return self.refuse(refusal, None, &mut trail),
-        };
+        let Found { catalog, route, workspace, priority } =
+            match self.find(&head, &envelope, &mut trail) {
+                Ok(found) => found,
+                Err(refusal) => return self.refuse(refusal, None, &mut trail),
+            };
         let given = envelope.deadline.unwrap_or(LONGEST);
         let deadline = arrived + given;
         let until = arrived + given.min(route.timeout).max(time::Duration::from_millis(1));
@@ -157,13 +169,13 @@
         self.run(job, trail).await
     }
 
-    #[allow(clippy::type_complexity)]
-    fn route(
+    /// The route and whose request it is.
+    fn find(
         &self,
         head: &request::Parts,
         envelope: &exchange::Envelope,
         trail: &mut Trail,
-    ) -> Result<(rc::Rc<Catalog>, catalog::Route, Option<name::Workspace>, u8), Refusal> {
+    ) -> Result<Found, Refusal> {
         let catalog = self.desk.catalog().ok_or(Refusal::NoConfiguration)?;
         let route = catalog.route(&envelope.host, head.uri.path()).ok_or(Refusal::NoRoute)?;
         let flight = self.desk.metrics.begin(&route.name, time::Instant::now());
@@ -172,7 +184,8 @@
         let holder = holder.map_err(|catalog::UnknownKey| Refusal::UnknownKey)?;
         let workspace = holder.map(|holder| holder.workspace.clone());
         let priority = holder.and_then(|holder| holder.priority).unwrap_or(route.priority);
-        Ok((rc::Rc::clone(&catalog), route.clone(), workspace, priority))
+        let route = route.clone();
+        Ok(Found { catalog, route, workspace, priority })
     }
 
     async fn run(&self, mut job: Job, mut trail: Trail) -> http::Response {
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -33,8 +33,6 @@
     NoAnswer,
     /// Time is up and it may have run.
     Late,
-    /// Time is up and it has not run.
-    LateNotRun,
 }
 
 impl Refusal {
@@ -43,7 +41,6 @@
     pub fn status(self) -> u16 {
         match self {
             Self::NoConfiguration | Self::Full | Self::Nobody | Self::NotRun => 503,
-            Self::LateNotRun => 503,
             Self::Malformed | Self::BodyBroken => 400,
             Self::NoRoute => 404,
             Self::UnknownKey => 401,
@@ -69,7 +66,6 @@
             Self::NotRun => "not-run",
             Self::NoAnswer => "no-answer",
             Self::Late => "late",
-            Self::LateNotRun => "late-not-run",
         }
     }
 
@@ -101,7 +97,6 @@
             Self::NotRun => "No backend server took it; it did not run; send it again later.",
             Self::NoAnswer => "A backend server gave no whole answer; it may have run.",
             Self::Late => "The time allowed is over; it may have run.",
-            Self::LateNotRun => "The time allowed is over; it did not run.",
         })
     }
 }
