--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -63,13 +63,18 @@
     pub url: String,
 }
 
+/// Reads the file at `path` with `parse`.
+fn load<T>(path: &path::Path, parse: impl FnOnce(&str) -> Result<T, Findings>) -> Result<T> {
+    let shown = path.display().to_string();
+    let text =
+        fs::read_to_string(path).map_err(|source| Error::File { path: shown.clone(), source })?;
+    parse(&text).map_err(|findings| Error::Text { path: shown, findings })
+}
+
 impl Settings {
     /// Reads settings from the YAML file at `path`.
     pub fn load(path: &path::Path) -> Result<Self> {
-        let shown = path.display().to_string();
-        let text = fs::read_to_string(path)
-            .map_err(|source| Error::File { path: shown.clone(), source })?;
-        Self::parse(&text).map_err(|findings| Error::Text { path: shown, findings })
+        load(path, Self::parse)
     }
 
     /// Reads settings from `text` and checks them whole.
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -1,10 +1,10 @@
 //! Settings of a process on the users' platform: a gateway or a rank agent.
 
-use std::{fs, net, path, time};
+use std::{net, path, time};
 
 use super::{TEXT_BYTES, check};
 use crate::{
-    Error, Result, config, name,
+    Result, config, name,
     yaml::{Findings, Node, Read, Table},
 };
 
@@ -73,10 +73,7 @@
 impl Settings {
     /// Reads settings from the YAML file at `path`.
     pub fn load(path: &path::Path) -> Result<Self> {
-        let shown = path.display().to_string();
-        let text = fs::read_to_string(path)
-            .map_err(|source| Error::File { path: shown.clone(), source })?;
-        Self::parse(&text).map_err(|findings| Error::Text { path: shown, findings })
+        super::load(path, Self::parse)
     }
 
     /// Reads settings from `text` and checks them whole.
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -11,6 +11,7 @@
 mod balance;
 mod catalog;
 mod claims;
+mod client;
 mod cluster;
 mod cold;
 mod collecting;
