--- a/src/rank/agent.rs
+++ b/src/rank/agent.rs
@@ -48,8 +48,6 @@
 const PASSED_OVER: Duration = Duration::from_secs(2);
 /// Time between two steps of the duty without news.
 const STEP_EVERY: Duration = Duration::from_millis(50);
-/// Time between two questions to an engine whose agent is silent; each pauses the group shortly.
-const ASK_EVERY: Duration = Duration::from_millis(500);
 /// Time between two decisions on an edit: what was chosen since says nothing new before that.
 const DECIDE_EVERY: Duration = Duration::from_millis(100);
 /// Ranks up to which an edit is decided on at once: it takes a few milliseconds of a core then.
@@ -174,8 +172,6 @@
     duty: Option<Duty>,
     /// Whether an edit of the map is being decided on.
     deciding: bool,
-    /// When engines whose agents are silent may be asked again.
-    ask_from: Duration,
     /// When the next edit may be decided on.
     decide_from: Duration,
     clock: Clock,
@@ -210,7 +206,6 @@
             duty: None,
             deciding: false,
             decide_from: Duration::ZERO,
-            ask_from: Duration::ZERO,
             clock: Clock::new(),
             rng,
         })
@@ -258,13 +253,6 @@
         let requests = duty.requests();
         self.agent.loads.send_replace(self.agent.loads_of(requests));
         let now = self.agent.now();
-        if now >= self.ask_from {
-            for rank in duty.missing(now) {
-                self.ask_from = now + ASK_EVERY;
-                let agent = rc::Rc::clone(&self.agent);
-                task::spawn_local(async move { agent.ask(rank).await });
-            }
-        }
         if !self.deciding
             && now >= self.decide_from
             && let Some(question) = duty.question(now)
@@ -473,23 +461,6 @@
         got
     }
 
-    /// Asks an engine from afar, in place of its agent.
-    async fn ask(&self, rank: usize) {
-        let Some(engine) = self.state.borrow().group.get(&rank).copied() else { return };
-        let asking = async {
-            let status = self.read(engine).await?;
-            let placed = platform::engine::placed(&self.engines, engine, ENGINE_TIME).await?;
-            Ok::<_, client::Failure>(Pulse { status, choices: None, placed: Some(placed) })
-        };
-        match asking.await {
-            Ok(pulse) => {
-                log::info!(rank; "engine asked in place of its agent");
-                self.tell(Event::Pulse(Box::new(pulse), false, oneshot::channel().0));
-            }
-            Err(failure) => log::info!(rank; "engine did not answer: {}", failure.problem()),
-        }
-    }
-
     /// Sends an order to its rank: by the agent beside it, or itself where that does not answer.
     async fn send(&self, errand: &Errand) -> OrderReply {
         let Some(engine) = self.state.borrow().group.get(&errand.rank).copied() else {
--- a/src/rank/duty.rs
+++ b/src/rank/duty.rs
@@ -170,14 +170,6 @@
         self.change = None;
     }
 
-    /// Ranks whose state this process never heard, while most ranks send it theirs: their agents
-    /// stand still or are gone, and their engines are to be asked themselves.
-    pub fn missing(&self, now: time::Duration) -> Vec<usize> {
-        let lately = self.ranks.values().filter(|rank| rank.at + FRESH >= now).count();
-        let most = lately * 2 > self.size;
-        (0..self.size).filter(|rank| most && !self.ranks.contains_key(rank)).collect()
-    }
-
     /// Requests that each rank runs or has waiting; `None` if this process does not act.
     pub fn requests(&self) -> Option<BTreeMap<usize, u32>> {
         let requests = |rank: &Rank| rank.status.running + rank.status.queued;
