Make edits that gain half as much; fewer reads of the store by agents

Change: least gain 0.1 s for 0.2 s. Agents double the pause between reads while their group is not listed.

--- a/src/group/rebalance.rs
+++ b/src/group/rebalance.rs
@@ -11,7 +11,7 @@
 
 /// Least net gain of an edit, in seconds of group time. An edit that gains less is not worth that
 /// the next jump finds a change under way.
-const LEAST_NET_S: f64 = 0.2;
+const LEAST_NET_S: f64 = 0.1;
 
 /// Skew at which a layer counts as even.
 const EVEN: f64 = 1.05;
--- a/src/rank/agent.rs
+++ b/src/rank/agent.rs
@@ -30,8 +30,11 @@
 pub const PEER_TIME: Duration = Duration::from_millis(400);
 /// Time for which an agent that did not answer is passed over.
 const PASSED_OVER: Duration = Duration::from_secs(2);
-/// Time between two reads of the store while the group is not known.
+/// First time between two reads of the store while the group is not known, doubled up to
+/// [`STORE_SLOWEST`]: engines list themselves within some ten seconds of their start.
 const STORE_EVERY: Duration = Duration::from_millis(700);
+/// Longest time between two reads while the group is not known.
+const STORE_SLOWEST: Duration = Duration::from_millis(2_800);
 /// Time between two reads of the store once it is: agents do not move.
 const STORE_SELDOM: Duration = Duration::from_secs(40);
 
@@ -173,12 +176,17 @@
     /// Learns the group and its shape from the store.
     async fn follow_store(self: rc::Rc<Self>) {
         let store = platform::Store::new(self.cfg.store);
+        let mut pause = STORE_EVERY;
         loop {
             let known = self.learn(&store).await;
             if let Err(err) = &known {
                 log::info!("{err}");
             }
-            let pause = if known.unwrap_or(false) { STORE_SELDOM } else { STORE_EVERY };
+            pause = match known {
+                Ok(true) => STORE_SELDOM,
+                _ if pause == STORE_SELDOM => STORE_EVERY,
+                _ => (pause * 2).min(STORE_SLOWEST),
+            };
             let spread: f64 = self.rng.borrow_mut().random();
             tokio::select! {
                 () = tokio::time::sleep(pause.mul_f64(0.75 + spread / 2.0)) => {}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,269 +1,16 @@
-//! A gateway as a process of its own, before stand-ins of the users' store and servers.
+//! A gateway as a process of its own, request by request.
 
 use std::{
-    collections::BTreeMap,
-    fs, net, path, process,
-    sync::{Arc, Mutex, atomic},
     thread,
     time::{Duration, Instant},
 };
 
 use crate::{
-    chunks::Chunks,
-    processes::{PATIENCE, Process, until},
-    store::{Mode, Store},
+    gateways::{Does, HOST, KEY, Server, Site, call, list},
+    processes::until,
+    store::Mode,
 };
 
-const HOST: &str = "a.example";
-const KEY: &str = "key-1";
-
-static COUNT: atomic::AtomicUsize = atomic::AtomicUsize::new(1);
-
-/// What a server does with the next requests.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Does {
-    Answer,
-    /// Refuses: it did not run.
-    Refuse,
-    /// Fails: it ran.
-    Fail,
-    /// Answers for another request.
-    Mix,
-    /// Breaks a stream off within its third event.
-    Break,
-    /// Says nothing for a while.
-    Wait,
-}
-
-/// A request as a server got it.
-#[derive(Clone, Debug)]
-struct Got {
-    url: String,
-    headers: BTreeMap<String, String>,
-    body: String,
-}
-
-/// A server that checks who is meant, and remembers what it got.
-#[derive(Clone)]
-struct Server {
-    id: String,
-    addr: net::SocketAddr,
-    does: Arc<Mutex<Does>>,
-    got: Arc<Mutex<Vec<Got>>>,
-}
-
-impl Server {
-    fn start(id: &str) -> Self {
-        let server = tiny_http::Server::http("127.0.0.1:0").unwrap();
-        let addr = server.server_addr().to_ip().unwrap();
-        let does = Arc::new(Mutex::new(Does::Answer));
-        let started = Self { id: id.into(), addr, does, got: Arc::default() };
-        let serving = started.clone();
-        thread::spawn(move || {
-            for req in server.incoming_requests() {
-                let serving = serving.clone();
-                thread::spawn(move || serving.answer(req));
-            }
-        });
-        started
-    }
-
-    fn does(&self, does: Does) {
-        *self.does.lock().unwrap() = does;
-    }
-
-    fn got(&self) -> Vec<Got> {
-        self.got.lock().unwrap().clone()
-    }
-
-    fn answer(&self, mut req: tiny_http::Request) {
-        let headers: BTreeMap<String, String> = req
-            .headers()
-            .iter()
-            .map(|h| (h.field.as_str().as_str().to_ascii_lowercase(), h.value.to_string()))
-            .collect();
-        let mut body = String::new();
-        std::io::Read::read_to_string(req.as_reader(), &mut body).unwrap();
-        let meant = headers.get("x-knapweedford-expect-instance");
-        if meant.is_some_and(|meant| *meant != self.id) {
-            return respond(req, 421, "", &[]);
-        }
-        let id = headers.get("x-knapweedford-request-id").cloned().unwrap_or_default();
-        let resumed: usize =
-            headers.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or_default();
-        let url = req.url().to_owned();
-        self.got.lock().unwrap().push(Got { url: url.clone(), headers, body });
-        let does = *self.does.lock().unwrap();
-        let seal = format!("seal-{}", self.id);
-        let marks =
-            [("X-Knapweedford-Request-Id", id.as_str()), ("X-Knapweedford-Response-Seal", &seal)];
-        match does {
-            Does::Refuse => respond(req, 503, "", &[("X-Knapweedford-Not-Executed", "1")]),
-            Does::Fail => respond(req, 500, "failed", &marks),
-            Does::Mix => respond(req, 200, "other", &[("X-Knapweedford-Request-Id", "another")]),
-            Does::Wait => thread::sleep(Duration::from_secs(4)),
-            Does::Answer | Does::Break if url.starts_with("/stream/") => {
-                let mut chunks = Chunks::begin(req, "text/event-stream").unwrap();
-                for n in resumed + 1..=6 {
-                    if does == Does::Break && n == resumed + 3 {
-                        let _ = chunks.piece(&format!("id: {n}\nda"));
-                        return chunks.cut();
-                    }
-                    // The caller may have gone.
-                    if chunks.piece(&format!("id: {n}\ndata: x{n}\n\n")).is_err() {
-                        return;
-                    }
-                }
-                let _ = chunks.end();
-            }
-            Does::Answer | Does::Break => respond(req, 200, &format!("by {}", self.id), &marks),
-        }
-    }
-}
-
-fn respond(req: tiny_http::Request, status: u16, body: &str, headers: &[(&str, &str)]) {
-    let mut res = tiny_http::Response::from_string(body).with_status_code(status);
-    for (name, value) in headers {
-        res.add_header(tiny_http::Header::from_bytes(*name, *value).unwrap());
-    }
-    // The caller may have gone.
-    let _ = req.respond(res);
-}
-
-struct Site {
-    store: Store,
-    servers: Vec<Server>,
-    gateway: Process,
-    readiness: net::SocketAddr,
-    log: path::PathBuf,
-}
-
-/// An address of the loopback range that no other test uses.
-fn address(port: u16) -> net::SocketAddr {
-    let number = COUNT.fetch_add(1, atomic::Ordering::Relaxed);
-    let pid = process::id();
-    let ip = net::Ipv4Addr::new(127, (pid >> 8) as u8 | 1, pid as u8, 1 + number as u8 % 250);
-    net::SocketAddr::new(ip.into(), port)
-}
-
-impl Site {
-    /// A gateway before `count` servers; without a configuration if `bare`.
-    fn start(count: usize, bare: bool) -> Self {
-        let store = Store::start();
-        let servers: Vec<Server> = (0..count).map(|n| Server::start(&format!("i-{n}"))).collect();
-        servers.iter().for_each(|server| list(&store, server, "ready"));
-        if !bare {
-            store.put("op", "config", &config(1, "llm"));
-        }
-        let (callers, readiness) = (address(8227), address(8220));
-        let (operators, peers) = (address(7341), address(7340));
-        let dir = path::Path::new(env!("CARGO_TARGET_TMPDIR"));
-        let name = callers.ip().to_string().replace('.', "-");
-        let base = dir.join(format!("gateway-{}-{name}", process::id()));
-        let (settings, log) = (base.with_extension("yaml"), base.with_extension("log"));
-        let text = format!(
-            "host: g1\nzone: z\nrole: gateway\ncallers: {callers}\nreadiness: {readiness}\n\
-             operators: {operators}\npeers: {peers}\nstore: {}\ntoken: secret-of-the-tests\n\
-             retries: {{share: 0.2, window-s: 10, free: 90}}\ngrace-s: 4\n",
-            store.addr
-        );
-        fs::write(&settings, text).unwrap();
-        let child = process::Command::new(env!("CARGO_BIN_EXE_knapweedfordd"))
-            .env("KNAPWEEDFORD_CONFIG", &settings)
-            .stdout(fs::File::create(&log).unwrap())
-            .spawn()
-            .unwrap();
-        let site = Self { store, servers, gateway: Process::new(child, callers), readiness, log };
-        until("the gateway listens", || net::TcpStream::connect(site.readiness).ok());
-        if !bare {
-            until("the gateway is ready", || site.ready().then_some(()));
-        }
-        site
-    }
-
-    fn ready(&self) -> bool {
-        call(self.readiness, "GET", "/-/readyz", &[]).status == 200
-    }
-
-    fn ask(&self, method: &str, path: &str, id: &str) -> Answer {
-        let headers = [
-            ("Host", HOST),
-            ("Api-Key", KEY),
-            ("X-Knapweedford-Request-Id", id),
-            ("X-Knapweedford-Deadline-Ms", "3000"),
-            ("X-Knapweedford-Tenant-Id", "forged"),
-        ];
-        call(self.gateway.at, method, path, &headers)
-    }
-
-    fn arrivals(&self) -> usize {
-        self.servers.iter().map(|server| server.got().len()).sum()
-    }
-
-    fn logs(&self) -> String {
-        fs::read_to_string(&self.log).unwrap()
-    }
-}
-
-struct Answer {
-    status: u16,
-    headers: BTreeMap<String, String>,
-    body: Result<String, String>,
-}
-
-fn call(at: net::SocketAddr, method: &str, path: &str, headers: &[(&str, &str)]) -> Answer {
-    let mut req = http::Request::builder().method(method).uri(format!("http://{at}{path}"));
-    for (name, value) in headers {
-        req = req.header(*name, *value);
-    }
-    let agent = ureq::Agent::config_builder()
-        .http_status_as_error(false)
-        .proxy(None)
-        .timeout_global(Some(PATIENCE))
-        .build()
-        .new_agent();
-    let body = if method == "POST" { "a body" } else { "" };
-    match agent.run(req.body(body.to_owned()).unwrap()) {
-        Err(err) => Answer { status: 0, headers: BTreeMap::new(), body: Err(err.to_string()) },
-        Ok(mut res) => {
-            let headers = res.headers().iter();
-            let text = |value: &http::HeaderValue| value.to_str().unwrap_or_default().to_owned();
-            let headers = headers.map(|(name, value)| (name.to_string(), text(value))).collect();
-            let body = res.body_mut().read_to_string().map_err(|err| err.to_string());
-            Answer { status: res.status().as_u16(), headers, body }
-        }
-    }
-}
-
-fn list(store: &Store, server: &Server, state: &str) {
-    let row = format!(
-        r#"{{"service":"llm","address":"{}","zone":"z","state":"{state}","born":1}}"#,
-        server.addr
-    );
-    store.put("servers", &server.id, &row);
-}
-
-fn config(version: u64, service: &str) -> String {
-    let route = |name: &str, kind: &str, more: &str| {
-        format!(
-            r#"{{"name":"{name}","host":"{HOST}","prefix":"/{name}/","kind":"{kind}",
-            "timeout_ms":2000,"target_latency_ms":400,"priority":1,"service":"{service}",
-            "max_attempts":2{more}}}"#
-        )
-    };
-    let routes = [
-        route("stream", "streaming", r#","resumable":true,"gap_aim_ms":120"#),
-        route("once", "unsafe", ""),
-        route("read", "safe", ""),
-    ];
-    format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"llm","max_conns":100}}],
-        "limits":{{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_ms":3000,
-        "idle_timeout_ms":15000}},"tenants":[{{"name":"w1","api_keys":["{KEY}"],"priority":2}}]}}"#,
-        routes.join(",")
-    )
-}
-
 #[test]
 fn passed_unchanged() {
     let site = Site::start(1, false);
@@ -288,19 +35,19 @@
     let site = Site::start(1, false);
     assert_eq!(site.ask("GET", "/nowhere/", "id-1").status, 404);
     let wrong = [("Host", HOST), ("Api-Key", "no"), ("X-Knapweedford-Request-Id", "id-2")];
-    assert_eq!(call(site.gateway.at, "GET", "/read/", &wrong).status, 401);
+    assert_eq!(call(site.gateway.process.at, "GET", "/read/", &wrong).status, 401);
     let bare = [("Host", HOST), ("Api-Key", KEY)];
-    assert_eq!(call(site.gateway.at, "GET", "/read/", &bare).status, 400);
+    assert_eq!(call(site.gateway.process.at, "GET", "/read/", &bare).status, 400);
     assert_eq!(site.arrivals(), 0);
 }
 
 #[test]
 fn no_configuration() {
     let site = Site::start(1, true);
-    assert!(!site.ready());
+    assert!(!site.gateway.ready());
     assert_eq!(site.ask("GET", "/read/", "id-1").status, 503);
     site.store.put("op", "config", &config(1, "llm"));
-    until("the configuration is in force", || site.ready().then_some(()));
+    until("the configuration is in force", || site.gateway.ready().then_some(()));
     assert_eq!(site.ask("GET", "/read/", "id-2").status, 200);
 }
 
@@ -371,7 +118,7 @@
 fn address_reused() {
     let site = Site::start(2, false);
     let reused = Server { id: "i-old".into(), ..site.servers[0].clone() };
-    list(&site.store, &reused, "ready");
+    list(&site.store, &reused, reused.addr, "ready");
     thread::sleep(Duration::from_millis(1500));
     for n in 0..6 {
         assert_eq!(site.ask("POST", "/once/a", &format!("id-{n}")).status, 200);
@@ -394,7 +141,7 @@
     let site = Site::start(1, false);
     let headers = [("Host", HOST), ("Api-Key", KEY), ("X-Knapweedford-Request-Id", "id-1")];
     let agent = ureq::Agent::config_builder().http_status_as_error(false).proxy(None).build();
-    let mut req = http::Request::post(format!("http://{}/once/a", site.gateway.at));
+    let mut req = http::Request::post(format!("http://{}/once/a", site.gateway.process.at));
     for (name, value) in headers {
         req = req.header(name, value);
     }
@@ -407,7 +154,7 @@
 #[test]
 fn leaving_server() {
     let site = Site::start(2, false);
-    list(&site.store, &site.servers[0], "draining");
+    list(&site.store, &site.servers[0], site.servers[0].addr, "draining");
     thread::sleep(Duration::from_millis(1800));
     site.store.mode(Mode::Refusing(503));
     let before = site.servers[0].got().len();
@@ -473,27 +220,29 @@
 fn graceful_stop() {
     let mut site = Site::start(1, false);
     site.servers[0].does(Does::Wait);
-    let (at, waiting) = (site.gateway.at, Instant::now());
+    let (at, waiting) = (site.gateway.process.at, Instant::now());
     let asking = thread::spawn(move || {
         let headers = [("Host", HOST), ("Api-Key", KEY), ("X-Knapweedford-Request-Id", "id-1")];
         call(at, "POST", "/once/a", &headers).status
     });
     until("the request is at its server", || (site.arrivals() == 1).then_some(()));
-    site.gateway.signal("TERM");
-    until("the balancer is told", || (!site.ready()).then_some(()));
+    site.gateway.process.signal("TERM");
+    until("the balancer is told", || (!site.gateway.ready()).then_some(()));
     assert_eq!(asking.join().unwrap(), 504, "a request in flight is answered");
     assert!(waiting.elapsed() < Duration::from_secs(3));
-    until("the process ends", || (!site.gateway.runs()).then_some(()));
-    assert!(site.logs().contains("msg=stopped"));
+    until("the process ends", || (!site.gateway.process.runs()).then_some(()));
+    assert!(site.gateway.logs().contains("msg=stopped"));
 }
 
 #[test]
 fn settings_reloaded() {
     let mut site = Site::start(1, false);
-    site.gateway.signal("HUP");
-    until("the reload is logged", || site.logs().contains("settings reloaded").then_some(()));
+    site.gateway.process.signal("HUP");
+    until("the reload is logged", || {
+        site.gateway.logs().contains("settings reloaded").then_some(())
+    });
     assert_eq!(site.ask("GET", "/read/a", "id-1").status, 200);
-    assert!(site.gateway.runs());
+    assert!(site.gateway.process.runs());
 }
 
 /// From a request's identity to its cause, by the log alone.
@@ -509,7 +258,7 @@
     let line = |id: &str| {
         let of = format!("req={id} ");
         until("the line is written", || {
-            site.logs().lines().find(|line| line.contains(&of)).map(str::to_owned)
+            site.gateway.logs().lines().find(|line| line.contains(&of)).map(str::to_owned)
         })
     };
     let refused = line("id-refused");
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -2,6 +2,8 @@
 
 #[path = "../stand-ins/chunks.rs"]
 mod chunks;
+#[path = "../stand-ins/link.rs"]
+mod link;
 #[path = "../stand-ins/store.rs"]
 mod store;
 
@@ -28,6 +30,7 @@
 mod fuzz_gate;
 mod gate;
 mod gateway;
+mod gateways;
 mod host_settings;
 mod hostile;
 mod keyed;
@@ -52,6 +55,7 @@
 mod sections;
 mod shutdown;
 mod site;
+mod soak;
 mod starter;
 mod streams;
 mod telemetry;
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,339 @@
+//! Seeded faults from outside real gateways, in series and overlapping, while callers keep asking.
+//! What callers and servers saw is checked against what the project promises.
+//!
+//! `KNAPWEEDFORD_SEED` and `KNAPWEEDFORD_CASES` change the first seed and how many are played;
+//! `KNAPWEEDFORD_GATEWAYS` changes the number of gateways.
+
+use std::{
+    collections::BTreeMap,
+    net,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+use crate::{
+    fuzz,
+    gateways::{self, Answer, Does, Gateway, Server},
+    link::{Link, Way},
+    store::{Mode, Store},
+};
+
+/// Seeds that once failed, each with its cause.
+const REGRESSIONS: [u64; 0] = [];
+const CASES: u64 = 1;
+const GATEWAYS: usize = 2;
+const SERVERS: usize = 4;
+const CALLERS: usize = 3;
+/// Pause of a caller between two requests: the machine also plays servers and store.
+const PAUSE: Duration = Duration::from_millis(5);
+const ROUNDS: usize = 4;
+/// Longest time until a change that the store took is in force.
+const IN_FORCE: Duration = Duration::from_secs(2);
+/// Time from the end of a fault until a bound holds again.
+const STABLE: Duration = Duration::from_secs(3);
+/// Time that callers state, and what a busy machine may add to it.
+const DEADLINE: Duration = Duration::from_secs(3);
+const SLACK: Duration = Duration::from_secs(2);
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Terminate(usize),
+    Kill(usize),
+    Freeze(usize),
+    Hang(usize),
+    Server(usize, Does),
+    Road(usize, Way),
+    StoreRoad(Way),
+    Store(Mode),
+    Drain(usize),
+    Configure,
+}
+
+impl Fault {
+    fn draw(rng: &mut Pcg64, gateways: usize) -> Self {
+        let gateway = rng.random_range(0..gateways);
+        let server = rng.random_range(0..SERVERS);
+        let late = Duration::from_millis(rng.random_range(20..300));
+        let ways = [Way::Slow(late), Way::Reset, Way::CutThere, Way::CutBack, Way::Silent];
+        let way = ways[rng.random_range(0..ways.len())];
+        let does = [Does::Refuse, Does::Fail, Does::Mix, Does::Break, Does::Wait];
+        match rng.random_range(0..10) {
+            0 => Self::Terminate(gateway),
+            1 => Self::Kill(gateway),
+            2 => Self::Freeze(gateway),
+            3 => Self::Hang(gateway),
+            4 => Self::Server(server, does[rng.random_range(0..does.len())]),
+            5 => Self::Road(server, way),
+            6 => Self::StoreRoad(way),
+            7 => Self::Store(
+                [Mode::Silent, Mode::Refusing(503), Mode::Refusing(429)][rng.random_range(0..3)],
+            ),
+            8 => Self::Drain(server),
+            _ => Self::Configure,
+        }
+    }
+}
+
+/// What is checked later, with times.
+#[derive(Default)]
+struct Facts {
+    /// Spans in which a gateway was killed, and those in which it could not obey the store.
+    killed: Vec<(Instant, Instant)>,
+    blind: Vec<(Instant, Instant)>,
+    /// When the store took that a server leaves, and until when it was so.
+    left: Vec<(usize, Instant, Instant)>,
+}
+
+struct Site {
+    store: Store,
+    store_road: Link,
+    servers: Vec<Server>,
+    roads: Vec<Link>,
+    gateways: Vec<Gateway>,
+    version: u64,
+    facts: Facts,
+}
+
+/// One request and its answer.
+struct Sent {
+    id: String,
+    path: &'static str,
+    from: Instant,
+    to: Instant,
+    answer: Answer,
+}
+
+impl Site {
+    fn start(gateways: usize) -> Self {
+        let store = Store::start();
+        let servers: Vec<Server> = (0..SERVERS).map(|n| Server::start(&format!("i-{n}"))).collect();
+        let roads: Vec<Link> = servers.iter().map(|server| Link::open(server.addr)).collect();
+        for (server, road) in servers.iter().zip(&roads) {
+            gateways::list(&store, server, road.addr, "ready");
+        }
+        store.put("op", "config", &gateways::config(1, "llm"));
+        let store_road = Link::open(store.addr);
+        let gateways: Vec<Gateway> =
+            (0..gateways).map(|_| Gateway::start(store_road.addr)).collect();
+        let site = Self {
+            store,
+            store_road,
+            servers,
+            roads,
+            gateways,
+            version: 1,
+            facts: Facts::default(),
+        };
+        site.settle();
+        site
+    }
+
+    /// Waits until all gateways are ready.
+    fn settle(&self) {
+        for gateway in &self.gateways {
+            crate::processes::until("a gateway is ready", || gateway.ready().then_some(()));
+        }
+    }
+
+    fn begin(&mut self, fault: Fault) {
+        match fault {
+            Fault::Terminate(at) => self.gateways[at].process.signal("TERM"),
+            Fault::Kill(at) => self.gateways[at].process.kill(),
+            Fault::Freeze(at) => self.gateways[at].process.signal("STOP"),
+            Fault::Hang(at) => self.gateways[at].process.signal("HUP"),
+            Fault::Server(at, does) => self.servers[at].does(does),
+            Fault::Road(at, way) => self.roads[at].set(way),
+            Fault::StoreRoad(way) => self.store_road.set(way),
+            Fault::Store(mode) => self.store.mode(mode),
+            Fault::Drain(at) => {
+                gateways::list(&self.store, &self.servers[at], self.roads[at].addr, "draining");
+            }
+            Fault::Configure => {
+                self.version += 1;
+                self.store.put("op", "config", &gateways::config(self.version, "llm"));
+            }
+        }
+    }
+
+    /// Ends a fault that began at `since` and notes what it excuses.
+    fn end(&mut self, fault: Fault, since: Instant) {
+        match fault {
+            Fault::Terminate(at) => {
+                self.gateways[at].process.ended();
+                self.gateways[at].again();
+            }
+            Fault::Kill(at) => self.gateways[at].again(),
+            Fault::Freeze(at) => self.gateways[at].process.signal("CONT"),
+            Fault::Hang(_) | Fault::Configure => {}
+            Fault::Server(at, _) => self.servers[at].does(Does::Answer),
+            Fault::Road(at, _) => self.roads[at].set(Way::Open),
+            Fault::StoreRoad(_) => self.store_road.set(Way::Open),
+            Fault::Store(_) => self.store.mode(Mode::Good),
+            Fault::Drain(at) => {
+                self.facts.left.push((at, since, Instant::now()));
+                gateways::list(&self.store, &self.servers[at], self.roads[at].addr, "ready");
+            }
+        }
+        let span = (since, Instant::now());
+        match fault {
+            Fault::Kill(_) | Fault::Terminate(_) => self.facts.killed.push(span),
+            Fault::Freeze(_) | Fault::StoreRoad(_) | Fault::Store(_) => {
+                self.facts.blind.push(span);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Callers that ask until they are stopped; each keeps its connection.
+struct Callers {
+    stop: Arc<AtomicBool>,
+    threads: Vec<thread::JoinHandle<Vec<Sent>>>,
+}
+
+impl Callers {
+    fn start(gateways: &[net::SocketAddr]) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let paths = [("POST", "/once/a"), ("GET", "/read/a"), ("POST", "/stream/a")];
+        let each = paths.into_iter().cycle().take(CALLERS * paths.len()).enumerate();
+        let threads = each.map(|(caller, (method, path))| {
+            let (stop, at) = (Arc::clone(&stop), gateways[caller % gateways.len()]);
+            thread::spawn(move || {
+                let agent = gateways::agent();
+                let mut sent = Vec::new();
+                while !stop.load(Ordering::Relaxed) {
+                    let id = format!("{caller}-{}", sent.len());
+                    let from = Instant::now();
+                    let answer = gateways::ask_by(&agent, at, method, path, &id);
+                    sent.push(Sent { id, path, from, to: Instant::now(), answer });
+                    thread::sleep(PAUSE);
+                }
+                sent
+            })
+        });
+        Self { stop, threads: threads.collect() }
+    }
+
+    fn stop(self) -> Vec<Sent> {
+        self.stop.store(true, Ordering::Relaxed);
+        self.threads.into_iter().flat_map(|caller| caller.join().unwrap()).collect()
+    }
+}
+
+fn within(spans: &[(Instant, Instant)], from: Instant, to: Instant, after: Duration) -> bool {
+    spans.iter().any(|(begin, end)| from <= *end + after && to >= *begin)
+}
+
+/// Panics with the promise that was broken.
+fn check(site: &Site, sent: &[Sent]) {
+    let mut runs: BTreeMap<String, Vec<(usize, Instant)>> = BTreeMap::new();
+    for (number, server) in site.servers.iter().enumerate() {
+        for got in server.got() {
+            let id = got.headers.get("x-knapweedford-request-id").cloned().unwrap_or_default();
+            assert!(got.headers.get("api-key").is_none(), "{id} carried its key on");
+            assert_eq!(got.headers["x-knapweedford-tenant-id"], "w1", "{id}");
+            if got.ran {
+                runs.entry(id).or_default().push((number, got.at));
+            }
+        }
+    }
+    let facts = &site.facts;
+    for Sent { id, path, from, to, answer } in sent {
+        let ran = runs.get(id).map_or(0, Vec::len);
+        let took = *to - *from;
+        match (*path, answer.status) {
+            ("/once/a", 429 | 503) => assert_eq!(ran, 0, "{id} is said not to have run"),
+            ("/once/a", _) => assert!(ran <= 1, "{id} ran {ran} times"),
+            _ => {}
+        }
+        match (&answer.body, answer.status) {
+            (Ok(body), 200) if *path == "/stream/a" => {
+                let whole: String = (1..=6).map(|n| format!("id: {n}\ndata: x{n}\n\n")).collect();
+                assert_eq!(*body, whole, "{id}");
+            }
+            (Ok(body), 200) => {
+                let seal = &answer.headers["x-knapweedford-response-seal"];
+                let by = format!("by {}", seal.trim_start_matches("seal-"));
+                assert_eq!(*body, by, "{id} has the answer of another server");
+                assert!(ran > 0, "{id} was answered and did not run");
+            }
+            (_, 404) => panic!("{id}: its route was there all day"),
+            (Err(err), 0) => {
+                let excused = within(&facts.killed, *from, *to, SLACK)
+                    || within(&facts.blind, *from, *to, SLACK);
+                assert!(excused, "{id} got no answer from a gateway that lives: {err}");
+            }
+            _ => {}
+        }
+        let frozen = within(&facts.blind, *from, *to, SLACK);
+        assert!(frozen || took < DEADLINE + SLACK, "{id} was answered after {took:?}");
+    }
+    for (server, from, to) in &facts.left {
+        let bound = *from + IN_FORCE;
+        for got in site.servers[*server].got() {
+            let late = got.at > bound && got.at < *to;
+            let blind = within(&facts.blind, *from, got.at, STABLE)
+                || within(&facts.killed, *from, got.at, STABLE);
+            assert!(!late || blind, "server {server} left {:?} before", got.at - *from);
+        }
+    }
+    let good = sent.iter().filter(|sent| sent.answer.status == 200).count();
+    assert!(good * 2 > sent.len(), "{good} of {} requests were answered well", sent.len());
+}
+
+fn play(seed: u64, gateways: usize) {
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let mut site = Site::start(gateways);
+    let at: Vec<_> = site.gateways.iter().map(|gateway| gateway.process.at).collect();
+    let callers = Callers::start(&at);
+    for round in 0..ROUNDS {
+        let count = rng.random_range(1..=3);
+        let mut faults: Vec<Fault> = Vec::new();
+        while faults.len() < count {
+            let fault = Fault::draw(&mut rng, gateways);
+            let target = |fault: &Fault| match fault {
+                Fault::Terminate(at) | Fault::Kill(at) | Fault::Freeze(at) | Fault::Hang(at) => {
+                    (0, *at)
+                }
+                Fault::Server(at, _) | Fault::Road(at, _) => (1, *at),
+                Fault::StoreRoad(_) | Fault::Store(_) => (2, 0),
+                Fault::Drain(at) => (3, *at),
+                Fault::Configure => (4, 0),
+            };
+            if faults.iter().all(|other| target(other) != target(&fault)) {
+                faults.push(fault);
+            }
+        }
+        eprintln!("KNAPWEEDFORD_SEED={seed} round {round}: {faults:?}");
+        let mut began = Vec::new();
+        for fault in &faults {
+            began.push(Instant::now());
+            site.begin(*fault);
+            thread::sleep(Duration::from_millis(rng.random_range(0..600)));
+        }
+        thread::sleep(Duration::from_millis(rng.random_range(200..2_500)));
+        for (fault, since) in faults.iter().zip(began) {
+            site.end(*fault, since);
+        }
+        thread::sleep(Duration::from_millis(rng.random_range(100..1_500)));
+    }
+    let sent = callers.stop();
+    site.settle();
+    check(&site, &sent);
+    eprintln!("KNAPWEEDFORD_SEED={seed}: {} requests", sent.len());
+}
+
+#[test]
+fn seeded_faults() {
+    let first = fuzz::setting("KNAPWEEDFORD_SEED", fuzz::SEED);
+    let cases = fuzz::setting("KNAPWEEDFORD_CASES", CASES);
+    let gateways = fuzz::setting("KNAPWEEDFORD_GATEWAYS", GATEWAYS);
+    REGRESSIONS.into_iter().chain(first..first + cases).for_each(|seed| play(seed, gateways));
+}
