--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -28,12 +28,16 @@
 /// Servers that may be unreachable before the request is refused; each takes up to half a second.
 const UNSENT: u32 = 3;
 /// Part of a caller's remaining time after which it is asked to come back, at least and at most.
-/// Callers heed up to a third.
-const COME_BACK: (f64, f64) = (0.08, 0.3);
+/// Callers heed up to a third, and most come back only once: spread over all of that time, more
+/// of them find a place.
+const COME_BACK: (f64, f64) = (0.08, 0.33);
+/// The same where servers are there and take nothing: a group that lost a member, or power, needs
+/// about two seconds until it works again.
+const COME_BACK_AFTER_OUTAGE: (f64, f64) = (0.2, 0.33);
 /// Part of the time in which an answer is worth most that a request may wait for a place. Longer
 /// waits only delay the refusal.
 const WAITING_PART: f64 = 0.1;
-/// Latest time after which a caller is asked to come back, in seconds.
+/// Time left of a caller that stated none, for when it is asked to come back, in seconds.
 const COME_BACK_S: f64 = 1.5;
 
 /// Answers callers.
@@ -317,15 +321,18 @@
             _ => metrics::Ending::Refused,
         };
         trail.end(ending, refusal.status(), refusal.label());
-        refusal.answer(Some(self.come_back(job)))
+        refusal.answer(Some(self.come_back(refusal, job)))
     }
 
     /// When to come back: spread, so that callers refused together do not return together.
-    fn come_back(&self, job: Option<&Job>) -> time::Duration {
+    fn come_back(&self, refusal: Refusal, job: Option<&Job>) -> time::Duration {
         let left = job.map(|job| job.deadline.saturating_duration_since(Instant::now()));
         let left = left.map_or(COME_BACK_S, |left| left.as_secs_f64());
-        let secs = self.desk.between(COME_BACK.0, COME_BACK.1) * left;
-        time::Duration::from_secs_f64(secs.min(COME_BACK_S))
+        let (least, most) = match refusal {
+            Refusal::NotRun | Refusal::Nobody => COME_BACK_AFTER_OUTAGE,
+            _ => COME_BACK,
+        };
+        time::Duration::from_secs_f64(self.desk.between(least, most) * left)
     }
 }
 
--- a/src/rank/duty.rs
+++ b/src/rank/duty.rs
@@ -39,6 +39,8 @@
 const RISEN: f64 = 0.1;
 /// Time after which an edit that did not pay is looked for again.
 const LOOK_AGAIN: time::Duration = time::Duration::from_millis(1_000);
+/// Maps that are remembered: the one in use and those of the last changes, some of them undone.
+const MAPS_KEPT: usize = 8;
 /// Pause after a change that was undone, so that two owners do not undo each other's for long.
 const AFTER_UNDO: time::Duration = time::Duration::from_millis(400);
 /// Span from which a version's increment is drawn, so that two owners do not use the same one.
@@ -96,6 +98,8 @@
     acting: bool,
     /// When this process may act, since it has the pulses of most ranks.
     acts_from: time::Duration,
+    /// Newest maps of this epoch that the engine beside this process was told to copy.
+    maps: BTreeMap<u64, Vec<Layer>>,
 }
 
 impl Duty {
@@ -119,6 +123,7 @@
             unpaid: None,
             acting: false,
             acts_from: time::Duration::ZERO,
+            maps: BTreeMap::new(),
         }
     }
 
@@ -149,6 +154,32 @@
         version != Some(rank.status.map)
     }
 
+    /// Notes a map that the engine beside this process was told to copy: an owner that takes over
+    /// needs the map in use, also while a rank cannot say what it holds.
+    pub fn copies(&mut self, epoch: u64, version: u64, map: Vec<Layer>) {
+        if epoch == self.epoch {
+            self.maps.insert(version, map);
+            while self.maps.len() > MAPS_KEPT {
+                self.maps.pop_first();
+            }
+        }
+    }
+
+    /// Ranks of which nothing was heard lately, for which their engines are to be asked; none
+    /// unless this process acts.
+    pub fn unheard(&self, now: time::Duration) -> Vec<usize> {
+        let fresh = |rank: &usize| self.ranks.get(rank).is_some_and(|rank| rank.at + FRESH >= now);
+        let ranks = if self.acting { self.size } else { 0 };
+        (0..ranks).filter(|rank| !fresh(rank)).collect()
+    }
+
+    /// Takes the state of an engine whose agent is silent. It does not speak for its agent.
+    pub fn looked(&mut self, status: Status) {
+        let Some(rank) = status.member.as_ref().map(|member| member.rank) else { return };
+        let at = self.ranks.get(&rank).map_or(time::Duration::ZERO, |rank| rank.at);
+        self.learn(at, rank, status);
+    }
+
     /// Takes the answer to an order; `None` if there was none.
     pub fn answer(
         &mut self,
@@ -324,6 +355,7 @@
         self.change = None;
         (self.held, self.last) = (0, 0);
         self.unpaid = None;
+        self.maps.clear();
     }
 
     fn learn(&mut self, now: time::Duration, rank: usize, status: Status) {
@@ -341,13 +373,13 @@
         }
     }
 
-    /// The newest statuses, if this process is to act on them: it has heard of every rank in
-    /// this epoch, of most of them lately, and of its own.
+    /// The newest statuses, if this process is to act on them: it has the pulses of most ranks, of
+    /// its own too, and the state of every rank in this epoch.
     fn seen(&mut self, now: time::Duration) -> Option<Seen> {
         let fresh = |rank: &&Rank| rank.at + FRESH >= now;
         let lately = self.ranks.values().filter(fresh).count();
         let own = self.own.and_then(|own| self.ranks.get(&own)).is_some_and(|rank| fresh(&rank));
-        let acts = self.size > 0 && self.ranks.len() == self.size && lately * 2 > self.size && own;
+        let acts = self.size > 0 && lately * 2 > self.size && own;
         if acts != self.acting {
             self.acting = acts;
             self.acts_from = now + QUIET;
@@ -357,7 +389,8 @@
             // Whoever acts next settles what was begun.
             log::warn!(epoch = self.epoch; "map change dropped: the duty is lost");
         }
-        (acts && now >= self.acts_from)
+        let whole = self.ranks.len() == self.size;
+        (acts && whole && now >= self.acts_from)
             .then(|| self.ranks.iter().map(|(rank, known)| (*rank, known.status.clone())).collect())
     }
 
@@ -395,6 +428,9 @@
     /// The map in use by set and rank, once every rank has said what it holds of the same one.
     fn map(&self) -> Option<Vec<Layer>> {
         let version = self.ranks.values().next()?.status.map;
+        if let Some(map) = self.maps.get(&version) {
+            return self.ranks.values().all(|rank| rank.status.map == version).then(|| map.clone());
+        }
         let own = |rank: &Rank| {
             let (placed, experts) = rank.placed.as_ref()?;
             (rank.status.map == version && *placed == version).then(|| experts.clone())
--- a/src/rank/orders.rs
+++ b/src/rank/orders.rs
@@ -9,7 +9,7 @@
 use tokio::{sync::oneshot, task};
 
 use super::{
-    Order, Status,
+    Act, Order, Status,
     agent::{Agent, PEER_TIME},
     look::ENGINE_TIME,
     message::{self, Errand, OrderReply, Pulse},
@@ -111,6 +111,10 @@
     /// Gives an order to an engine, and looks at it afterwards.
     async fn carry_out(&self, engine: net::SocketAddr, order: &Order) -> OrderReply {
         self.state.borrow_mut().soon_until = self.now() + SOON_FOR;
+        if let (Act::Prepare { version, map }, true) = (&order.act, engine == self.engine) {
+            let (epoch, version, map) = (order.epoch, *version, map.clone());
+            self.tell(Event::Copies { epoch, version, map });
+        }
         let accepted = platform::engine::order(&self.engines, engine, order, ORDER_TIME).await;
         let accepted = accepted
             .inspect_err(|failure| log::debug!("order without answer: {}", failure.problem()))
@@ -126,6 +130,12 @@
         Ok(Status { read: (self.draw, count), ..status })
     }
 
+    /// State of the engine of `rank`, asked from here.
+    pub async fn status_at(&self, rank: usize) -> Option<Status> {
+        let engine = self.state.borrow().group.get(&rank).copied()?;
+        self.status_of(engine).await
+    }
+
     async fn status_of(&self, engine: net::SocketAddr) -> Option<Status> {
         let status = self.read(engine).await;
         status.inspect_err(|failure| log::debug!("no status: {}", failure.problem())).ok()
--- a/src/rank/owner.rs
+++ b/src/rank/owner.rs
@@ -12,6 +12,7 @@
 use tokio::{sync::oneshot, task};
 
 use super::{
+    Status,
     agent::Agent,
     duty::{Duty, Question},
     message::{Errand, OrderReply, Pulse, PulseReply},
@@ -23,6 +24,8 @@
 const STEP_EVERY: Duration = Duration::from_millis(50);
 /// Time between two decisions on an edit: what was chosen since says nothing new before that.
 const DECIDE_EVERY: Duration = Duration::from_millis(100);
+/// Time between two questions to the engine of a silent agent; each costs what a probe does.
+const ASK_EVERY: Duration = Duration::from_millis(300);
 /// Ranks up to which an edit is decided on at once: it takes a few milliseconds of a core then.
 const DECIDED_AT_ONCE: u32 = 16;
 /// Time between two steps from which what was known before counts as old.
@@ -34,6 +37,10 @@
     Shape(catalog::Experts, Option<catalog::Cost>),
     /// Pulses of some ranks; `own` if they are from the agent that runs the duty.
     Pulses { pulses: Vec<Pulse>, own: bool, reply: oneshot::Sender<PulseReply> },
+    /// The state of an engine whose agent is silent.
+    Looked(Status),
+    /// The engine beside this process was told to copy a map.
+    Copies { epoch: u64, version: u64, map: Vec<rebalance::Layer> },
     /// What became of an order.
     Answer(Errand, OrderReply),
     /// What came of the question for an edit.
@@ -48,6 +55,8 @@
     deciding: bool,
     /// When the next edit may be decided on.
     decide_from: Duration,
+    /// When engines of silent agents may be asked again.
+    ask_from: Duration,
     clock: Clock,
     rng: Pcg64,
 }
@@ -81,6 +90,7 @@
             duty: None,
             deciding: false,
             decide_from: Duration::ZERO,
+            ask_from: Duration::ZERO,
             clock: Clock::new(),
             rng,
         })
@@ -92,9 +102,25 @@
             log::warn!("the process stood still");
             duty.stood_still();
         }
+        self.ask_unheard();
         self.step();
     }
 
+    /// Asks the engines of ranks whose agents are silent.
+    fn ask_unheard(&mut self) {
+        let now = self.agent.now();
+        let Some(duty) = self.duty.as_ref().filter(|_| now >= self.ask_from) else { return };
+        self.ask_from = now + ASK_EVERY;
+        for rank in duty.unheard(now) {
+            let agent = rc::Rc::clone(&self.agent);
+            task::spawn_local(async move {
+                if let Some(status) = agent.status_at(rank).await {
+                    agent.tell(Event::Looked(status));
+                }
+            });
+        }
+    }
+
     /// Takes an event.
     pub fn event(&mut self, _: CX![], event: Event) {
         let now = self.agent.now();
@@ -119,6 +145,10 @@
                     self.step();
                 }
             }
+            (Event::Looked(status), Some(duty)) => duty.looked(status),
+            (Event::Copies { epoch, version, map }, Some(duty)) => {
+                duty.copies(epoch, version, map);
+            }
             (Event::Answer(errand, reply), Some(duty)) => {
                 duty.answer(now, &errand, reply.accepted.as_ref(), reply.status);
                 self.step();
@@ -128,7 +158,7 @@
                 duty.begin(now, &question, edit.map(|edit| *edit), self.rng.random());
                 self.step();
             }
-            (Event::Pulses { .. } | Event::Answer(..) | Event::Edit(..), None) => {}
+            (_, None) => {}
         }
     }
 
--- a/tests/duty.rs
+++ b/tests/duty.rs
@@ -22,21 +22,29 @@
     duty
 }
 
+fn status(rank: usize, now: Duration) -> Status {
+    let member = Member { group: "g".into(), epoch: 1, rank, ranks: RANKS, open: true };
+    Status {
+        read: (rank as u64, now.as_millis() as u64),
+        queued: 0,
+        running: 4,
+        member: Some(member),
+        pass: now.as_millis() as u64 / 50,
+        map: 0,
+        prepared: None,
+        armed: None,
+        held: None,
+    }
+}
+
 /// Pulses of the first `ranks` ranks; every request chose the first expert.
 fn pulses(duty: &mut Duty, now: Duration, ranks: usize) {
-    for rank in 0..ranks {
-        let member = Member { group: "g".into(), epoch: 1, rank, ranks: RANKS, open: true };
-        let status = Status {
-            read: (rank as u64, now.as_millis() as u64),
-            queued: 0,
-            running: 4,
-            member: Some(member),
-            pass: now.as_millis() as u64 / 50,
-            map: 0,
-            prepared: None,
-            armed: None,
-            held: None,
-        };
+    pulses_of(duty, now, 0..ranks);
+}
+
+fn pulses_of(duty: &mut Duty, now: Duration, ranks: std::ops::Range<usize>) {
+    for rank in ranks {
+        let status = status(rank, now);
         let experts = vec![vec![rank as u16, (rank + RANKS) as u16]];
         let placed = Some(Placed { epoch: 1, version: 0, experts, prepared: None });
         let choices = Choices { epoch: 1, sets: vec![(100, vec![255, 9, 9, 9, 9, 9, 9, 9])] };
@@ -122,3 +130,25 @@
     let now = settled(&mut duty, now, RANKS);
     assert!(duty.question(now).is_some(), "asked again after a while");
 }
+
+/// The host of an owner froze while a pass was held at its engine, so that the group stands still.
+/// Whoever takes over has never heard of that rank; it settles as soon as the engine answers.
+#[test]
+fn owner_frozen() {
+    let mut duty = duty();
+    duty.beside(1);
+    let mut now = Duration::ZERO;
+    for _ in 0..40 {
+        now += Duration::from_millis(50);
+        pulses_of(&mut duty, now, 1..RANKS);
+        assert!(duty.step(now, 0).is_empty(), "the state of a rank is not known");
+    }
+    assert_eq!(duty.unheard(now), [0]);
+    let first = |rank: usize| vec![rank as u16, (rank + RANKS) as u16];
+    duty.copies(1, 0, vec![(0..RANKS).map(first).collect()]);
+    let ahead = now.as_millis() as u64 / 50 + 2;
+    duty.looked(Status { held: Some(ahead), ..status(0, now) });
+    let orders = duty.step(now, 0);
+    assert!(!orders.is_empty(), "what was left behind is settled at once");
+    assert_eq!(duty.unheard(now), [0], "a look does not speak for the agent");
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    gateways::{Does, HOST, KEY, Server, Site, call, list},
+    gateways::{Does, HOST, KEY, Site, call, config, list},
     processes::until,
     store::Mode,
 };
@@ -117,7 +117,7 @@
 #[test]
 fn address_reused() {
     let site = Site::start(2, false);
-    let reused = Server { id: "i-old".into(), ..site.servers[0].clone() };
+    let reused = site.servers[0].named("i-old");
     list(&site.store, &reused, reused.addr, "ready");
     thread::sleep(Duration::from_millis(1500));
     for n in 0..6 {
--- a/tests/gateways.rs
+++ b/tests/gateways.rs
@@ -73,6 +73,11 @@
         started
     }
 
+    /// The server that had its address before.
+    pub fn named(&self, id: &str) -> Self {
+        Self { id: id.into(), ..self.clone() }
+    }
+
     pub fn does(&self, does: Does) {
         *self.does.lock().unwrap() = does;
     }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -218,7 +218,8 @@
                 sent
             })
         });
-        Self { stop, threads: threads.collect() }
+        let threads = threads.collect();
+        Self { stop, threads }
     }
 
     fn stop(self) -> Vec<Sent> {
@@ -237,7 +238,7 @@
     for (number, server) in site.servers.iter().enumerate() {
         for got in server.got() {
             let id = got.headers.get("x-knapweedford-request-id").cloned().unwrap_or_default();
-            assert!(got.headers.get("api-key").is_none(), "{id} carried its key on");
+            assert!(!got.headers.contains_key("api-key"), "{id} carried its key on");
             assert_eq!(got.headers["x-knapweedford-tenant-id"], "w1", "{id}");
             if got.ran {
                 runs.entry(id).or_default().push((number, got.at));
