Send nothing to entries whose address a later incarnation has

The gateways' log lines show attempts that ended other-server: the entries of the incarnations before stay until they expire, at the addresses of those that are back. Ruled out: the group, which was open at 36.4 s; the next read of the register, at 36.05 s. Change: an entry is not open while one that was born later has its address, and a server found replaced has the register read again after 250 ms. Test register::address_taken_over.

--- a/src/gateway/desk.rs
+++ b/src/gateway/desk.rs
@@ -30,6 +30,8 @@
     within: cell::Cell<site::Within>,
     /// Told when a place may be free.
     pub freed: Notify,
+    /// Told when a server was found replaced by another one.
+    pub replaced: Notify,
     state: cell::RefCell<State>,
 }
 
@@ -66,6 +68,9 @@
     fn drop(&mut self) {
         let now = self.desk.now();
         self.desk.state.borrow_mut().fleet.release(&self.server, self.outcome, now);
+        if self.outcome == fleet::Outcome::Replaced {
+            self.desk.replaced.notify_one();
+        }
         self.desk.freed.notify_one();
     }
 }
@@ -99,6 +104,7 @@
             retries: cell::Cell::new(cfg.retries),
             within: cell::Cell::new(cfg.within),
             freed: Notify::new(),
+            replaced: Notify::new(),
             state: cell::RefCell::new(state),
         })
     }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -16,6 +16,9 @@
 /// Time between two reads of the register, as a part of the time within which a server that is
 /// leaving must get nothing new; leaves time for a second read if the first is lost.
 const REGISTER_EVERY: f64 = 0.45;
+/// Time from finding a server replaced to reading the register again: servers that come back
+/// together are read together, and each read costs a call.
+const REPLACED_PAUSE: time::Duration = time::Duration::from_millis(250);
 /// First pause after a failed call, doubled up to [`LONGEST_PAUSE`].
 const FIRST_PAUSE: time::Duration = time::Duration::from_millis(50);
 /// Longest pause after a failed call; the store's return must be noticed within a second.
@@ -102,7 +105,10 @@
             Ok(entries) => {
                 reach.good(&desk);
                 desk.register(entries);
-                tokio::time::sleep(desk.within().servers.mul_f64(REGISTER_EVERY)).await;
+                tokio::select! {
+                    () = tokio::time::sleep(desk.within().servers.mul_f64(REGISTER_EVERY)) => {}
+                    () = desk.replaced.notified() => tokio::time::sleep(REPLACED_PAUSE).await,
+                }
             }
             Err(err) => reach.bad(&desk, &err).await,
         }
--- a/src/site/register.rs
+++ b/src/site/register.rs
@@ -65,6 +65,8 @@
 #[derive(Debug, Default)]
 pub struct Register {
     servers: BTreeMap<name::Server, Listed>,
+    /// Start of the newest incarnation at each address, in Unix milliseconds.
+    newest: BTreeMap<net::SocketAddr, u64>,
     emptied: BTreeSet<name::Zone>,
     read_at: Option<time::Duration>,
     returned_at: Option<time::Duration>,
@@ -98,6 +100,11 @@
         for entry in entries {
             self.take(entry, now, &mut changes);
         }
+        self.newest.clear();
+        for Listed { entry, .. } in self.servers.values() {
+            let newest = self.newest.entry(entry.address).or_default();
+            *newest = entry.born_ms.max(*newest);
+        }
         changes
     }
 
@@ -140,11 +147,19 @@
         self.read_at
     }
 
+    /// Whether a later incarnation has its address: after a crash the entry of the earlier one
+    /// stays until it expires.
+    fn is_succeeded(&self, entry: &Entry) -> bool {
+        let newest = self.newest.get(&entry.address).copied().unwrap_or_default();
+        entry.born_ms > 0 && newest > entry.born_ms
+    }
+
     /// Servers of `service` that may get new work.
     pub fn open<'a>(&'a self, service: &'a name::Service) -> impl Iterator<Item = &'a Listed> {
         self.servers.values().filter(move |known| {
             known.entry.service == *service
                 && !known.entry.leaving
+                && !self.is_succeeded(&known.entry)
                 && !self.emptied.contains(&known.entry.zone)
         })
     }
--- a/tests/register.rs
+++ b/tests/register.rs
@@ -116,3 +116,16 @@
     assert_eq!(register.empty_zones(BTreeSet::new()), [zone]);
     assert_eq!(open(&register), ["i-1"]);
 }
+
+/// All servers lost power and are back under new names, while the entries of before have not
+/// expired. Work goes to those that live, not to names that their addresses do not answer to.
+#[test]
+fn address_taken_over() {
+    let mut register = Register::default();
+    register.replace(vec![entry("i-old", "ready", 5), entry("i-new", "ready", 9)], secs(0.0));
+    assert_eq!(open(&register), ["i-new"]);
+    register.replace(vec![entry("i-old", "ready", 5)], secs(1.0));
+    assert_eq!(open(&register), ["i-old"], "the later one is gone");
+    register.replace(vec![entry("i-old", "ready", 0), entry("i-new", "ready", 9)], secs(2.0));
+    assert_eq!(open(&register), ["i-new"], "a start that was told once is known");
+}
