Remember maps before the first pulse; wait anew after a duty that was not used

Change: maps are remembered by epoch and version from the start; the wait is left out only by a process that had acted. Tests owner_frozen (copies come first now) and regained_unused.

--- a/src/rank/duty.rs
+++ b/src/rank/duty.rs
@@ -98,10 +98,10 @@
     acting: bool,
     /// When this process may act, since it has the pulses of most ranks.
     acts_from: time::Duration,
-    /// When the duty was lost last, unless the process stood still since.
+    /// When the duty was lost last, if this process acted and has not stood still since.
     lost_at: Option<time::Duration>,
-    /// Newest maps of this epoch that the engine beside this process was told to copy.
-    maps: BTreeMap<u64, Vec<Layer>>,
+    /// Newest maps that the engine beside this process was told to copy, by epoch and version.
+    maps: BTreeMap<(u64, u64), Vec<Layer>>,
 }
 
 impl Duty {
@@ -158,13 +158,12 @@
     }
 
     /// Notes a map that the engine beside this process was told to copy: an owner that takes over
-    /// needs the map in use, also while a rank cannot say what it holds.
+    /// needs the map in use, also while a rank cannot say what it holds. Until then it has no
+    /// pulses and knows no epoch.
     pub fn copies(&mut self, epoch: u64, version: u64, map: Vec<Layer>) {
-        if epoch == self.epoch {
-            self.maps.insert(version, map);
-            while self.maps.len() > MAPS_KEPT {
-                self.maps.pop_first();
-            }
+        self.maps.insert((epoch, version), map);
+        while self.maps.len() > MAPS_KEPT {
+            self.maps.pop_first();
         }
     }
 
@@ -359,7 +358,7 @@
         self.change = None;
         (self.held, self.last) = (0, 0);
         self.unpaid = None;
-        self.maps.clear();
+        self.maps.retain(|(of, _), _| *of >= epoch);
     }
 
     fn learn(&mut self, now: time::Duration, rank: usize, status: Status) {
@@ -387,10 +386,10 @@
         if acts != self.acting {
             self.acting = acts;
             match acts {
-                // Another process would have had to wait longer before it acted.
+                // It acted so lately that another process is still waiting to act.
                 true if self.lost_at.is_some_and(|at| now < at + FRESH) => {}
                 true => self.acts_from = now + QUIET,
-                false => self.lost_at = Some(now),
+                false => self.lost_at = (now >= self.acts_from).then_some(now),
             }
             log::info!(epoch = self.epoch, acts, lately, of = self.size; "duty for the map");
         }
@@ -437,7 +436,7 @@
     /// The map in use by set and rank, once every rank has said what it holds of the same one.
     fn map(&self) -> Option<Vec<Layer>> {
         let version = self.ranks.values().next()?.status.map;
-        if let Some(map) = self.maps.get(&version) {
+        if let Some(map) = self.maps.get(&(self.epoch, version)) {
             return self.ranks.values().all(|rank| rank.status.map == version).then(|| map.clone());
         }
         let own = |rank: &Rank| {
--- a/tests/duty.rs
+++ b/tests/duty.rs
@@ -145,6 +145,8 @@
 fn owner_frozen() {
     let mut duty = duty();
     duty.beside(1);
+    let first = |rank: usize| vec![rank as u16, (rank + RANKS) as u16];
+    duty.copies(1, 0, vec![(0..RANKS).map(first).collect()]);
     let mut now = Duration::ZERO;
     for _ in 0..40 {
         now += Duration::from_millis(50);
@@ -152,8 +154,6 @@
         assert!(duty.step(now, 0).is_empty(), "the state of a rank is not known");
     }
     assert_eq!(duty.unheard(now), [0]);
-    let first = |rank: usize| vec![rank as u16, (rank + RANKS) as u16];
-    duty.copies(1, 0, vec![(0..RANKS).map(first).collect()]);
     let ahead = now.as_millis() as u64 / 50 + 2;
     duty.looked(Status { held: Some(ahead), ..status(0, now) });
     let orders = duty.step(now, 0);
@@ -177,3 +177,21 @@
     duty.step(now, 0);
     assert!(duty.question(now).is_some(), "the owner waits as if it were new");
 }
+
+/// A process that woke gets what was sent to it before, loses the duty again and regains it. It has
+/// not acted since, so another one may be acting.
+#[test]
+fn regained_unused() {
+    let mut duty = duty();
+    let mut now = Duration::from_millis(50);
+    pulses(&mut duty, now, RANKS);
+    duty.step(now, 0);
+    now += Duration::from_millis(800);
+    duty.step(now, 0);
+    for _ in 0..8 {
+        now += Duration::from_millis(100);
+        pulses(&mut duty, now, RANKS);
+        duty.step(now, 0);
+        assert!(duty.question(now).is_none(), "{now:?}");
+    }
+}
