One copy of what the platform's code wrote twice; cheap checks first

Found on reading the whole change again; behaviour stays as it is. - http::client::Reading reads a whole body for the pool's calls and for gateways; two functions did. - The entries that were succeeded are marked when the register is read, not looked up for each server at each request, and the register keeps no second map. - Duty::question looks whether a change is under way before it copies the state of every rank. - The part by which copying slows passes stands once, in balance::pace; the length of a pass at a skew is a method of rebalance::Terms; a draft counts new experts in one place; choices of ranks are added up by one function. - Host and zone names are checked by settings::check for both kinds of settings; http::answer says that a path leads nowhere; tests send requests by processes::request and processes::agent. - Five comments in plainer words.

--- a/examples/demo/load.rs
+++ b/examples/demo/load.rs
@@ -10,7 +10,7 @@
 
 /// Tokens of a streamed answer.
 const TOKENS: u64 = 40;
-/// Most tries of a request that is refused; a caller comes back when told.
+/// Most attempts at a refused request; each waits for the answer's Retry-After.
 const TRIES: usize = 30;
 /// Pause of a caller of the plain service between two postings.
 const PAUSE: time::Duration = time::Duration::from_millis(50);
--- a/measure/capacity/data.rs
+++ b/measure/capacity/data.rs
@@ -133,7 +133,7 @@
     })
 }
 
-/// Reads answers through the path until told to stop, counting pieces as they come.
+/// Reads answers through the path until it is stopped, counting pieces as they come.
 fn read(
     bench: &bench::Bench,
     number: usize,
--- a/src/agree/change.rs
+++ b/src/agree/change.rs
@@ -59,7 +59,7 @@
         /// What to do.
         remedy: String,
     },
-    /// The table took the write but not told whether; it may yet take effect.
+    /// The write to the table was not acknowledged; it may still take effect.
     Unknown {
         /// The order, to look for in the history.
         op: Op,
--- a/src/agree/newer.rs
+++ b/src/agree/newer.rs
@@ -20,9 +20,9 @@
 /// Whom to ask.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Whom {
-    /// The one who told of the version.
+    /// The peer that announced the version.
     Teller(net::SocketAddr),
-    /// The one who told of it and another, since the first request went unanswered.
+    /// That peer and another one, since the first request went unanswered.
     Both(net::SocketAddr),
     /// Any few; nobody reachable told of it.
     Any,
--- a/src/balance/pace.rs
+++ b/src/balance/pace.rs
@@ -11,7 +11,7 @@
 /// 3.0 to 3.7 were measured on the users' sites.
 const JUMP_SKEW: f64 = 3.3;
 /// Part by which passes last longer while experts are copied, as the platform states it.
-const COPYING: f64 = 0.15;
+pub const COPYING: f64 = 0.15;
 /// Part of the pause that the way to the caller takes.
 const ON_THE_WAY: time::Duration = time::Duration::from_millis(8);
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -2,7 +2,6 @@
 
 use std::time;
 
-use bytes::Bytes;
 use hyper::http::response;
 
 use super::{
@@ -11,7 +10,7 @@
 };
 use crate::{
     balance::fleet,
-    http::client::{self, Conn, Failure, Reading},
+    http::client::{Conn, Failure, Reading},
     platform::exchange::{self, Said},
 };
 
@@ -100,19 +99,3 @@
         }
     }
 }
-
-/// Reads the body of a whole answer, at most `limit` bytes.
-pub async fn whole(
-    desk: &Desk,
-    body: &mut Reading,
-    limit: usize,
-) -> Result<Bytes, client::Failure> {
-    let mut buf = bytes::BytesMut::new();
-    while let Some(data) = body.next(&desk.pool).await {
-        buf.extend_from_slice(&data?);
-        if buf.len() > limit {
-            return Err(Failure::Sent("the answer is too large".into()));
-        }
-    }
-    Ok(buf.freeze())
-}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -272,7 +272,7 @@
         good: bool,
         trail: &mut Trail,
     ) -> Option<http::Response> {
-        let reading = attempt::whole(&self.desk, &mut body, ANSWER_BYTES);
+        let reading = body.whole(&self.desk.pool, ANSWER_BYTES);
         let data = match tokio::time::timeout_at(job.until, reading).await {
             Err(_) => {
                 trail.got("timeout");
--- a/src/gateway/ready.rs
+++ b/src/gateway/ready.rs
@@ -16,7 +16,7 @@
         match (req.uri().path(), self.desk.ready()) {
             (exchange::READY_PATH, true) => http::answer::text(200, "ready\n"),
             (exchange::READY_PATH, false) => http::answer::text(503, "not ready\n"),
-            (path, _) => http::answer::refusal(404, &format!("There is no {path} here."), None),
+            (path, _) => http::answer::no_path(path),
         }
     }
 }
@@ -43,7 +43,7 @@
             _ if !allowed => http::answer::refusal(401, "Present the token of the settings.", None),
             "/dump" if readable => http::answer::text(200, operators::readable(&self.desk.dump())),
             "/dump" => http::answer::json(200, &self.desk.dump()),
-            path => http::answer::refusal(404, &format!("There is no {path} here."), None),
+            path => http::answer::no_path(path),
         }
     }
 }
--- a/src/group/rebalance.rs
+++ b/src/group/rebalance.rs
@@ -45,6 +45,13 @@
     pub busy: f64,
 }
 
+impl Terms {
+    /// Length of a pass at this skew, over that of a balanced one.
+    fn pass(&self, skew: f64) -> f64 {
+        1.0 - self.expert_part + self.expert_part * skew
+    }
+}
+
 /// An edit that pays.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Edit {
@@ -75,17 +82,16 @@
 
 /// Whether any edit could pay at this skew: even a balanced map would have to.
 pub fn may_pay(skew: f64, terms: &Terms) -> bool {
-    let pass = |skew: f64| 1.0 - terms.expert_part + terms.expert_part * skew;
-    terms.busy * terms.horizon.as_secs_f64() * (1.0 - pass(1.0) / pass(skew)) > LEAST_NET_S
+    terms.busy * terms.horizon.as_secs_f64() * (1.0 - terms.pass(1.0) / terms.pass(skew))
+        > LEAST_NET_S
 }
 
 /// The edit of `map` that saves most under `weights`, by layer and expert; `None` if none pays.
 pub fn edit(map: &[Layer], weights: &[Vec<f64>], terms: &Terms) -> Option<Edit> {
     let before = skew(map, weights);
-    let pass = |skew: f64| 1.0 - terms.expert_part + terms.expert_part * skew;
     // Group time saved by a fall of one layer's skew by one.
     let worth = terms.busy * terms.horizon.as_secs_f64() * terms.expert_part
-        / pass(before)
+        / terms.pass(before)
         / map.len().max(1) as f64;
     let layers = map.iter().zip(weights).enumerate();
     let mut drafts: Vec<Draft> = layers
@@ -105,7 +111,7 @@
         let (copies, all) = copies(map, &to);
         let copying_s = terms.copy.as_secs_f64() * copies as f64;
         let gained_s = (terms.horizon.as_secs_f64() - copying_s).max(0.0);
-        let saved = terms.busy * gained_s * (1.0 - pass(after) / pass(before));
+        let saved = terms.busy * gained_s * (1.0 - terms.pass(after) / terms.pass(before));
         let cost =
             copying_s * terms.interference * terms.busy + terms.per_copy.as_secs_f64() * all as f64;
         Edit { map: to, skew: (before, after), copies, net_s: saved - cost }
@@ -182,9 +188,14 @@
 
     /// Experts that `rank` would copy.
     fn copied(&self, rank: usize) -> usize {
+        self.new_in(&self.best.1, rank)
+    }
+
+    /// Experts that `rank` holds in `cells` and did not before the first edit.
+    fn new_in(&self, cells: &[u16], rank: usize) -> usize {
         let own = rank * self.slots..(rank + 1) * self.slots;
         let base = &self.base[own.clone()];
-        self.best.1[own].iter().filter(|expert| !base.contains(expert)).count()
+        cells[own].iter().filter(|expert| !base.contains(expert)).count()
     }
 
     /// Lowers the most loaded ranks, at most `quota` new experts by rank, as far as it pays.
@@ -216,21 +227,14 @@
 
     /// The least loaded ranks that may still copy an expert.
     fn partners(&self, hot: usize, quota: &[usize]) -> Vec<usize> {
-        let by_rank = self.loads.by_rank();
-        let free = |rank: &usize| *rank != hot && self.new_at(*rank) < quota[*rank];
+        let (by_rank, cells) = (self.loads.by_rank(), self.loads.cells());
+        let free = |rank: &usize| *rank != hot && self.new_in(cells, *rank) < quota[*rank];
         let mut partners: Vec<usize> = (0..by_rank.len()).filter(free).collect();
         partners.sort_by(|a, b| by_rank[*a].total_cmp(&by_rank[*b]));
         partners.truncate(PARTNERS);
         partners
     }
 
-    /// Experts that `rank` holds now and did not before the first edit.
-    fn new_at(&self, rank: usize) -> usize {
-        let own = rank * self.slots..(rank + 1) * self.slots;
-        let base = &self.base[own.clone()];
-        self.loads.cells()[own].iter().filter(|expert| !base.contains(expert)).count()
-    }
-
     /// The layer with the edits that pay.
     fn layer(&self) -> Layer {
         let own = |own: &[u16]| {
--- a/src/http/answer.rs
+++ b/src/http/answer.rs
@@ -87,6 +87,11 @@
     }
 }
 
+/// The answer where `path` leads nowhere.
+pub fn no_path(path: &str) -> Response {
+    refusal(404, &format!("There is no {path} here."), None)
+}
+
 /// An answer with a message for the caller, and when to come back where that is known.
 pub fn refusal(status: u16, message: &str, retry_after: Option<time::Duration>) -> Response {
     let mut res = json(status, &serde_json::json!({ "error": message }));
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -3,8 +3,8 @@
 
 use std::{cell, collections::BTreeMap, net, pin, task, time};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::Full;
 use hyper::{body, client::conn::http1, header};
 use hyper_util::rt;
 use tokio::time::Instant;
@@ -178,8 +178,7 @@
                 None => Conn::open(addr, within).await?,
             };
             let (head, body) = conn.send(req).await?.into_parts();
-            let body = whole(body, limit).await?;
-            self.put(addr, conn);
+            let body = Reading::new(addr, conn, body).whole(self, limit).await?;
             Ok(hyper::Response::from_parts(head, body))
         };
         let late = || Failure::Sent("no answer in time".into());
@@ -187,12 +186,6 @@
     }
 }
 
-/// Reads a body to its end, at most `limit` bytes.
-pub async fn whole(body: body::Incoming, limit: usize) -> Result<Bytes, Failure> {
-    let read = Limited::new(body, limit).collect().await;
-    read.map(http_body_util::Collected::to_bytes).map_err(|err| Failure::Sent(err.to_string()))
-}
-
 /// A request for one of the platform's or an engine's own calls.
 pub fn request(
     method: hyper::Method,
@@ -222,6 +215,18 @@
         Self { body, conn: Some(conn), addr }
     }
 
+    /// Reads the body to its end, at most `limit` bytes.
+    pub async fn whole(&mut self, pool: &Pool, limit: usize) -> Result<Bytes, Failure> {
+        let mut buf = BytesMut::new();
+        while let Some(data) = self.next(pool).await {
+            buf.extend_from_slice(&data?);
+            if buf.len() > limit {
+                return Err(Failure::Sent("the answer is too large".into()));
+            }
+        }
+        Ok(buf.freeze())
+    }
+
     /// The next bytes; `None` at the regular end, after which the connection is in `pool` again.
     pub async fn next(&mut self, pool: &Pool) -> Option<Result<Bytes, Failure>> {
         loop {
--- a/src/rank/agent.rs
+++ b/src/rank/agent.rs
@@ -280,7 +280,7 @@
     async fn handle(self: rc::Rc<Self>, req: http::Request) -> http::Response {
         match req.uri().path() {
             "/metrics" => http::answer::text(200, self.page.render()),
-            path => http::answer::refusal(404, &format!("There is no {path} here."), None),
+            path => http::answer::no_path(path),
         }
     }
 }
--- a/src/rank/duty.rs
+++ b/src/rank/duty.rs
@@ -26,8 +26,6 @@
 /// Time for which an edit of the map is expected to pay; popularity is known to jump every three
 /// to four seconds at the users' sites.
 const HORIZON: time::Duration = time::Duration::from_millis(2_500);
-/// Part by which passes last longer while experts are copied, as the platform states it.
-const INTERFERENCE: f64 = 0.15;
 /// Part of the time of one rank's copying, shared out over all ranks, that a copy costs besides:
 /// by the users' prices of memory moved, 0.2 on their first sites and 0.7 on the grown ones.
 const PER_COPY: f64 = 0.5;
@@ -250,9 +248,11 @@
     /// What an edit of the map is to be decided on, if one may pay now. Deciding takes long in a
     /// large group, so it is done elsewhere and comes back by [`begin`](Self::begin).
     pub fn question(&mut self, now: time::Duration) -> Option<Question> {
+        if self.change.is_some() || now < self.pause_until {
+            return None;
+        }
         let seen = self.seen(now)?;
-        let open = seen.values().all(|status| status.member.as_ref().is_some_and(|m| m.open));
-        if self.change.is_some() || !open || now < self.pause_until {
+        if !seen.values().all(|status| status.member.as_ref().is_some_and(|m| m.open)) {
             return None;
         }
         let weights = self.popularity.weights(now)?;
@@ -262,7 +262,7 @@
             copies: self.shape.spare,
             copy,
             expert_part: self.expert_part(&seen),
-            interference: INTERFERENCE,
+            interference: pace::COPYING,
             horizon: HORIZON,
             per_copy: copy.mul_f64(PER_COPY) / self.size.max(1) as u32,
             busy: self.busy(&seen),
--- a/src/rank/look.rs
+++ b/src/rank/look.rs
@@ -99,9 +99,9 @@
     async fn report(&self, pulse: Pulse) {
         let Some(Member { rank: own, ranks, .. }) = pulse.status.member else { return };
         let owner = self.sound_of(0..own);
-        if self.state.borrow_mut().owner.replace(owner.unwrap_or(own)) != Some(owner.unwrap_or(own))
-        {
-            log::info!(owner = owner.unwrap_or(own), own; "owner of the duty chosen");
+        let chosen = owner.unwrap_or(own);
+        if self.state.borrow_mut().owner.replace(chosen) != Some(chosen) {
+            log::info!(owner = chosen, own; "owner of the duty chosen");
         }
         let Some(owner) = owner else { return self.report_here(pulse).await };
         // The owner hears its own section by another agent too.
--- a/src/rank/relay.rs
+++ b/src/rank/relay.rs
@@ -5,7 +5,7 @@
 use std::{collections::BTreeMap, ops};
 
 use super::{
-    Order, Status,
+    Choices, Order, Status,
     message::{Errand, Pulse},
 };
 
@@ -45,10 +45,7 @@
             Some(before) => (before.choices, before.placed),
             None => (None, None),
         };
-        let choices = match (choices, old_choices) {
-            (Some(new), Some(old)) => Some(new.and(&old)),
-            (new, old) => new.or(old),
-        };
+        let choices = sum(choices, old_choices);
         self.pulses.insert(rank, Pulse { status, choices, placed: placed.or(old_placed) });
         news
     }
@@ -61,17 +58,20 @@
     /// All that wait behind `own`, which says what the requests of all chose.
     pub fn take(&mut self, mut own: Pulse) -> Vec<Pulse> {
         let mut others: Vec<Pulse> = std::mem::take(&mut self.pulses).into_values().collect();
-        for choices in others.iter_mut().filter_map(|pulse| pulse.choices.take()) {
-            own.choices = Some(match own.choices.take() {
-                Some(sum) => sum.and(&choices),
-                None => choices,
-            });
-        }
+        own.choices = others.iter_mut().map(|pulse| pulse.choices.take()).fold(own.choices, sum);
         others.insert(0, own);
         others
     }
 }
 
+/// The sum of two choices, if there are any.
+fn sum(left: Option<Choices>, right: Option<Choices>) -> Option<Choices> {
+    match (left, right) {
+        (Some(left), Some(right)) => Some(left.and(&right)),
+        (left, right) => left.or(right),
+    }
+}
+
 /// One order to some ranks of a section.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Batch {
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -2,7 +2,7 @@
 
 use super::{Role, Settings};
 use crate::{
-    config,
+    config, name,
     yaml::{Findings, Node},
 };
 
@@ -22,16 +22,22 @@
 }
 
 fn names(settings: &Settings, node: &Node, out: &mut Findings) {
+    host(&settings.host, &settings.zone, node, out);
     let server = settings.backend.as_ref().map(|backend| backend.server.as_str());
-    let names = [
-        (&["host"][..], Some(settings.host.as_str())),
-        (&["zone"][..], Some(settings.zone.as_str())),
-        (&["backend", "server"][..], server),
-    ];
-    for (place, name) in names {
-        if let Some(name) = name.filter(|name| !config::is_name(name)) {
-            out.add(node.place(place), format!("`{name}` is not a name"), config::name_remedy());
-        }
+    if let Some(server) = server {
+        name(server, &["backend", "server"], node, out);
+    }
+}
+
+/// Adds a finding for each of `host` and `zone` that is not a name.
+pub fn host(host: &name::Host, zone: &name::Zone, node: &Node, out: &mut Findings) {
+    name(host.as_str(), &["host"], node, out);
+    name(zone.as_str(), &["zone"], node, out);
+}
+
+fn name(name: &str, place: &[&str], node: &Node, out: &mut Findings) {
+    if !config::is_name(name) {
+        out.add(node.place(place), format!("`{name}` is not a name"), config::name_remedy());
     }
 }
 
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -4,7 +4,7 @@
 
 use super::{TEXT_BYTES, check};
 use crate::{
-    Result, config, name,
+    Result, name,
     yaml::{Findings, Node, Read, Table},
 };
 
@@ -109,12 +109,7 @@
     }
 
     fn check(&self, node: &Node, out: &mut Findings) {
-        for (key, name) in [("host", self.host.as_str()), ("zone", self.zone.as_str())] {
-            if !config::is_name(name) {
-                let problem = format!("`{name}` is not a name");
-                out.add(node.place(&[key]), problem, config::name_remedy());
-            }
-        }
+        check::host(&self.host, &self.zone, node, out);
         check::token(&self.token, node, out);
         let whole = self.retries.share >= 0.0 && self.retries.free >= 0.0;
         if !whole || self.retries.window.is_zero() {
--- a/src/site/register.rs
+++ b/src/site/register.rs
@@ -58,6 +58,9 @@
     pub cold_until: time::Duration,
     /// When a missing server counts as gone.
     lapses: Option<time::Duration>,
+    /// Whether a later incarnation has its address: after a crash the entry of the earlier one
+    /// stays until it expires.
+    succeeded: bool,
 }
 
 /// All servers known, and the zones that operators emptied. Times are on the process's
@@ -65,8 +68,6 @@
 #[derive(Debug, Default)]
 pub struct Register {
     servers: BTreeMap<name::Server, Listed>,
-    /// Start of the newest incarnation at each address, in Unix milliseconds.
-    newest: BTreeMap<net::SocketAddr, u64>,
     emptied: BTreeSet<name::Zone>,
     read_at: Option<time::Duration>,
     returned_at: Option<time::Duration>,
@@ -100,17 +101,25 @@
         for entry in entries {
             self.take(entry, now, &mut changes);
         }
-        self.newest.clear();
+        self.mark_succeeded();
+        changes
+    }
+
+    fn mark_succeeded(&mut self) {
+        let mut newest: BTreeMap<net::SocketAddr, u64> = BTreeMap::new();
         for Listed { entry, .. } in self.servers.values() {
-            let newest = self.newest.entry(entry.address).or_default();
+            let newest = newest.entry(entry.address).or_default();
             *newest = entry.born_ms.max(*newest);
         }
-        changes
+        for known in self.servers.values_mut() {
+            let born_ms = known.entry.born_ms;
+            known.succeeded = born_ms > 0 && newest[&known.entry.address] > born_ms;
+        }
     }
 
     fn take(&mut self, entry: Entry, now: time::Duration, changes: &mut Changes) {
         let server = entry.server.clone();
-        let fresh = Listed { cold_until: now + entry.cold, lapses: None, entry };
+        let fresh = Listed { cold_until: now + entry.cold, lapses: None, succeeded: false, entry };
         match self.servers.get_mut(&server) {
             // A row of an earlier incarnation that was written late.
             Some(known) if known.entry.born_ms > fresh.entry.born_ms => known.lapses = None,
@@ -147,19 +156,12 @@
         self.read_at
     }
 
-    /// Whether a later incarnation has its address: after a crash the entry of the earlier one
-    /// stays until it expires.
-    fn is_succeeded(&self, entry: &Entry) -> bool {
-        let newest = self.newest.get(&entry.address).copied().unwrap_or_default();
-        entry.born_ms > 0 && newest > entry.born_ms
-    }
-
     /// Servers of `service` that may get new work.
     pub fn open<'a>(&'a self, service: &'a name::Service) -> impl Iterator<Item = &'a Listed> {
         self.servers.values().filter(move |known| {
             known.entry.service == *service
                 && !known.entry.leaving
-                && !self.is_succeeded(&known.entry)
+                && !known.succeeded
                 && !self.emptied.contains(&known.entry.zone)
         })
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     gateways::{Does, HOST, KEY, Site, call, config, list},
-    processes::until,
+    processes::{agent, request, until},
     store::Mode,
 };
 
@@ -140,12 +140,8 @@
 fn body_too_large() {
     let site = Site::start(1, false);
     let headers = [("Host", HOST), ("Api-Key", KEY), ("X-Knapweedford-Request-Id", "id-1")];
-    let agent = ureq::Agent::config_builder().http_status_as_error(false).proxy(None).build();
-    let mut req = http::Request::post(format!("http://{}/once/a", site.gateway.process.at));
-    for (name, value) in headers {
-        req = req.header(name, value);
-    }
-    let res = agent.new_agent().run(req.body("x".repeat(2000)).unwrap());
+    let req = request("POST", site.gateway.process.at, "/once/a", &headers, &"x".repeat(2000));
+    let res = agent().run(req);
     assert_eq!(res.map(|res| res.status().as_u16()).ok(), Some(413));
     assert_eq!(site.arrivals(), 0);
 }
--- a/tests/gateways.rs
+++ b/tests/gateways.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     chunks::Chunks,
-    processes::{PATIENCE, Process, until},
+    processes::{self, Process, until},
     store::Store,
 };
 
@@ -239,7 +239,7 @@
 
 /// Asks a gateway as a caller with a good key, on a connection of its own.
 pub fn ask(at: net::SocketAddr, method: &str, path: &str, id: &str) -> Answer {
-    ask_by(&agent(), at, method, path, id)
+    ask_by(&processes::agent(), at, method, path, id)
 }
 
 /// The same on a connection that `agent` has open.
@@ -260,12 +260,6 @@
     call_by(agent, at, method, path, &headers)
 }
 
-/// A caller that keeps connections open.
-pub fn agent() -> ureq::Agent {
-    let cfg = ureq::Agent::config_builder().http_status_as_error(false).proxy(None);
-    cfg.timeout_global(Some(PATIENCE)).build().new_agent()
-}
-
 #[derive(Debug)]
 pub struct Answer {
     pub status: u16,
@@ -276,7 +270,7 @@
 
 /// Sends one request on a connection of its own.
 pub fn call(at: net::SocketAddr, method: &str, path: &str, headers: &[(&str, &str)]) -> Answer {
-    call_by(&agent(), at, method, path, headers)
+    call_by(&processes::agent(), at, method, path, headers)
 }
 
 fn call_by(
@@ -286,12 +280,8 @@
     path: &str,
     headers: &[(&str, &str)],
 ) -> Answer {
-    let mut req = http::Request::builder().method(method).uri(format!("http://{at}{path}"));
-    for (name, value) in headers {
-        req = req.header(*name, *value);
-    }
     let body = if method == "POST" { "a body" } else { "" };
-    match agent.run(req.body(body.to_owned()).unwrap()) {
+    match agent.run(processes::request(method, at, path, headers, body)) {
         Err(err) => Answer { status: 0, headers: BTreeMap::new(), body: Err(err.to_string()) },
         Ok(mut res) => {
             let headers = res.headers().iter();
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -176,24 +176,35 @@
     call("POST", at, path, headers, body)
 }
 
-/// Sends a request and reads the answer to its end.
-pub fn call(
+/// A caller that keeps connections open.
+pub fn agent() -> ureq::Agent {
+    let cfg = ureq::Agent::config_builder().http_status_as_error(false).proxy(None);
+    cfg.timeout_global(Some(PATIENCE)).build().new_agent()
+}
+
+/// A request to the process at `at`.
+pub fn request(
     method: &str,
     at: net::SocketAddr,
     path: &str,
     headers: &[(&str, &str)],
     body: &str,
-) -> Answer {
+) -> http::Request<String> {
     let mut req = http::Request::builder().method(method).uri(format!("http://{at}{path}"));
     for (name, value) in headers {
         req = req.header(*name, *value);
     }
-    let agent = ureq::Agent::config_builder()
-        .http_status_as_error(false)
-        .proxy(None)
-        .timeout_global(Some(PATIENCE))
-        .build()
-        .new_agent();
+    req.body(body.to_owned()).unwrap()
+}
+
+/// Sends a request and reads the answer to its end.
+pub fn call(
+    method: &str,
+    at: net::SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Answer {
     let nothing = |err: ureq::Error| Answer {
         status: 0,
         ran: String::new(),
@@ -202,7 +213,7 @@
         cut: true,
         fault: err.to_string(),
     };
-    let res = match agent.run(req.body(body.to_owned()).unwrap()) {
+    let res = match agent().run(request(method, at, path, headers, body)) {
         Ok(res) => res,
         Err(err) => return nothing(err),
     };
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -22,6 +22,7 @@
     fuzz,
     gateways::{self, Answer, Does, Gateway, Server},
     link::{Link, Way},
+    processes,
     store::{Mode, Store},
 };
 
@@ -147,7 +148,7 @@
     /// Waits until all gateways are ready.
     fn settle(&self) {
         for gateway in &self.gateways {
-            crate::processes::until("a gateway is ready", || gateway.ready().then_some(()));
+            processes::until("a gateway is ready", || gateway.ready().then_some(()));
         }
     }
 
@@ -216,7 +217,7 @@
         let threads = each.map(|(caller, (method, path))| {
             let (stop, at) = (Arc::clone(&stop), gateways[caller % gateways.len()]);
             thread::spawn(move || {
-                let agent = gateways::agent();
+                let agent = processes::agent();
                 let mut sent = Vec::new();
                 while !stop.load(Ordering::Relaxed) {
                     let id = format!("{caller}-{}", sent.len());
