Relieve the owner of a large group of experts

Logs: the owner's agent stalled for hundreds of ms and other agents took over. Its 6 Mbit/s link carried loads to 53 gateways (1.3 kB each, ten times a second, 5.5 Mbit/s) and choices of 16 ranks (4 kB each, 14 times a second, 5 Mbit/s); its 0.15 of a core summed 44 samples of 4,128 counts at each heartbeat and took 36 ms for a search. Changes were dropped as outdated although popularity had not jumped: the plan came from the requests of 16 ranks, too few to tell noise from a jump.

Ruled out: slow engines or links of the engines (prepare took 600 ms of which copies are 53 ms).

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -306,6 +306,11 @@
         budget.or_insert_with(|| RetryBudget::new(self.retries.get())).take_retry(now, gateways)
     }
 
+    /// Returns a random number.
+    pub fn random_u64(&self) -> u64 {
+        self.state.borrow_mut().rng.random()
+    }
+
     /// Returns a random number between `from` and `to`.
     pub fn random_between(&self, from: f64, to: f64) -> f64 {
         from + (to - from) * self.state.borrow_mut().rng.random::<f64>()
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -7,7 +7,7 @@
     balance::gateway_count,
     name, peer,
     platform::{Store, store::TableChange},
-    rank::message,
+    rank::{message, relay},
 };
 
 /// Longest wait of one call for changes, as a fraction of the time within which a change must be
@@ -27,8 +27,8 @@
 
 /// Time between two checks for groups of engines that are not watched yet.
 const GROUP_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(500);
-/// Time without a load report after which another agent of the group is asked; the owner sends
-/// one every 100 ms.
+/// Time without a load report after which another agent of the group is asked; an agent sends one
+/// about every 100 ms.
 const LOADS_TIMEOUT: time::Duration = time::Duration::from_millis(600);
 /// Delay before the agents of a group are asked again, after each of them was asked.
 const ASK_AGENTS_DELAY: time::Duration = time::Duration::from_millis(150);
@@ -153,6 +153,7 @@
 
 /// Receives the loads of each group of engines, as reported by the group's owner.
 pub async fn watch_loads(gateway: rc::Rc<Gateway>, token: String, peer_port: u16) {
+    let source_choice = gateway.random_u64();
     let watched = rc::Rc::new(cell::RefCell::new(BTreeSet::new()));
     let peers = peer::Pool::new(&token);
     loop {
@@ -161,7 +162,7 @@
                 let (gateway, peers) = (rc::Rc::clone(&gateway), rc::Rc::clone(&peers));
                 let watched = rc::Rc::clone(&watched);
                 tokio::task::spawn_local(async move {
-                    watch_group(&gateway, &peers, &group, peer_port).await;
+                    watch_group(&gateway, &peers, &group, peer_port, source_choice).await;
                     watched.borrow_mut().remove(&group);
                 });
             }
@@ -170,12 +171,20 @@
     }
 }
 
-/// Receives the loads of one group until the group is no longer listed.
-async fn watch_group(gateway: &Gateway, peers: &peer::Pool, group: &str, peer_port: u16) {
+/// Receives the loads of one group until the group is no longer listed. `source_choice` is a random
+/// number that decides which agents are asked first.
+async fn watch_group(
+    gateway: &Gateway,
+    peers: &peer::Pool,
+    group: &str,
+    peer_port: u16,
+    source_choice: u64,
+) {
     let mut silence_logged = false;
     loop {
         let Some(engines) = gateway.engine_groups().remove(group) else { return };
-        for engine in engines {
+        for rank in relay::load_sources(engines.len(), source_choice) {
+            let engine = engines[rank];
             let agent = net::SocketAddr::new(engine.ip(), peer_port);
             let reports = receive_loads(gateway, peers, agent).await;
             if reports > 0 {
@@ -193,7 +202,8 @@
     }
 }
 
-/// Receives load reports from one agent as long as it is the group's owner; returns their number.
+/// Receives load reports from one agent as long as it has those of the group's owner; returns their
+/// number.
 async fn receive_loads(gateway: &Gateway, peers: &peer::Pool, agent: net::SocketAddr) -> u64 {
     let starting = peers.exchange(agent, message::LOADS_PATH, &());
     let mut reports = 0;
--- a/src/group/loads.rs
+++ b/src/group/loads.rs
@@ -1,5 +1,7 @@
 //! The load of each rank in one layer under a map, and how an edit of the layer changes it.
 
+use std::iter;
+
 use crate::group::layout;
 
 /// Minimum gain in the potential for which an edit is made; smaller gains are rounding errors.
@@ -22,6 +24,15 @@
             Self::Replace(..) => 1,
         }
     }
+
+    /// Returns the cells whose expert the edit changes.
+    pub fn cells(self) -> impl Iterator<Item = usize> {
+        let (first, second) = match self {
+            Self::Swap(a, b) => (a, Some(b)),
+            Self::Replace(a, _) => (a, None),
+        };
+        iter::once(first).chain(second)
+    }
 }
 
 /// Rank loads of one layer, relative to the mean. Copies of an expert share its tokens evenly.
@@ -137,11 +148,11 @@
             })
         });
         // The hot rank takes a further copy of a lighter expert of a partner.
-        let lighter = hot_cells().filter(replicated).flat_map(|a| {
-            let removal = removal_gain(a);
-            partner_cells().map(move |b| {
-                let e = self.cells[b];
-                let base = self.gain_of_copy(usize::from(e)) + removal;
+        let lighter = partner_cells().flat_map(|b| {
+            let e = self.cells[b];
+            let copy_gain = self.gain_of_copy(usize::from(e));
+            hot_cells().filter(replicated).map(move |a| {
+                let base = copy_gain + removal_gain(a);
                 (Edit::Replace(a, e), self.gain_of_replace(hot, a, e, base, spread))
             })
         });
--- a/src/group/rebalance.rs
+++ b/src/group/rebalance.rs
@@ -134,15 +134,21 @@
     max_copies: usize,
     time_per_skew: f64,
 ) {
-    for at in 0..drafts.len() {
-        let others = drafts.iter().enumerate().filter(|(other, _)| *other != at);
-        let mut quota = vec![max_copies; drafts[at].ranks()];
-        for (_, other) in others {
-            let copies = (0..quota.len()).map(|rank| other.copies(rank));
-            quota.iter_mut().zip(copies).for_each(|(q, copies)| *q = q.saturating_sub(copies));
-        }
-        quota.iter_mut().for_each(|quota| *quota = (*quota).min(params.max_copies_per_layer));
-        drafts[at].improve(&quota, params, time_per_skew);
+    let ranks = drafts.first().map_or(0, LayerDraft::ranks);
+    let mut all_copies = vec![0; ranks];
+    for draft in drafts.iter() {
+        all_copies.iter_mut().zip(draft.best_copies()).for_each(|(all, copies)| *all += copies);
+    }
+    for draft in drafts {
+        let own = draft.best_copies();
+        all_copies.iter_mut().zip(&own).for_each(|(all, copies)| *all -= copies);
+        let quota = |others: &usize| {
+            max_copies.saturating_sub(*others).min(params.max_copies_per_layer)
+        };
+        let quota: Vec<usize> = all_copies.iter().map(quota).collect();
+        draft.improve(&quota, params, time_per_skew);
+        let own = draft.best_copies();
+        all_copies.iter_mut().zip(&own).for_each(|(all, copies)| *all += copies);
     }
 }
 
@@ -210,9 +216,9 @@
         self.initial_cells.len() / self.slots
     }
 
-    /// Number of experts that `rank` must copy for the best cells so far.
-    fn copies(&self, rank: usize) -> usize {
-        self.count_new(&self.best.1, rank)
+    /// Number of experts that each rank must copy for the best cells so far.
+    fn best_copies(&self) -> Vec<usize> {
+        (0..self.ranks()).map(|rank| self.count_new(&self.best.1, rank)).collect()
     }
 
     /// Number of experts that `rank` holds in `cells` but did not hold before the first edit.
@@ -228,6 +234,8 @@
     fn improve(&mut self, quota: &[usize], params: &Parameters, time_per_skew: f64) {
         let layout = layout::Layout::regular(self.ranks(), 1, 1);
         let spread = loads::ZoneSpread { layout: &layout, worth: 0.0 };
+        let mut new_experts: Vec<usize> =
+            (0..self.ranks()).map(|rank| self.count_new(self.loads.cells(), rank)).collect();
         while self.copies_made < quota.iter().sum::<usize>() && self.loads.skew() > EVEN_SKEW {
             let rank_loads = self.loads.rank_loads();
             let hot =
@@ -237,11 +245,14 @@
                     && has_no_placeholder(edit, &self.loads, self.experts)
             };
             let best = hot.and_then(|hot| {
-                let partners = self.partners(hot, quota);
+                let partners = self.partners(hot, quota, &new_experts);
                 self.loads.best_edit_among(hot, &partners, &spread, allowed)
             });
             let Some((edit, _)) = best else { return };
             self.loads.apply(edit);
+            for rank in edit.cells().map(|cell| cell / self.slots) {
+                new_experts[rank] = self.count_new(self.loads.cells(), rank);
+            }
             self.copies_made += edit.moves();
             let saved = time_per_skew * (self.initial_skew - self.loads.skew());
             let net = saved - params.copy_cost.as_secs_f64() * self.copies_made as f64;
@@ -251,13 +262,18 @@
         }
     }
 
-    /// Returns the least loaded ranks that may still copy an expert.
-    fn partners(&self, hot: usize, quota: &[usize]) -> Vec<usize> {
-        let (rank_loads, cells) = (self.loads.rank_loads(), self.loads.cells());
-        let has_quota = |rank: &usize| *rank != hot && self.count_new(cells, *rank) < quota[*rank];
+    /// Returns the least loaded ranks that may still copy an expert. `new_experts` is the number of
+    /// experts that each rank copies in the draft.
+    fn partners(&self, hot: usize, quota: &[usize], new_experts: &[usize]) -> Vec<usize> {
+        let rank_loads = self.loads.rank_loads();
+        let has_quota = |rank: &usize| *rank != hot && new_experts[*rank] < quota[*rank];
+        let by_load = |a: &usize, b: &usize| rank_loads[*a].total_cmp(&rank_loads[*b]);
         let mut partners: Vec<usize> = (0..rank_loads.len()).filter(has_quota).collect();
-        partners.sort_by(|a, b| rank_loads[*a].total_cmp(&rank_loads[*b]));
-        partners.truncate(MAX_PARTNERS);
+        if partners.len() > MAX_PARTNERS {
+            partners.select_nth_unstable_by(MAX_PARTNERS, by_load);
+            partners.truncate(MAX_PARTNERS);
+        }
+        partners.sort_by(by_load);
         partners
     }
 
--- a/src/rank/agent.rs
+++ b/src/rank/agent.rs
@@ -70,8 +70,12 @@
     /// Number of status reads that were started.
     pub read_count: cell::Cell<u64>,
     events: mpsc::UnboundedSender<Event>,
-    /// Loads that are sent to gateways.
+    /// Loads that are sent to gateways while this agent is the owner.
     pub loads: watch::Sender<Loads>,
+    /// Loads that the owner sends, for the gateways that ask this agent.
+    pub relayed_loads: watch::Sender<Loads>,
+    /// Whether a task receives the owner's loads.
+    pub follows_owner: cell::Cell<bool>,
 }
 
 /// State of the group and of the agent's own engine, as far as it is known.
@@ -91,7 +95,9 @@
     pub pending: relay::PendingHeartbeats,
     /// Rank whose agent receives the heartbeats as the owner.
     pub owner: Option<usize>,
-    /// Expert counts that the last poll read.
+    /// Time at which choices were last read from the engine.
+    pub choices_read_at: Option<Duration>,
+    /// Expert counts that were last read.
     pub expert_counts: Option<ExpertCounts>,
 }
 
@@ -112,6 +118,8 @@
         group_size: cell::Cell::new(0),
         read_count: cell::Cell::new(0),
         loads: watch::Sender::default(),
+        relayed_loads: watch::Sender::default(),
+        follows_owner: cell::Cell::new(false),
         events: events_tx,
         cfg,
     });
--- a/src/rank/change.rs
+++ b/src/rank/change.rs
@@ -234,6 +234,11 @@
         &self.new_map
     }
 
+    /// Returns the map that was in use when the change started, by set and rank.
+    pub fn current_map(&self) -> &[LayerMap] {
+        &self.current_map
+    }
+
     /// Whether ranks have only been ordered to copy so far.
     pub fn is_preparing(&self) -> bool {
         self.phase == Phase::Prepare
--- a/src/rank/message.rs
+++ b/src/rank/message.rs
@@ -19,14 +19,17 @@
 /// and answers with each rank and its [`OrderReply`].
 pub const ORDERS_PATH: &str = "/orders";
 
-/// Path on which an agent answers the request `()` with a [`Loads`] at once, and then with one at
-/// regular intervals while it is the owner.
+/// Path on which an agent answers the request `()` of a gateway with a [`Loads`] for each that it
+/// knows as the owner or receives from the owner.
 pub const LOADS_PATH: &str = "/loads";
+/// Path on which an agent answers the request `()` of another agent with a [`Loads`] at once, and
+/// then with one at regular intervals while it is the owner.
+pub const OWNER_LOADS_PATH: &str = "/owner-loads";
 
 /// Loads of the engines of one group, as the group's owner knows them.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Loads {
-    /// Whether the sender is the owner; otherwise another agent has the loads.
+    /// Whether the loads are from the owner; otherwise another agent has them.
     pub is_owner: bool,
     /// Number of running and queued requests, by the engine's address.
     pub engines: Vec<(net::SocketAddr, u32)>,
--- a/src/rank/mod.rs
+++ b/src/rank/mod.rs
@@ -3,12 +3,13 @@
 //! Each agent polls the engine on its host and sends heartbeats to one agent of the group, the
 //! owner. On the owner, [`ownership`] decides on changes of the map, [`change`] carries out one
 //! change, and [`relay`] bounds the number of messages that the owner receives in a large group.
-//! The other modules do the I/O: `actor` runs the ownership state, `poll` polls the engine, and
-//! `orders` sends orders to engines.
+//! The other modules do the I/O: `actor` runs the ownership state, `poll` polls the engine,
+//! `orders` sends orders to engines, and `loads` sends the engines' loads to gateways.
 
 mod actor;
 pub mod agent;
 pub mod change;
+mod loads;
 pub mod message;
 mod orders;
 pub mod ownership;
--- a/src/rank/orders.rs
+++ b/src/rank/orders.rs
@@ -26,8 +26,6 @@
 /// Longest time between two answers of an agent that relays an order: it waits up to
 /// [`PEER_TIMEOUT`] for the agent of each rank and then reads the status of the engine.
 const RELAYED_TIMEOUT: time::Duration = PEER_TIMEOUT.saturating_add(Duration::from_millis(400));
-/// Time between two messages with the engines' loads to a gateway.
-const LOADS_INTERVAL: Duration = Duration::from_millis(100);
 
 /// An agent's answer to an order that it relays: the rank, and the reply for that rank.
 type RelayedReply = (usize, OrderReply);
@@ -185,14 +183,8 @@
                     incoming.reply.send(&reply).await?;
                 }
             }
-            message::LOADS_PATH => loop {
-                let loads = self.loads.borrow().clone();
-                incoming.reply.send(&loads).await?;
-                if !loads.is_owner {
-                    break;
-                }
-                tokio::time::sleep(LOADS_INTERVAL).await;
-            },
+            message::LOADS_PATH => self.send_loads(&mut incoming.reply).await?,
+            message::OWNER_LOADS_PATH => self.send_own_loads(&mut incoming.reply).await?,
             path => log::warn!("peer started an exchange with the unknown path {path}"),
         }
         incoming.reply.finish();
--- a/src/rank/ownership.rs
+++ b/src/rank/ownership.rs
@@ -11,6 +11,7 @@
     change::{self, Change, End, Plan, Statuses},
     message::{Heartbeat, RankOrder},
     popularity::Popularity,
+    relay,
 };
 use crate::{
     balance::capacity,
@@ -33,8 +34,11 @@
 const COPY_COST_FACTOR: f64 = 0.5;
 /// Ratio of requests to request slots from which the group counts as fully utilized.
 const FULL_UTILIZATION: f64 = 0.6;
-/// Rise of a planned map's skew above its expected skew from which the plan is outdated.
+/// Rise of a planned map's skew above its expected skew from which the plan may be outdated.
 const OUTDATED_SKEW_RISE: f64 = 0.6;
+/// Part of the present map's excess skew that a planned map must still remove to be worth finishing.
+/// A new search and a new copy take longer than the rest of a change under way.
+const WORTHWHILE_EXCESS_REMOVED: f64 = 0.5;
 /// Rise of the skew since a search that found no edit from which the next one is run at once.
 const RETRY_SKEW_RISE: f64 = 0.1;
 /// Time after a search that found no edit before the next one, unless the skew rises.
@@ -121,7 +125,7 @@
             epoch: 0,
             ranks: BTreeMap::new(),
             group_size: 0,
-            popularity: Popularity::default(),
+            popularity: Popularity::new(relay::choices_interval(0)),
             change: None,
             change_started: time::Duration::ZERO,
             pause_until: time::Duration::ZERO,
@@ -315,9 +319,9 @@
         if self.change.is_some() || !unchanged {
             return;
         }
-        let weights = self.popularity.weights(now);
-        let skew = weights.map(|weights| rebalance::mean_skew(&edit.map, &weights));
-        if skew.is_some_and(|skew| skew > edit.skew.1 + OUTDATED_SKEW_RISE) {
+        if self.popularity.weights(now).is_some_and(|weights| {
+            is_outdated(&edit.map, &search.map, edit.skew.1, &weights)
+        }) {
             log::info!(epoch = self.epoch; "map change not started: popularity jumped");
             return;
         }
@@ -381,7 +385,7 @@
         log::info!(epoch, previous_epoch = self.epoch, size; "group formed");
         (self.epoch, self.group_size) = (epoch, size);
         self.ranks.clear();
-        self.popularity.clear();
+        self.popularity = Popularity::new(relay::choices_interval(size));
         self.change = None;
         (self.last_held_pass, self.last_version) = (0, 0);
         self.failed_search = None;
@@ -448,9 +452,8 @@
         else {
             return false;
         };
-        let weights = self.popularity.weights(now);
-        let skew = weights.map(|weights| rebalance::mean_skew(change.new_map(), &weights));
-        skew.is_some_and(|skew| skew > self.expected_skew + OUTDATED_SKEW_RISE)
+        let Some(weights) = self.popularity.weights(now) else { return false };
+        is_outdated(change.new_map(), change.current_map(), self.expected_skew, &weights)
     }
 
     /// Returns the utilization of the group, from 0 to 1.
@@ -525,6 +528,20 @@
     each.collect::<Vec<_>>().join(",")
 }
 
+/// Whether popularity, as the `weights` of the experts by set, has moved so far away from the plan
+/// for the map `planned`, whose skew was to be `expected_skew`, that a new plan is better.
+fn is_outdated(
+    planned: &[LayerMap],
+    present: &[LayerMap],
+    expected_skew: f64,
+    weights: &[Vec<f64>],
+) -> bool {
+    let planned_skew = rebalance::mean_skew(planned, weights);
+    let present_excess = rebalance::mean_skew(present, weights) - 1.0;
+    planned_skew > expected_skew + OUTDATED_SKEW_RISE
+        && planned_skew - 1.0 > (1.0 - WORTHWHILE_EXCESS_REMOVED) * present_excess
+}
+
 /// Whether `status` and `known` were read by the same process and `status` first.
 fn is_older(status: &Status, known: &Status) -> bool {
     status.read_id.0 == known.read_id.0 && status.read_id.1 < known.read_id.1
--- a/src/rank/poll.rs
+++ b/src/rank/poll.rs
@@ -13,9 +13,6 @@
 };
 use crate::{http::client, platform};
 
-/// Approximate number of ranks of a group that report choices. Requests come to ranks at random, so
-/// the choices of more ranks would add no information.
-const SAMPLED_RANKS: usize = 16;
 /// Limit on the heartbeats that one agent receives from others. Each costs it about 0.2 ms of a
 /// core, of which it may use 0.15.
 const MAX_HEARTBEATS_PER_SECOND: u32 = 250;
@@ -23,7 +20,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(70);
 /// Time between two polls of the engine while an order takes effect.
 const FAST_POLL_INTERVAL: Duration = Duration::from_millis(30);
-/// Time between two polls of the engine of a rank that does not report choices.
+/// Time between two polls of the engine in a large group.
 const SLOW_POLL_INTERVAL: Duration = Duration::from_millis(140);
 /// Delay before a relayed change is passed on, to gather the changes of other ranks: one order to a
 /// section changes the status of all of its ranks.
@@ -64,7 +61,7 @@
         let state = self.state.borrow();
         let interval = match () {
             () if self.now() < state.fast_poll_until => FAST_POLL_INTERVAL,
-            () if state.expert_counts.is_none() => SLOW_POLL_INTERVAL,
+            () if relay::has_relays(ranks) => SLOW_POLL_INTERVAL,
             () => POLL_INTERVAL,
         };
         interval.max(min_interval)
@@ -74,8 +71,11 @@
     async fn read_heartbeat(&self) -> Result<Heartbeat, client::Failure> {
         let status = self.read_status(self.engine).await?;
         let shape = self.state.borrow().shape;
-        let choices = match shape.filter(|_| reports_choices(status.member.as_ref())) {
-            Some(shape) => self.read_choices(shape.layer_sets).await?,
+        let choices = match shape.filter(|_| self.are_choices_due()) {
+            Some(shape) => {
+                self.state.borrow_mut().choices_read_at = Some(self.now());
+                self.read_choices(shape.layer_sets).await?
+            }
             None => None,
         };
         let own_rank = status.member.as_ref().map(|member| member.rank);
@@ -90,6 +90,13 @@
         Ok(Heartbeat { status, choices, placement })
     }
 
+    /// Whether it is time to report choices again.
+    fn are_choices_due(&self) -> bool {
+        let interval = relay::choices_interval(self.group_size.get() as usize);
+        let read_at = self.state.borrow().choices_read_at;
+        read_at.is_none_or(|at| at + interval <= self.now())
+    }
+
     /// Reads which experts requests chose since the last poll.
     async fn read_choices(&self, sets: usize) -> Result<Option<Choices>, client::Failure> {
         let counts: ExpertCounts =
@@ -117,7 +124,7 @@
                 self.exchange_heartbeats(relay, message::RELAY_PATH, &heartbeat, &[own_rank]).await;
             }
             _ => {
-                let heartbeats = self.state.borrow_mut().pending.take_with(heartbeat);
+                let heartbeats = self.take_pending_with(heartbeat);
                 let ranks: Vec<usize> = ranks_of(&heartbeats).collect();
                 self.exchange_heartbeats(owner, message::HEARTBEAT_PATH, &heartbeats, &ranks).await;
             }
@@ -126,7 +133,7 @@
 
     /// Passes a heartbeat, with the pending ones of other ranks, to the actor of this process.
     async fn deliver_heartbeat(&self, heartbeat: Heartbeat) {
-        let heartbeats = self.state.borrow_mut().pending.take_with(heartbeat);
+        let heartbeats = self.take_pending_with(heartbeat);
         let ranks: Vec<usize> = ranks_of(&heartbeats).collect();
         let (tx, rx) = oneshot::channel();
         self.send_event(Event::Heartbeats { heartbeats, from_self: true, reply: tx });
@@ -136,6 +143,13 @@
         }
     }
 
+    /// Returns the agent's own heartbeat and those of its section that it has yet to pass on.
+    fn take_pending_with(&self, own_heartbeat: Heartbeat) -> Vec<Heartbeat> {
+        let interval = relay::choices_interval(self.group_size.get() as usize);
+        let now = self.now();
+        self.state.borrow_mut().pending.take_with(own_heartbeat, now, interval)
+    }
+
     async fn exchange_heartbeats(
         &self,
         to: usize,
@@ -179,9 +193,3 @@
         .iter()
         .filter_map(|heartbeat| heartbeat.status.member.as_ref().map(|member| member.rank))
 }
-
-/// Whether a rank reports which experts its requests chose. In a small group all ranks do; in a
-/// large one a sample of them does.
-fn reports_choices(member: Option<&Member>) -> bool {
-    member.is_some_and(|member| member.rank % member.ranks.div_ceil(SAMPLED_RANKS).max(1) == 0)
-}
--- a/src/rank/relay.rs
+++ b/src/rank/relay.rs
@@ -2,7 +2,7 @@
 //! heartbeats of the other ranks and the orders to them, so that neither the link nor the processor
 //! of the owner limits how soon the group reacts to a jump of popularity.
 
-use std::{collections::BTreeMap, ops};
+use std::{collections::BTreeMap, ops, time};
 
 use super::{
     Choices, Order, Status,
@@ -16,7 +16,7 @@
 /// Returns the ranks in the section of `rank` in a group of `ranks`. A large group has about as
 /// many sections as a section has ranks.
 pub fn section_of(rank: usize, ranks: usize) -> ops::Range<usize> {
-    if ranks <= MAX_RANKS_WITHOUT_RELAYS {
+    if !has_relays(ranks) {
         return rank..rank + 1;
     }
     let len = (ranks as f64).sqrt().ceil() as usize;
@@ -24,17 +24,60 @@
     start..(start + len).min(ranks)
 }
 
+/// Time between two reports of choices in a group without relays.
+const CHOICES_INTERVAL: time::Duration = time::Duration::from_millis(60);
+/// Time between two reports of choices in a group with relays. They are most of the bytes that the
+/// owner of such a group receives: 4 kB for each section.
+const RELAYED_CHOICES_INTERVAL: time::Duration = time::Duration::from_millis(200);
+
+/// Whether a group of `ranks` is divided into sections of several ranks.
+pub fn has_relays(ranks: usize) -> bool {
+    ranks > MAX_RANKS_WITHOUT_RELAYS
+}
+
+/// Returns the time between two reports of choices that an agent sends in a group of `ranks`.
+pub fn choices_interval(ranks: usize) -> time::Duration {
+    match has_relays(ranks) {
+        true => RELAYED_CHOICES_INTERVAL,
+        false => CHOICES_INTERVAL,
+    }
+}
+
 /// Number of sections in a group of `ranks`, and so of agents that send heartbeats to the owner.
 pub fn section_count(ranks: usize) -> usize {
     ranks.div_ceil(section_of(0, ranks).len().max(1))
 }
 
+/// Returns the ranks of a group of `ranks` in the order in which a gateway asks their agents for the
+/// loads of the engines. `random` is a number that differs between gateways.
+///
+/// In a small group the owner, which is one of the first ranks, is asked first. In a large one a
+/// gateway asks the agents of one section before those of the next, so that about as many gateways
+/// ask each section and one agent in each has to ask the owner. The first agent of a section, which
+/// relays heartbeats, is asked last.
+pub fn load_sources(ranks: usize, random: u64) -> Vec<usize> {
+    if !has_relays(ranks) {
+        return (0..ranks).collect();
+    }
+    let sections = section_count(ranks);
+    let first = (random % sections as u64) as usize;
+    let section = |n: usize| section_of((first + n) % sections * section_of(0, ranks).len(), ranks);
+    let rotated = |section: ops::Range<usize>| {
+        (section.start + 1..section.end).chain(std::iter::once(section.start))
+    };
+    (0..sections).flat_map(|n| rotated(section(n))).collect()
+}
+
 /// Heartbeats of the other ranks in a section that their relay has yet to pass on.
 #[derive(Debug, Default)]
 pub struct PendingHeartbeats {
     by_rank: BTreeMap<usize, Heartbeat>,
     /// Newest status of each rank, also of those whose heartbeat has been passed on.
     latest: BTreeMap<usize, Status>,
+    /// Sum of the choices of all ranks that have yet to be passed on.
+    choices: Option<Choices>,
+    /// Time at which choices were last passed on.
+    choices_passed_at: Option<time::Duration>,
 }
 
 impl PendingHeartbeats {
@@ -44,13 +87,10 @@
         let latest = self.latest.insert(rank, heartbeat.status.clone());
         let changed = latest.is_none_or(|latest| latest.differs_for_map_change(&heartbeat.status));
         let Heartbeat { status, choices, placement } = heartbeat;
-        let (old_choices, old_placement) = match self.by_rank.remove(&rank) {
-            Some(before) => (before.choices, before.placement),
-            None => (None, None),
-        };
-        let choices = sum(choices, old_choices);
-        self.by_rank
-            .insert(rank, Heartbeat { status, choices, placement: placement.or(old_placement) });
+        self.choices = sum(self.choices.take(), choices);
+        let old_placement = self.by_rank.remove(&rank).and_then(|before| before.placement);
+        let placement = placement.or(old_placement);
+        self.by_rank.insert(rank, Heartbeat { status, choices: None, placement });
         changed
     }
 
@@ -59,14 +99,21 @@
         self.by_rank.is_empty()
     }
 
-    /// Removes the pending heartbeats and returns them after `own_heartbeat`, which gets the sum of
-    /// all choices.
-    pub fn take_with(&mut self, mut own_heartbeat: Heartbeat) -> Vec<Heartbeat> {
-        let mut others: Vec<Heartbeat> = std::mem::take(&mut self.by_rank).into_values().collect();
-        own_heartbeat.choices =
-            others.iter_mut().map(|other| other.choices.take()).fold(own_heartbeat.choices, sum);
-        others.insert(0, own_heartbeat);
-        others
+    /// Removes the pending heartbeats and returns them after `own_heartbeat`. That one gets the sum
+    /// of all choices, unless choices were passed on within the last `choices_interval`.
+    pub fn take_with(
+        &mut self,
+        mut own_heartbeat: Heartbeat,
+        now: time::Duration,
+        choices_interval: time::Duration,
+    ) -> Vec<Heartbeat> {
+        self.choices = sum(self.choices.take(), own_heartbeat.choices.take());
+        if self.choices_passed_at.is_none_or(|at| at + choices_interval <= now) {
+            own_heartbeat.choices = self.choices.take();
+            self.choices_passed_at = Some(now);
+        }
+        let others = std::mem::take(&mut self.by_rank).into_values();
+        std::iter::once(own_heartbeat).chain(others).collect()
     }
 }
 
--- a/src/rank/state.rs
+++ b/src/rank/state.rs
@@ -116,10 +116,11 @@
         }
     }
 
-    /// Returns the choices as approximate counts, by set and expert.
+    /// Returns the choices as approximate counts, which are whole numbers, by set and expert.
     pub fn weights(&self) -> Vec<Vec<f64>> {
         let set = |(max, shares): &(u64, Vec<u8>)| {
-            shares.iter().map(|share| f64::from(*share) / 255.0 * *max as f64).collect()
+            let count = |share: &u8| (u64::from(*share) * max + 127) / 255;
+            shares.iter().map(|share| count(share) as f64).collect()
         };
         self.sets.iter().map(set).collect()
     }
--- a/tests/rebalance.rs
+++ b/tests/rebalance.rs
@@ -137,7 +137,7 @@
 /// After a jump the weights contain only the choices since the jump; older ones would hide it.
 #[test]
 fn jump_detected() {
-    let mut popularity = Popularity::default();
+    let mut popularity = Popularity::new(Duration::from_millis(60));
     let ms = Duration::from_millis;
     for pass in 1..10 {
         popularity.add(ms(pass * 50), &choices(&[100, 0]));
@@ -149,6 +149,22 @@
     assert_eq!(popularity.weights(ms(600)), Some(vec![vec![0.0, 300.0]]));
 }
 
+/// The sums are kept up to date while samples arrive and expire; they must be those of the samples
+/// in the window, also after many of them.
+#[test]
+fn sums_exact() {
+    let mut popularity = Popularity::new(Duration::from_millis(60));
+    let ms = Duration::from_millis;
+    for poll in 0..5_000 {
+        popularity.add(ms(poll * 10), &choices(&[poll % 7 + 1, 97]));
+    }
+    let expected: u64 = (4_960..5_000).map(|poll| poll % 7 + 1).sum();
+    let weights = popularity.weights(ms(49_990)).expect("there are choices");
+    assert!((weights[0][0] - expected as f64).abs() < 40.0 * 0.5, "{weights:?}, not {expected}");
+    assert_eq!(weights[0][1], 41.0 * 97.0);
+    assert_eq!(popularity.weights(ms(60_000)), None);
+}
+
 /// Counts that are lower than before come from a restarted engine, so no choices are derived from
 /// the difference.
 #[test]
@@ -206,3 +222,29 @@
     assert!(edit.skew.1 < 1.3, "{:?}", edit.skew);
     assert!(took < Duration::from_secs(2), "{took:?}");
 }
+
+/// In a group of 129 ranks with 258 experts and room for one spare copy in two, copies can only be
+/// exchanged, and one edit still removes most of the excess load.
+#[test]
+fn few_spare_slots() {
+    let (ranks, experts, layers) = (129, 258, 16);
+    let experts_of = |rank: usize| (rank..experts).step_by(ranks).map(|e| e as u16).collect();
+    let map: Vec<LayerMap> = vec![(0..ranks).map(experts_of).collect(); layers];
+    let params = Parameters {
+        slots: 3,
+        max_copies_per_layer: 2,
+        copy_time: Duration::from_millis(7),
+        copy_cost: Duration::from_micros(27),
+        ..params()
+    };
+    let weight = |n: usize| 1.0 / ((n + 4) as f64).powf(0.67);
+    let weights: Vec<Vec<f64>> = (0..layers)
+        .map(|layer| {
+            (0..experts).map(|expert| weight((expert * 31 + layer * 57) % experts)).collect()
+        })
+        .collect();
+    let edit = rebalance::best_edit(&map, &weights, &params).expect("an edit pays");
+    check_edit(&edit.map, &map, &params);
+    let (before, after) = (edit.skew.0 - 1.0, edit.skew.1 - 1.0);
+    assert!(after < before / 2.0, "{:?}", edit.skew);
+}
--- a/tests/sections.rs
+++ b/tests/sections.rs
@@ -1,7 +1,10 @@
 //! Sections of large groups: which agents send heartbeats to the owner, and how orders reach all
 //! ranks.
 
-use std::collections::BTreeSet;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use knapweedford::rank::{
     Action, Choices, MapSwitch, Member, Order, Status,
@@ -31,6 +34,10 @@
     Heartbeat { status: status(rank, prepared), choices, placement: None }
 }
 
+fn take_with(pending: &mut PendingHeartbeats, now: Duration, own: Heartbeat) -> Vec<Heartbeat> {
+    pending.take_with(own, now, relay::choices_interval(RANKS))
+}
+
 /// In a small group every agent sends its heartbeats straight to the owner.
 #[test]
 fn small_group() {
@@ -62,7 +69,7 @@
         pending.add(3, heartbeat(3, None, None)),
         "the first heartbeat of a rank does not count as a change"
     );
-    pending.take_with(heartbeat(0, None, None));
+    take_with(&mut pending, Duration::ZERO, heartbeat(0, None, None));
     assert!(
         !pending.add(3, heartbeat(3, None, None)),
         "an equal status counts as a change after the first was passed on"
@@ -80,7 +87,8 @@
     pending.add(1, heartbeat(1, None, Some((100, vec![255, 0]))));
     pending.add(1, heartbeat(1, None, Some((100, vec![255, 0]))));
     pending.add(2, heartbeat(2, None, Some((100, vec![0, 255]))));
-    let heartbeats = pending.take_with(heartbeat(0, None, Some((100, vec![0, 255]))));
+    let own = heartbeat(0, None, Some((100, vec![0, 255])));
+    let heartbeats = take_with(&mut pending, Duration::ZERO, own);
     assert!(pending.is_empty());
     let choices: Vec<&Choices> =
         heartbeats.iter().filter_map(|heartbeat| heartbeat.choices.as_ref()).collect();
@@ -89,6 +97,41 @@
     assert_eq!(choices[0].weights(), vec![vec![200.0, 200.0]]);
 }
 
+/// Choices are most of the bytes that the owner receives: a relay that passes on statuses more often
+/// keeps the choices back and loses none of them.
+#[test]
+fn choices_kept_back() {
+    let mut pending = PendingHeartbeats::default();
+    let mut passed_on = Vec::new();
+    for poll in 0..20 {
+        pending.add(1, heartbeat(1, None, Some((10, vec![255, 0]))));
+        let own = heartbeat(0, None, Some((10, vec![0, 255])));
+        let heartbeats = take_with(&mut pending, Duration::from_millis(poll * 50), own);
+        assert_eq!(heartbeats.len(), 2, "a status was kept back");
+        passed_on.extend(heartbeats.into_iter().filter_map(|heartbeat| heartbeat.choices));
+    }
+    assert_eq!(passed_on.len(), 5, "choices were not passed on five times in a second");
+    let total: f64 = passed_on.iter().map(|choices| choices.weights()[0][0]).sum();
+    assert_eq!(total, 170.0, "choices up to the last message were lost");
+}
+
+/// Gateways ask the agents of different sections for the loads of a large group, so that no agent
+/// sends them to many gateways; each gateway can turn to every agent.
+#[test]
+fn load_sources_spread() {
+    let (ranks, gateways) = (129, 53);
+    let mut asked_first: BTreeMap<usize, usize> = BTreeMap::new();
+    for gateway in 0..gateways {
+        let sources = relay::load_sources(ranks, gateway);
+        *asked_first.entry(sources[0]).or_default() += 1;
+        let all: BTreeSet<usize> = sources.iter().copied().collect();
+        assert_eq!((sources.len(), all.len()), (ranks, ranks), "an agent is left out or twice");
+    }
+    assert_eq!(asked_first.len(), relay::section_count(ranks));
+    assert!(asked_first.values().all(|gateways| *gateways <= 5), "{asked_first:?}");
+    assert_eq!(relay::load_sources(12, 7), (0..12).collect::<Vec<_>>());
+}
+
 /// Each section gets an order once, and every rank is reached; different orders are not mixed.
 #[test]
 fn orders_batched() {
