Divide a server's limits among gateways by an order for each server

Each of 53 gateways could send one request a second however small its part of the limit was, and the first request to a server that it did not know was not counted at all. The same held for slots of servers without a load report. Each gateway also used all 129 engines: 8,471 new connections for 13,356 requests.

Change: rendezvous order of gateways for each server; the parts of a limit add up to it, so only the first 11 gateways may use a server whose limit is 11; the first six are preferred, which keeps connections in use.

Tests: zone_returns_cold, limits_divided, connections_reused (all fail with the former rule).

--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -4,11 +4,11 @@
 
 pub mod budget;
 pub mod capacity;
-pub mod gateway_count;
+pub mod gateways;
 pub mod selector;
 pub mod window;
 
 pub use budget::RetryBudget;
-pub use gateway_count::GatewayCount;
+pub use gateways::GatewaySet;
 pub use selector::{Choice, ServerSelector};
 pub use window::SlidingWindow;
--- a/src/balance/selector.rs
+++ b/src/balance/selector.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 
-use super::{SlidingWindow, capacity};
+use super::{GatewaySet, SlidingWindow, capacity, gateways};
 use crate::{
     name,
     site::{catalog, registry::RegisteredServer},
@@ -32,6 +32,14 @@
 const UNEVEN_SHARE_FACTOR: f64 = 1.5;
 /// Fraction of the bound on requests to a cold server that is used.
 const COLD_LIMIT_FRACTION: f64 = 0.8;
+/// Gateways that share each server while others are free. With fewer, each of them reuses its
+/// connections to the server more often and knows more of the server's load.
+const PREFERRED_GATEWAYS: usize = 6;
+/// Requests added to the load of a server that other gateways are to use rather than this one.
+const OTHER_GATEWAYS_PENALTY: f64 = 0.75;
+/// Servers that a gateway may use at least, where a limit is too small to be divided among all
+/// gateways.
+const MIN_USABLE_SERVERS: usize = 3;
 
 #[derive(Debug)]
 struct ServerLoad {
@@ -43,6 +51,9 @@
     /// Attempts of the last second.
     attempts: SlidingWindow,
     report: Option<LoadReport>,
+    /// Position of this gateway in the order of gateways at the server, with the generation of the
+    /// set of gateways.
+    position: Option<(u64, usize)>,
 }
 
 /// Load that a server last reported.
@@ -62,6 +73,7 @@
             ejected_until: time::Duration::ZERO,
             attempts: SlidingWindow::new(time::Duration::from_secs(1)),
             report: None,
+            position: None,
         }
     }
 }
@@ -72,6 +84,43 @@
         let report = self.report.filter(|report| report.received_at + MAX_REPORT_AGE >= now);
         report.map(|report| report.others)
     }
+
+    /// Returns the position of this gateway in the order of gateways at `server`.
+    fn position(&mut self, server: &name::Server, gateways: &GatewaySet) -> usize {
+        match self.position {
+            Some((generation, position)) if generation == gateways.generation() => position,
+            _ => {
+                let position = gateways.position(server);
+                self.position = Some((gateways.generation(), position));
+                position
+            }
+        }
+    }
+
+    /// Whether the server may get one more request of this gateway, which is at `position` in the
+    /// order of gateways there; `servers` is the number of servers of the service.
+    fn has_capacity(
+        &mut self,
+        criteria: &Criteria<'_>,
+        servers: usize,
+        position: usize,
+        max_in_flight: u32,
+    ) -> bool {
+        let cold_per_s = criteria.service.cold_requests_per_s;
+        let cold_limit = COLD_LIMIT_FRACTION * cold_per_s;
+        // The bound applies to all servers: one may turn cold before the registry shows it.
+        let within_cold_limit = cold_per_s == 0.0
+            || self.attempts.count(criteria.now)
+                < u64::from(part(cold_limit, criteria, servers, position));
+        let has_slot = match self.others(criteria.now) {
+            Some(others) => self.in_flight + others < max_in_flight,
+            None => {
+                let limit = f64::from(max_in_flight) * UNEVEN_SHARE_FACTOR;
+                self.in_flight < part(limit, criteria, servers, position)
+            }
+        };
+        has_slot && within_cold_limit
+    }
 }
 
 /// Returns how many requests one server may run at once.
@@ -82,9 +131,13 @@
     }
 }
 
-/// Returns this gateway's share of `max_in_flight` while the load from other gateways is unknown.
-fn share(max_in_flight: u32, gateways: usize) -> f64 {
-    (f64::from(max_in_flight) / gateways.max(1) as f64 * UNEVEN_SHARE_FACTOR).max(1.0)
+/// Returns this gateway's part of a limit of a server, which is one request at least where few
+/// servers would be left to the gateway otherwise.
+fn part(limit: f64, criteria: &Criteria<'_>, servers: usize, position: usize) -> u32 {
+    let gateways = criteria.gateways.count();
+    let part = gateways::part_of(limit as u32, gateways, position);
+    let is_usable = position * servers < MIN_USABLE_SERVERS * gateways;
+    part.max(u32::from(is_usable))
 }
 
 /// Outcome of an attempt, as it counts for the health of the server.
@@ -127,8 +180,8 @@
     pub zone: &'a name::Zone,
     /// Longest pause between two events of an answer that is still on time.
     pub max_event_gap: Option<time::Duration>,
-    /// Number of gateways that share the servers, including this one.
-    pub gateways: usize,
+    /// Gateways that share the servers, with this one.
+    pub gateways: &'a GatewaySet,
     /// Servers at which the request was already attempted.
     pub tried: &'a [name::Server],
     /// Current time.
@@ -162,17 +215,25 @@
         for server in &candidates {
             let untried = !criteria.tried.contains(&server.registration.server);
             let healthy = !honor_ejections || !self.is_ejected(server, criteria.now);
-            if !untried || !healthy || !self.has_capacity(server, &criteria, max_in_flight) {
+            if !untried || !healthy {
+                continue;
+            }
+            let load = self
+                .loads
+                .entry(server.registration.server.clone())
+                .or_insert_with(ServerLoad::new);
+            let position = load.position(&server.registration.server, criteria.gateways);
+            if !load.has_capacity(&criteria, candidates.len(), position, max_in_flight) {
                 continue;
             }
-            let load = self.loads.get(&server.registration.server);
-            let failures = load.map_or(0, |load| load.consecutive_failures);
-            let requests =
-                load.map_or(0, |load| load.in_flight + load.others(criteria.now).unwrap_or(0));
+            let requests = load.in_flight + load.others(criteria.now).unwrap_or(0);
+            let gateways_penalty =
+                if position < PREFERRED_GATEWAYS { 0.0 } else { OTHER_GATEWAYS_PENALTY };
             let zone_penalty =
                 if server.registration.zone == *criteria.zone { 0.0 } else { OTHER_ZONE_PENALTY };
             let score = f64::from(requests)
-                + f64::from(failures) * FAILURE_PENALTY
+                + f64::from(load.consecutive_failures) * FAILURE_PENALTY
+                + gateways_penalty
                 + zone_penalty
                 + rng.random::<f64>() * OTHER_ZONE_PENALTY;
             if best.is_none_or(|(lowest, _)| score < lowest) {
@@ -193,25 +254,6 @@
         self.loads.get(&server.registration.server).is_some_and(|load| load.ejected_until > now)
     }
 
-    fn has_capacity(
-        &mut self,
-        server: &RegisteredServer,
-        criteria: &Criteria<'_>,
-        max_in_flight: u32,
-    ) -> bool {
-        let Some(load) = self.loads.get_mut(&server.registration.server) else { return true };
-        let cold_per_s = criteria.service.cold_requests_per_s;
-        let max_attempts = COLD_LIMIT_FRACTION * cold_per_s / criteria.gateways.max(1) as f64;
-        // The bound applies to all servers: one may turn cold before the registry shows it.
-        let within_cold_limit =
-            cold_per_s == 0.0 || (load.attempts.count(criteria.now) as f64) < max_attempts.max(1.0);
-        let has_slot = match load.others(criteria.now) {
-            Some(others) => load.in_flight + others < max_in_flight,
-            None => f64::from(load.in_flight) < share(max_in_flight, criteria.gateways),
-        };
-        has_slot && within_cold_limit
-    }
-
     /// Records the end of an attempt at `server` and its outcome.
     pub fn release(&mut self, server: &name::Server, outcome: Outcome, now: time::Duration) {
         let Some(load) = self.loads.get_mut(server) else { return };
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -7,7 +7,7 @@
 use tokio::{sync::Notify, time::Instant};
 
 use crate::{
-    balance::{Choice, GatewayCount, RetryBudget, ServerSelector, selector},
+    balance::{Choice, GatewaySet, RetryBudget, ServerSelector, selector},
     daemon, http,
     http::client,
     metrics, name, platform,
@@ -40,7 +40,7 @@
     registry: Registry,
     selector: ServerSelector,
     budgets: BTreeMap<name::Service, RetryBudget>,
-    gateways: GatewayCount,
+    gateways: GatewaySet,
     rng: Pcg64,
     stopping: bool,
 }
@@ -92,7 +92,7 @@
             registry: Registry::default(),
             selector: ServerSelector::default(),
             budgets: BTreeMap::new(),
-            gateways: GatewayCount::default(),
+            gateways: GatewaySet::new(&cfg.host),
             rng: daemon::seeded_rng(&cfg.host),
             stopping: false,
         };
@@ -190,9 +190,9 @@
     pub fn record_heartbeats(&self, versions: BTreeMap<name::Host, u64>) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let previous = state.gateways.count(now);
+        let previous = state.gateways.count();
         state.gateways.update(versions, now);
-        let gateways = state.gateways.count(now);
+        let gateways = state.gateways.count();
         if gateways != previous {
             log::info!(gateways, previous; "number of gateways changed");
         }
@@ -264,11 +264,12 @@
         let fallback = catalog::Service::default();
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
+        state.gateways.expire(now);
         let criteria = selector::Criteria {
             service: catalog.services.get(service).unwrap_or(&fallback),
             zone: &self.zone,
             max_event_gap,
-            gateways: state.gateways.count(now),
+            gateways: &state.gateways,
             tried,
             now,
         };
@@ -301,7 +302,7 @@
     pub fn take_retry(&self, service: &name::Service) -> bool {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let gateways = state.gateways.count(now);
+        let gateways = state.gateways.count();
         let budget = state.budgets.entry(service.clone());
         budget.or_insert_with(|| RetryBudget::new(self.retries.get())).take_retry(now, gateways)
     }
@@ -346,7 +347,7 @@
                 .map(name::Zone::as_str)
                 .collect::<Vec<_>>(),
             "leaving": state.stopping,
-            "gateways": state.gateways.count(now),
+            "gateways": state.gateways.count(),
             "servers": servers,
         })
     }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -4,18 +4,19 @@
 
 use super::state::Gateway;
 use crate::{
-    balance::gateway_count,
+    balance::gateways,
     name, peer,
     platform::{Store, store::TableChange},
     rank::{message, relay},
 };
 
 /// Longest wait of one call for changes, as a fraction of the time within which a change must be
-/// in force: bounds the delay caused by a connection that has gone silent.
-const CHANGE_WAIT_FRACTION: f64 = 0.5;
+/// in force: bounds the delay caused by an answer that was lost. The platform counts a machine as
+/// disturbed for longer than that after it has lost an answer.
+const CHANGE_WAIT_FRACTION: f64 = 1.0;
 /// Time between two reads of the registry, as a fraction of the time within which a server that is
 /// leaving must stop receiving new work; leaves time for a second read if the first one fails.
-const REGISTRY_READ_FRACTION: f64 = 0.45;
+const REGISTRY_READ_FRACTION: f64 = 0.7;
 /// Delay from finding a server replaced to reading the registry again: servers that return
 /// together are read together, and each read costs a call.
 const REPLACED_READ_DELAY: time::Duration = time::Duration::from_millis(250);
@@ -132,6 +133,7 @@
 /// Sends this gateway's heartbeats to the store, and counts the gateways that send theirs.
 pub async fn send_heartbeats(store: Store, gateway: rc::Rc<Gateway>, host: name::Host) {
     let mut backoff = Backoff::new("gateways");
+    let mut interval = gateways::FIRST_HEARTBEAT_INTERVAL;
     loop {
         let exchange = async {
             store.announce_gateway(&host).await?;
@@ -141,10 +143,8 @@
             Ok(versions) => {
                 backoff.reset(&gateway);
                 gateway.record_heartbeats(versions);
-                tokio::time::sleep(
-                    gateway_count::HEARTBEAT_INTERVAL.mul_f64(gateway.random_between(0.9, 1.1)),
-                )
-                .await;
+                tokio::time::sleep(interval.mul_f64(gateway.random_between(0.9, 1.1))).await;
+                interval = gateways::HEARTBEAT_INTERVAL;
             }
             Err(err) => backoff.wait(&gateway, &err).await,
         }
--- a/src/group/rebalance.rs
+++ b/src/group/rebalance.rs
@@ -142,9 +142,8 @@
     for draft in drafts {
         let own = draft.best_copies();
         all_copies.iter_mut().zip(&own).for_each(|(all, copies)| *all -= copies);
-        let quota = |others: &usize| {
-            max_copies.saturating_sub(*others).min(params.max_copies_per_layer)
-        };
+        let quota =
+            |others: &usize| max_copies.saturating_sub(*others).min(params.max_copies_per_layer);
         let quota: Vec<usize> = all_copies.iter().map(quota).collect();
         draft.improve(&quota, params, time_per_skew);
         let own = draft.best_copies();
--- a/src/rank/agent.rs
+++ b/src/rank/agent.rs
@@ -37,6 +37,9 @@
 const MAX_DISCOVERY_INTERVAL: Duration = Duration::from_millis(2_800);
 /// Time between two reads of the store once the group is known: agents do not move.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(40);
+/// Delay before the store is read because another agent does not answer. Most such agents are back
+/// or read by then; all agents of a group notice at the same time.
+const PEER_FAILURE_READ_DELAY: Duration = Duration::from_secs(3);
 
 /// Runs the rank agent until the process is asked to terminate.
 pub fn run(cfg: site::Settings, path: &path::Path, engine: net::SocketAddr) -> Result {
@@ -195,7 +198,9 @@
             tokio::select! {
                 () = tokio::time::sleep(pause.mul_f64(0.75 + jitter / 2.0)) => {}
                 // An agent that does not answer may have been replaced by one on another host.
-                () = self.peer_failed.notified() => tokio::time::sleep(DISCOVERY_INTERVAL).await,
+                () = self.peer_failed.notified() => {
+                    tokio::time::sleep(PEER_FAILURE_READ_DELAY.mul_f64(0.75 + jitter / 2.0)).await
+                }
             }
         }
     }
@@ -203,21 +208,6 @@
     /// Reads the group and its shape from the store; `true` once all of its ranks and its shape are
     /// known.
     async fn read_group(&self, store: &platform::Store) -> Result<bool> {
-        if self.state.borrow().shape.is_none() {
-            let operator_state = store.read_operator_state().await?;
-            let services =
-                operator_state.catalog.map(|catalog| catalog.services).unwrap_or_default();
-            let site::Role::Rank { service, .. } = &self.cfg.role else { return Ok(false) };
-            let candidates = services
-                .iter()
-                .filter(|(name, _)| service.as_ref().is_none_or(|service| service == *name));
-            let mut engines = candidates.filter_map(|(_, service)| service.engine.as_ref());
-            let found = engines.find_map(|engine| Some((engine.experts?, engine.cost)));
-            if let Some((shape, cost)) = found {
-                self.state.borrow_mut().shape = Some(shape);
-                self.send_event(Event::Shape(shape, cost));
-            }
-        }
         let entries = store.read_servers().await?;
         let own_entry = entries.iter().find(|entry| entry.address == self.engine);
         let Some(member) = own_entry.and_then(|entry| entry.member.clone()) else {
@@ -230,9 +220,29 @@
             }
         }
         self.group_size.set(member.ranks as u32);
-        let complete = group.len() == member.ranks && self.state.borrow().shape.is_some();
+        let complete = group.len() == member.ranks;
         self.state.borrow_mut().group = group;
-        Ok(complete)
+        if complete && self.state.borrow().shape.is_none() {
+            self.read_shape(store).await?;
+        }
+        Ok(complete && self.state.borrow().shape.is_some())
+    }
+
+    /// Reads the shape of the group's experts and the cost of its passes from the configuration.
+    async fn read_shape(&self, store: &platform::Store) -> Result {
+        let operator_state = store.read_operator_state().await?;
+        let services = operator_state.catalog.map(|catalog| catalog.services).unwrap_or_default();
+        let site::Role::Rank { service, .. } = &self.cfg.role else { return Ok(()) };
+        let candidates = services
+            .iter()
+            .filter(|(name, _)| service.as_ref().is_none_or(|service| service == *name));
+        let mut engines = candidates.filter_map(|(_, service)| service.engine.as_ref());
+        let found = engines.find_map(|engine| Some((engine.experts?, engine.cost)));
+        if let Some((shape, cost)) = found {
+            self.state.borrow_mut().shape = Some(shape);
+            self.send_event(Event::Shape(shape, cost));
+        }
+        Ok(())
     }
 
     /// Marks the agent of `rank` as unresponsive for a while.
--- a/src/rank/ownership.rs
+++ b/src/rank/ownership.rs
@@ -319,9 +319,11 @@
         if self.change.is_some() || !unchanged {
             return;
         }
-        if self.popularity.weights(now).is_some_and(|weights| {
-            is_outdated(&edit.map, &search.map, edit.skew.1, &weights)
-        }) {
+        if self
+            .popularity
+            .weights(now)
+            .is_some_and(|weights| is_outdated(&edit.map, &search.map, edit.skew.1, &weights))
+        {
             log::info!(epoch = self.epoch; "map change not started: popularity jumped");
             return;
         }
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -4,7 +4,7 @@
 
 use knapweedford::{
     balance::{
-        Choice, GatewayCount, RetryBudget, ServerSelector, SlidingWindow, capacity, selector,
+        self, Choice, GatewaySet, RetryBudget, ServerSelector, SlidingWindow, capacity, selector,
     },
     name,
     settings::site::RetryLimits,
@@ -67,13 +67,27 @@
     service: Service,
     selector: ServerSelector,
     rng: Pcg64,
-    gateways: usize,
+    gateways: GatewaySet,
+}
+
+/// Returns the set of `gateways` gateways as number `own` of them knows it.
+fn gateway_set(own: usize, gateways: usize) -> GatewaySet {
+    let host = |n: usize| name::Host::new(format!("front-{n}"));
+    let mut set = GatewaySet::new(&host(own));
+    set.update((0..gateways).map(|n| (host(n), 1)).collect(), Duration::ZERO);
+    set
 }
 
 impl Fixture {
     fn new(servers: usize, gateways: usize) -> Self {
-        let rng = Pcg64::seed_from_u64(7);
+        Self::of_gateway(0, servers, gateways)
+    }
+
+    /// Returns what gateway number `own` knows.
+    fn of_gateway(own: usize, servers: usize, gateways: usize) -> Self {
+        let rng = Pcg64::seed_from_u64(7 + own as u64);
         let (registry, service) = (registry(servers), service());
+        let gateways = gateway_set(own, gateways);
         Self { registry, service, selector: ServerSelector::default(), rng, gateways }
     }
 
@@ -82,7 +96,7 @@
             service: &self.service,
             zone: &name::Zone::new("here"),
             max_event_gap: Some(MAX_EVENT_GAP),
-            gateways: self.gateways,
+            gateways: &self.gateways,
             tried,
             now,
         };
@@ -157,12 +171,77 @@
     let heartbeats = |pairs: &[(&str, u64)]| -> BTreeMap<name::Host, u64> {
         pairs.iter().map(|(host, version)| (name::Host::new(*host), *version)).collect()
     };
-    let mut gateways = GatewayCount::default();
-    assert!(gateways.count(Duration::ZERO) >= 15, "many gateways are assumed at first");
+    let mut gateways = GatewaySet::new(&name::Host::new("b"));
+    assert!(gateways.count() >= 15, "many gateways are assumed at first");
     gateways.update(heartbeats(&[("a", 1), ("b", 2)]), Duration::from_secs(1));
-    assert_eq!(gateways.count(Duration::from_secs(2)), 2);
-    gateways.update(heartbeats(&[("a", 1), ("b", 9)]), Duration::from_secs(15));
-    assert_eq!(gateways.count(Duration::from_secs(25)), 1, "gateway a sent no new heartbeat");
+    assert_eq!(gateways.count(), 2);
+    gateways.update(heartbeats(&[("a", 1), ("b", 9)]), Duration::from_secs(25));
+    gateways.expire(Duration::from_secs(35));
+    assert_eq!(gateways.count(), 1, "gateway a sent no new heartbeat");
+}
+
+/// The gateways agree on the order in which they share a limit, so that their parts add up to it,
+/// also where there are more gateways than the limit has units.
+#[test]
+fn limits_divided() {
+    for (gateways, limit) in [(4, 28), (53, 11), (53, 9), (12, 12)] {
+        for server in 0..40 {
+            let server = name::Server::new(format!("i-{server}"));
+            let part = |own| {
+                let position = gateway_set(own, gateways).position(&server);
+                balance::gateways::part_of(limit, gateways, position)
+            };
+            assert_eq!((0..gateways).map(part).sum::<u32>(), limit, "{gateways} gateways");
+        }
+    }
+}
+
+/// A zone of cold servers returns to a site with more gateways than a cold server takes requests a
+/// second, and all gateways send as much as they may: no server gets more than its bound in any
+/// second, and every gateway can use some servers.
+#[test]
+fn zone_returns_cold() {
+    let (gateways, servers) = (53, 26);
+    let mut arrivals: BTreeMap<String, Vec<u64>> = BTreeMap::new();
+    for own in 0..gateways {
+        let mut fixture = Fixture::of_gateway(own, servers, gateways);
+        fixture.service.cold_requests_per_s = 14.0;
+        let mut used = 0;
+        for at_ms in (0..3_000).step_by(5) {
+            let now = Duration::from_secs(5) + Duration::from_millis(at_ms);
+            if let Choice::Server { server, .. } = fixture.select(now, &[]) {
+                fixture.selector.release(&server, selector::Outcome::Success, now);
+                arrivals.entry(server.to_string()).or_default().push(at_ms);
+                used += 1;
+            }
+        }
+        assert!(used >= 3, "gateway {own} sent {used} requests in three seconds");
+    }
+    for (server, mut at) in arrivals {
+        at.sort_unstable();
+        let most =
+            at.iter().map(|from| at.iter().filter(move |ms| (*from..from + 1_000).contains(*ms)));
+        let most = most.map(Iterator::count).max().unwrap_or_default();
+        assert!(most <= 26, "{server} got {most} requests in a second");
+    }
+}
+
+/// Each gateway of a large site sends most of its requests to few servers, whose connections it
+/// then reuses, while all servers are free.
+#[test]
+fn connections_reused() {
+    let (gateways, servers) = (53, 129);
+    let mut fixture = Fixture::new(servers, gateways);
+    let mut used: BTreeMap<String, usize> = BTreeMap::new();
+    for at_ms in (0..30_000).step_by(150) {
+        let now = Duration::from_millis(5_000 + at_ms);
+        if let Choice::Server { server, .. } = fixture.select(now, &[]) {
+            fixture.selector.release(&server, selector::Outcome::Success, now);
+            *used.entry(server.to_string()).or_default() += 1;
+        }
+    }
+    assert!(used.values().sum::<usize>() >= 190, "{used:?}");
+    assert!(used.len() <= 30, "{} servers were used", used.len());
 }
 
 /// Guards against pauses above the bound at peak load, when a group gets more requests than it can
@@ -211,8 +290,8 @@
 #[test]
 fn cold_server_bounded() {
     let mut total = 0;
-    for _ in 0..4 {
-        let mut fixture = Fixture::new(1, 4);
+    for gateway in 0..4 {
+        let mut fixture = Fixture::of_gateway(gateway, 1, 4);
         for n in 0..1000 {
             let now = Duration::from_secs(5) + Duration::from_millis(n);
             if let Choice::Server { server, .. } = fixture.select(now, &[]) {
