--- a/src/balance/selector.rs
+++ b/src/balance/selector.rs
@@ -7,6 +7,7 @@
 use super::{GatewaySet, SlidingWindow, capacity, gateways};
 use crate::{
     name,
+    rank::relay,
     site::{catalog, registry::RegisteredServer},
 };
 
@@ -25,10 +26,12 @@
 const FAILURE_PENALTY: f64 = 2.0;
 /// Concurrent requests on a server of a plain service, for which no limit is stated.
 const PLAIN_SERVER_SLOTS: u32 = 16;
-/// Time from a request's arrival at a server until load reports include it, at most.
-const REPORT_DELAY: time::Duration = time::Duration::from_millis(250);
+/// Time from a request's arrival at a server until load reports include it: in a small group, whose
+/// ranks report to the owner, and in a large one, where both reports and loads are relayed.
+const REPORT_DELAY: time::Duration = time::Duration::from_millis(100);
+const RELAYED_REPORT_DELAY: time::Duration = time::Duration::from_millis(250);
 /// Part of the other gateways that is expected to have sent to a server what this gateway sent there
-/// within [`REPORT_DELAY`]: all of them see the same reports.
+/// since the last report: all of them see the same reports.
 const SAME_CHOICE_FRACTION: f64 = 0.5;
 /// Age from which a server's load report is ignored.
 const MAX_REPORT_AGE: time::Duration = time::Duration::from_millis(1_000);
@@ -80,7 +83,7 @@
             ejected_until: time::Duration::ZERO,
             paused_until: time::Duration::ZERO,
             attempts: SlidingWindow::new(time::Duration::from_secs(1)),
-            unreported: SlidingWindow::new(REPORT_DELAY),
+            unreported: SlidingWindow::new(RELAYED_REPORT_DELAY),
             report: None,
             position: None,
         }
@@ -95,11 +98,11 @@
     }
 
     /// Returns the requests that the server is expected to have, with those that other gateways
-    /// have sent since the last report; `sharing` gateways share the server.
-    fn expected_requests(&mut self, now: time::Duration, sharing: usize) -> f64 {
-        let unreported = self.unreported.count(now) as f64;
+    /// have sent since the last report.
+    fn expected_requests(&mut self, now: time::Duration, sharing: &Sharing) -> f64 {
+        let unreported = self.unreported.count_within(now, sharing.report_delay) as f64;
         let others = f64::from(self.others(now).unwrap_or(0));
-        let unseen = unreported * SAME_CHOICE_FRACTION * sharing.saturating_sub(1) as f64;
+        let unseen = unreported * SAME_CHOICE_FRACTION * sharing.gateways.saturating_sub(1) as f64;
         f64::from(self.in_flight) + others + unseen
     }
 
@@ -116,11 +119,11 @@
     }
 
     /// Whether the server may get one more request of this gateway, which is at `position` in the
-    /// order of the `sharing` gateways there.
+    /// order of gateways there.
     fn has_capacity(
         &mut self,
         criteria: &Criteria<'_>,
-        sharing: usize,
+        sharing: &Sharing,
         position: usize,
         max_in_flight: u32,
     ) -> bool {
@@ -129,12 +132,12 @@
         // The bound applies to all servers: one may turn cold before the registry shows it.
         let within_cold_limit = cold_per_s == 0.0
             || self.attempts.count(criteria.now)
-                < u64::from(gateways::part_of(cold_limit as u32, sharing, position));
+                < u64::from(gateways::part_of(cold_limit as u32, sharing.gateways, position));
         let has_slot = match self.others(criteria.now) {
             Some(_) => self.expected_requests(criteria.now, sharing) < f64::from(max_in_flight),
             None => {
                 let limit = f64::from(max_in_flight) * UNEVEN_SHARE_FACTOR;
-                self.in_flight < gateways::part_of(limit as u32, sharing, position).max(1)
+                self.in_flight < gateways::part_of(limit as u32, sharing.gateways, position).max(1)
             }
         };
         has_slot && within_cold_limit
@@ -149,6 +152,20 @@
     }
 }
 
+/// How gateways share the servers of a service.
+struct Sharing {
+    /// Number of gateways that share each server.
+    gateways: usize,
+    /// Time from a request's arrival at a server until load reports include it.
+    report_delay: time::Duration,
+}
+
+/// Returns how gateways share `servers` servers.
+fn sharing(criteria: &Criteria<'_>, servers: usize) -> Sharing {
+    let report_delay = if relay::has_relays(servers) { RELAYED_REPORT_DELAY } else { REPORT_DELAY };
+    Sharing { gateways: gateways_per_server(criteria, servers), report_delay }
+}
+
 /// Returns the number of gateways that share each of `servers` servers.
 fn gateways_per_server(criteria: &Criteria<'_>, servers: usize) -> usize {
     let gateways = criteria.gateways.count();
@@ -236,7 +253,7 @@
         let ejected =
             candidates.iter().filter(|server| self.is_ejected(server, criteria.now)).count();
         let honor_ejections = ejected * SERVERS_PER_EJECTED <= candidates.len();
-        let sharing = gateways_per_server(&criteria, candidates.len());
+        let sharing = sharing(&criteria, candidates.len());
         let mut best: Option<(f64, &RegisteredServer)> = None;
         // Whether a server is only full, and the end of the first pause of the others.
         let (mut is_full, mut paused_until) = (false, None::<time::Duration>);
@@ -256,14 +273,14 @@
                 continue;
             }
             let position = load.position(&server.registration.server, criteria.gateways);
-            if position >= sharing {
+            if position >= sharing.gateways {
                 continue;
             }
-            if !load.has_capacity(&criteria, sharing, position, max_in_flight) {
+            if !load.has_capacity(&criteria, &sharing, position, max_in_flight) {
                 is_full = true;
                 continue;
             }
-            let requests = load.expected_requests(criteria.now, sharing);
+            let requests = load.expected_requests(criteria.now, &sharing);
             let zone_penalty =
                 if server.registration.zone == *criteria.zone { 0.0 } else { OTHER_ZONE_PENALTY };
             let score = requests
--- a/src/balance/window.rs
+++ b/src/balance/window.rs
@@ -40,6 +40,14 @@
         self.total
     }
 
+    /// Returns the number of events within `span` before `now`, up to the length of the window.
+    pub fn count_within(&mut self, now: time::Duration, span: time::Duration) -> u64 {
+        let current = self.bucket_index(now);
+        self.remove_expired(current);
+        let first = self.bucket_index(now.saturating_sub(span));
+        self.buckets.iter().filter(|(index, _)| *index >= first).map(|(_, count)| count).sum()
+    }
+
     fn bucket_index(&self, now: time::Duration) -> u64 {
         (now.as_micros() / self.bucket_width.as_micros().max(1)) as u64
     }
--- a/src/rank/ownership.rs
+++ b/src/rank/ownership.rs
@@ -125,7 +125,7 @@
             epoch: 0,
             ranks: BTreeMap::new(),
             group_size: 0,
-            popularity: Popularity::new(relay::choices_interval(0)),
+            popularity: Popularity::new(time::Duration::ZERO),
             change: None,
             change_started: time::Duration::ZERO,
             pause_until: time::Duration::ZERO,
@@ -414,7 +414,8 @@
         log::info!(epoch, previous_epoch = self.epoch, size; "group formed");
         (self.epoch, self.group_size) = (epoch, size);
         self.ranks.clear();
-        self.popularity = Popularity::new(relay::choices_interval(size));
+        let experts = self.shape.layer_sets * self.shape.experts_per_set;
+        self.popularity = Popularity::new(relay::choices_interval(size, experts));
         self.change = None;
         (self.last_held_pass, self.last_version) = (0, 0);
         self.failed_search = None;
--- a/src/rank/poll.rs
+++ b/src/rank/poll.rs
@@ -20,8 +20,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(70);
 /// Time between two polls of the engine while an order takes effect.
 const FAST_POLL_INTERVAL: Duration = Duration::from_millis(30);
-/// Time between two polls of the engine in a large group.
-const SLOW_POLL_INTERVAL: Duration = Duration::from_millis(140);
+/// Longest time between two polls of the engine, where choices are reported less often.
+const MAX_POLL_INTERVAL: Duration = Duration::from_millis(140);
 /// Delay before a relayed change is passed on, to gather the changes of other ranks: one order to a
 /// section changes the status of all of its ranks.
 const GATHER_DELAY: Duration = Duration::from_millis(25);
@@ -58,11 +58,9 @@
         let ranks = self.group_size.get() as usize;
         let senders = relay::section_count(ranks).max(relay::section_of(0, ranks).len());
         let min_interval = Duration::from_secs(1) / MAX_HEARTBEATS_PER_SECOND * senders as u32;
-        let state = self.state.borrow();
-        let interval = match () {
-            () if self.now() < state.fast_poll_until => FAST_POLL_INTERVAL,
-            () if relay::has_relays(ranks) => SLOW_POLL_INTERVAL,
-            () => POLL_INTERVAL,
+        let interval = match self.now() < self.state.borrow().fast_poll_until {
+            true => FAST_POLL_INTERVAL,
+            false => self.choices_interval().clamp(POLL_INTERVAL, MAX_POLL_INTERVAL),
         };
         interval.max(min_interval)
     }
@@ -92,9 +90,15 @@
 
     /// Whether it is time to report choices again.
     fn are_choices_due(&self) -> bool {
-        let interval = relay::choices_interval(self.group_size.get() as usize);
         let read_at = self.state.borrow().choices_read_at;
-        read_at.is_none_or(|at| at + interval <= self.now())
+        read_at.is_none_or(|at| at + self.choices_interval() <= self.now())
+    }
+
+    /// Time between two reports of choices.
+    fn choices_interval(&self) -> Duration {
+        let shape = self.state.borrow().shape;
+        let experts = shape.map_or(0, |shape| shape.layer_sets * shape.experts_per_set);
+        relay::choices_interval(self.group_size.get() as usize, experts)
     }
 
     /// Reads which experts requests chose since the last poll.
@@ -145,8 +149,7 @@
 
     /// Returns the agent's own heartbeat and those of its section that it has yet to pass on.
     fn take_pending_with(&self, own_heartbeat: Heartbeat) -> Vec<Heartbeat> {
-        let interval = relay::choices_interval(self.group_size.get() as usize);
-        let now = self.now();
+        let (now, interval) = (self.now(), self.choices_interval());
         self.state.borrow_mut().pending.take_with(own_heartbeat, now, interval)
     }
 
--- a/src/rank/relay.rs
+++ b/src/rank/relay.rs
@@ -24,23 +24,23 @@
     start..(start + len).min(ranks)
 }
 
-/// Time between two reports of choices in a group without relays.
-const CHOICES_INTERVAL: time::Duration = time::Duration::from_millis(60);
-/// Time between two reports of choices in a group with relays. They are most of the bytes that the
-/// owner of such a group receives: 4 kB for each section.
-const RELAYED_CHOICES_INTERVAL: time::Duration = time::Duration::from_millis(200);
+/// Shortest time between two reports of choices; a pass takes about 30 to 100 ms.
+const MIN_CHOICES_INTERVAL: time::Duration = time::Duration::from_millis(60);
+/// Limit on the choices that the owner of a group receives, in bytes a second: a third of its link
+/// at the largest site, which also carries orders and loads.
+const MAX_CHOICES_BYTES_PER_S: usize = 225_000;
 
 /// Whether a group of `ranks` is divided into sections of several ranks.
 pub fn has_relays(ranks: usize) -> bool {
     ranks > MAX_RANKS_WITHOUT_RELAYS
 }
 
-/// Returns the time between two reports of choices that an agent sends in a group of `ranks`.
-pub fn choices_interval(ranks: usize) -> time::Duration {
-    match has_relays(ranks) {
-        true => RELAYED_CHOICES_INTERVAL,
-        false => CHOICES_INTERVAL,
-    }
+/// Returns the time between two reports of choices that an agent sends in a group of `ranks`, with
+/// one byte for each of `experts`, counted over all sets.
+pub fn choices_interval(ranks: usize, experts: usize) -> time::Duration {
+    let bytes = section_count(ranks) * experts;
+    let interval = time::Duration::from_secs_f64(bytes as f64 / MAX_CHOICES_BYTES_PER_S as f64);
+    interval.max(MIN_CHOICES_INTERVAL)
 }
 
 /// Number of sections in a group of `ranks`, and so of agents that send heartbeats to the owner.
--- a/tests/sections.rs
+++ b/tests/sections.rs
@@ -35,7 +35,7 @@
 }
 
 fn take_with(pending: &mut PendingHeartbeats, now: Duration, own: Heartbeat) -> Vec<Heartbeat> {
-    pending.take_with(own, now, relay::choices_interval(RANKS))
+    pending.take_with(own, now, relay::choices_interval(129, 16 * 258))
 }
 
 /// In a small group every agent sends its heartbeats straight to the owner.
@@ -115,6 +115,20 @@
     assert_eq!(total, 170.0, "choices up to the last message were lost");
 }
 
+/// Small groups report choices each pass; at the largest site they must leave the owner's link free
+/// for orders.
+#[test]
+fn choices_bounded() {
+    for (ranks, experts) in [(12, 4 * 72), (24, 16 * 96), (63, 8 * 252), (129, 16 * 258)] {
+        let interval = relay::choices_interval(ranks, experts);
+        let bytes = relay::section_count(ranks) * experts;
+        let megabits_per_s = bytes as f64 * 8.0 / interval.as_secs_f64() / 1e6;
+        assert!(megabits_per_s <= 2.0, "{megabits_per_s} Mbit/s in a group of {ranks}");
+        assert!(interval <= Duration::from_millis(250), "{interval:?} in a group of {ranks}");
+    }
+    assert!(relay::choices_interval(63, 8 * 252) < Duration::from_millis(80));
+}
+
 /// Gateways ask the agents of different sections for the loads of a large group, so that no agent
 /// sends them to many gateways; each gateway can turn to every agent.
 #[test]
