Heed what servers say of themselves, restored stores and endless bytes

A server that sends bytes that are no body is cut off after 1 MiB.

Tests: notices, restores, endless (real processes, stand-in store with eras), registry, balance. reported_load: both free slots were to be used at once by one of four gateways that all see them; it now must use one, and the other only after a report could have shown it. once::unkeyed_not_resent waits for the exit (was passed over: a process closes its connections before its exit is seen) and then that the other server still runs.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -83,14 +83,17 @@
     };
     let (head, body) = res.into_parts();
     let kind = exchange::classify_answer(head.status, &head.headers, &req.id);
-    if kind != AnswerKind::OtherServer {
-        let notice = exchange::server_notice(head.status, &head.headers);
-        gateway.record_notice(&reservation.server, notice);
-    }
+    let notice = match kind {
+        AnswerKind::OtherServer => exchange::ServerNotice::default(),
+        _ => exchange::server_notice(head.status, &head.headers),
+    };
+    gateway.record_notice(&reservation.server, notice);
     match kind {
         AnswerKind::NotRun | AnswerKind::OtherServer => {
             let (reason, outcome) = match kind {
                 AnswerKind::OtherServer => ("other-server", selector::Outcome::Replaced),
+                // Asking for a pause is no fault, and the pause keeps requests away already.
+                _ if notice.pause.is_some() => ("paused", selector::Outcome::Neutral),
                 _ => ("refused", selector::Outcome::Failure),
             };
             reservation.set_outcome(outcome);
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -3,7 +3,7 @@
 //! A connection carries one request at a time. Dropping a connection or an unfinished call
 //! closes its socket at once.
 
-use std::{cell, collections::BTreeMap, net, pin, task, time};
+use std::{cell, collections::BTreeMap, io, net, pin, rc, task, time};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
@@ -29,6 +29,12 @@
 /// Maximum number of idle connections that are kept to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
+/// Bytes that a server may send in one answer besides the body: its head, which hyper limits to
+/// about 400 KiB, and what hyper has read ahead.
+const MAX_FRAMING_BYTES: u64 = 1 << 20;
+/// Bytes that a server may send for each byte of the body: a chunk of one byte takes six.
+const MAX_FRAMING_RATIO: u64 = 8;
+
 /// The reason why a call failed, and whether the server may have read its request.
 #[derive(Debug)]
 pub enum Failure {
@@ -52,6 +58,78 @@
     tx: http1::SendRequest<Full<Bytes>>,
     driver: tokio::task::JoinHandle<()>,
     keep_alive: time::Duration,
+    bytes: rc::Rc<ByteCounts>,
+}
+
+/// Bytes of one answer.
+#[derive(Default)]
+struct ByteCounts {
+    /// Bytes received from the socket.
+    received: cell::Cell<u64>,
+    /// Bytes of the body that were taken from the connection.
+    delivered: cell::Cell<u64>,
+}
+
+impl ByteCounts {
+    fn reset(&self) {
+        self.received.set(0);
+        self.delivered.set(0);
+    }
+
+    /// Whether the server has sent far more than a body of the bytes delivered needs.
+    fn is_excessive(&self) -> bool {
+        let allowed = MAX_FRAMING_BYTES + self.delivered.get() * MAX_FRAMING_RATIO;
+        self.received.get() > allowed
+    }
+}
+
+/// The socket of a connection. Reading fails once the server has sent too many bytes that are no
+/// body: hyper limits heads, but no chunk sizes and trailers.
+struct BoundedSocket {
+    socket: tokio::net::TcpStream,
+    bytes: rc::Rc<ByteCounts>,
+}
+
+impl tokio::io::AsyncRead for BoundedSocket {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &mut tokio::io::ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        if self.bytes.is_excessive() {
+            let problem = "the server sends bytes without end that are no answer";
+            return task::Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, problem)));
+        }
+        let before = buf.filled().len();
+        let polled = pin::Pin::new(&mut self.socket).poll_read(cx, buf);
+        let received = (buf.filled().len() - before) as u64;
+        self.bytes.received.set(self.bytes.received.get() + received);
+        polled
+    }
+}
+
+impl tokio::io::AsyncWrite for BoundedSocket {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.socket).poll_write(cx, buf)
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.socket).poll_flush(cx)
+    }
+
+    fn poll_shutdown(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.socket).poll_shutdown(cx)
+    }
 }
 
 impl Drop for Connection {
@@ -71,22 +149,26 @@
             // received yet must not reach it later.
             let reset = socket2::SockRef::from(&socket).set_linger(Some(time::Duration::ZERO));
             reset.map_err(|err| unsent(&err))?;
-            http1::handshake(rt::TokioIo::new(socket)).await.map_err(|err| unsent(&err))
+            let bytes = rc::Rc::new(ByteCounts::default());
+            let socket = BoundedSocket { socket, bytes: rc::Rc::clone(&bytes) };
+            let opened = http1::handshake(rt::TokioIo::new(socket)).await;
+            opened.map(|(tx, conn)| (tx, conn, bytes)).map_err(|err| unsent(&err))
         };
         let opened = tokio::time::timeout(timeout, opening).await;
-        let (tx, conn) =
+        let (tx, conn, bytes) =
             opened.unwrap_or_else(|_| Err(unsent(&"the connection did not open in time")))?;
         let driver = tokio::task::spawn_local(async move {
             if let Err(err) = conn.await {
                 log::debug!(server:% = addr; "connection ended: {err}");
             }
         });
-        Ok(Self { tx, driver, keep_alive: DEFAULT_KEEP_ALIVE })
+        Ok(Self { tx, driver, keep_alive: DEFAULT_KEEP_ALIVE, bytes })
     }
 
     /// Sends one request and waits for the head of its answer.
     pub async fn send(&mut self, req: Request) -> Result<Response, Failure> {
         self.tx.ready().await.map_err(|err| Failure::Unsent(err.to_string()))?;
+        self.bytes.reset();
         let sent = self.tx.try_send_request(req).await;
         let res = sent.map_err(|mut failed| match failed.take_message() {
             Some(_) => Failure::Unsent(failed.error().to_string()),
@@ -243,7 +325,13 @@
             });
             match frame.await {
                 Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => return Some(Ok(data)),
+                    Ok(data) => {
+                        if let Some(conn) = &self.conn {
+                            let delivered = conn.bytes.delivered.get() + data.len() as u64;
+                            conn.bytes.delivered.set(delivered);
+                        }
+                        return Some(Ok(data));
+                    }
                     Err(_trailers) => continue,
                 },
                 Some(Err(err)) => {
--- a/stand-ins/store.rs
+++ b/stand-ins/store.rs
@@ -28,6 +28,8 @@
 
 struct State {
     mode: Mode,
+    /// Number of times that the store was restored from a copy.
+    era: u64,
     ver: u64,
     /// Changes up to this version are no longer in the history.
     dropped_up_to: u64,
@@ -35,6 +37,12 @@
     calls: BTreeMap<String, u64>,
 }
 
+/// Content of the store at one moment.
+pub struct Copy {
+    ver: u64,
+    rows: BTreeMap<(String, String), Row>,
+}
+
 /// Store that runs until the process ends.
 #[derive(Clone)]
 pub struct Store {
@@ -50,6 +58,7 @@
         let addr = server.server_addr().to_ip().expect("an IP address");
         let state = State {
             mode: Mode::Normal,
+            era: 0,
             ver: 1,
             dropped_up_to: 0,
             rows: BTreeMap::new(),
@@ -96,6 +105,20 @@
         self.change(|state| state.dropped_up_to = state.ver);
     }
 
+    /// Returns a copy of the present content.
+    pub fn copy(&self) -> Copy {
+        let state = self.state.0.lock().expect("no thread panics while it holds the state");
+        Copy { ver: state.ver, rows: state.rows.clone() }
+    }
+
+    /// Replaces the content by that of an older copy: versions go back, and the era rises by one.
+    pub fn restore(&self, copy: Copy) {
+        self.change(|state| {
+            state.era += 1;
+            (state.ver, state.rows) = (copy.ver, copy.rows);
+        });
+    }
+
     /// Returns the number of calls of `path` so far.
     pub fn call_count(&self, path: &str) -> u64 {
         self.state
@@ -143,7 +166,14 @@
             }
             _ => (404, serde_json::json!({})),
         };
-        let res = tiny_http::Response::from_string(body.to_string()).with_status_code(status);
+        let era = {
+            let state = self.state.0.lock().expect("no thread panics while it holds the state");
+            state.era.to_string()
+        };
+        let era = tiny_http::Header::from_bytes("Store-Era", era).expect("the header is valid");
+        let res = tiny_http::Response::from_string(body.to_string())
+            .with_status_code(status)
+            .with_header(era);
         // The caller may have closed the connection.
         let _ = req.respond(res);
     }
@@ -161,7 +191,7 @@
         let deadline = time::Instant::now() + wait;
         let mut state = self.state.0.lock().expect("no thread panics while it holds the state");
         loop {
-            if after < state.dropped_up_to {
+            if after < state.dropped_up_to || after > state.ver {
                 return (410, serde_json::json!({}));
             }
             let changed = state
