Refuse requests at once while an engine group stands still

Change: a gateway notices from its own streams that a group is silent: two started streams or more and no event for four allowed pauses, 0.5 s at least. Requests are then refused at once with the Retry-After of an outage, but for a probe every half second; an event ends it. No message between processes.

Tests: stalled_group_refused, preempted_stream.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -221,6 +221,7 @@
                         _ if req.arrivals > 0 => Refusal::NotRun,
                         ReserveError::Full => Refusal::Full,
                         ReserveError::NoServer => Refusal::NoServer,
+                        ReserveError::Stalled => Refusal::Stalled,
                     };
                     return self.give_up(refusal, req, &mut request_log);
                 }
@@ -377,7 +378,7 @@
         let remaining = req.map(|req| req.deadline.saturating_duration_since(Instant::now()));
         let remaining_s = remaining.map_or(DEFAULT_REMAINING_S, |left| left.as_secs_f64());
         let (min, max) = match refusal {
-            Refusal::NotRun | Refusal::NoServer => RETRY_AFTER_OUTAGE_RANGE,
+            Refusal::NotRun | Refusal::NoServer | Refusal::Stalled => RETRY_AFTER_OUTAGE_RANGE,
             _ => RETRY_AFTER_RANGE,
         };
         paused_for
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -27,6 +27,8 @@
     Full,
     /// No registered server may get the request.
     NoServer,
+    /// The groups of all servers make no progress.
+    Stalled,
     /// All servers have asked for a pause.
     Paused,
     /// No server accepted the request; it has not run.
@@ -42,9 +44,12 @@
     /// and 504 do not.
     pub fn status(self) -> u16 {
         match self {
-            Self::NoConfiguration | Self::Full | Self::NoServer | Self::Paused | Self::NotRun => {
-                503
-            }
+            Self::NoConfiguration
+            | Self::Full
+            | Self::NoServer
+            | Self::Stalled
+            | Self::Paused
+            | Self::NotRun => 503,
             Self::Malformed | Self::BodyIncomplete => 400,
             Self::NoRoute => 404,
             Self::UnknownKey => 401,
@@ -67,6 +72,7 @@
             Self::BodyIncomplete => "body-broken",
             Self::Full => "full",
             Self::NoServer => "no-server",
+            Self::Stalled => "stalled",
             Self::Paused => "paused",
             Self::NotRun => "not-run",
             Self::NoAnswer => "no-answer",
@@ -99,6 +105,9 @@
             Self::BodyIncomplete => "The body broke off; send it again.",
             Self::Full => "All backend servers are busy; it did not run; send it again later.",
             Self::NoServer => "No backend server is there; it did not run; send it again later.",
+            Self::Stalled => {
+                "The backend servers make no progress; it did not run; send it again later."
+            }
             Self::Paused => {
                 "All backend servers ask for a pause; it did not run; send it again later."
             }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -67,7 +67,14 @@
     let status = head.status.as_u16();
     let mut last_id: Option<String> = None;
     loop {
-        let forwarding = forward_events(&gateway, &mut body, &tx, &mut last_id, &mut request_log);
+        let forwarding = forward_events(
+            &gateway,
+            &mut body,
+            &mut reservation,
+            &tx,
+            &mut last_id,
+            &mut request_log,
+        );
         let forwarded = tokio::select! {
             forwarded = forwarding => forwarded,
             () = tx.closed() => Err(Interruption::ClientLeft),
@@ -110,6 +117,7 @@
 async fn forward_events(
     gateway: &Gateway,
     body: &mut BodyReader,
+    reservation: &mut Reservation,
     tx: &mpsc::Sender<Piece>,
     last_id: &mut Option<String>,
     request_log: &mut RequestLog,
@@ -125,6 +133,7 @@
             *last_id = Some(id.to_owned());
         }
         request_log.record_piece();
+        reservation.record_event();
         tx.send(Piece::Data(complete.into())).await.map_err(|_| Interruption::ClientLeft)?;
     }
     match events.at_event_boundary() {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -7,7 +7,7 @@
 use tokio::{sync::Notify, time::Instant};
 
 use crate::{
-    balance::{Choice, GatewaySet, RetryBudget, ServerSelector, selector},
+    balance::{Choice, GatewaySet, GroupProgress, RetryBudget, ServerSelector, selector},
     daemon, http,
     http::client,
     metrics, name,
@@ -16,6 +16,11 @@
     site::{Catalog, Registry, catalog},
 };
 
+/// Longest pauses between events, one after the other, for which a group is silent before it counts
+/// as stalled.
+const SILENT_EVENT_GAPS: u32 = 4;
+/// Shortest silence after which a group counts as stalled.
+const MIN_SILENCE: time::Duration = time::Duration::from_millis(500);
 /// Time that clients' connections may stay idle while no configuration is known.
 const DEFAULT_IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
@@ -40,6 +45,7 @@
     catalog: Option<rc::Rc<Catalog>>,
     registry: Registry,
     selector: ServerSelector,
+    progress: GroupProgress,
     budgets: BTreeMap<name::Service, RetryBudget>,
     gateways: GatewaySet,
     rng: Pcg64,
@@ -56,9 +62,24 @@
     /// Requests of this gateway that the server had before this one.
     pub in_flight: u32,
     outcome: selector::Outcome,
+    /// Group that the server is a rank of.
+    group: Option<String>,
+    /// Whether the server has sent an event of a stream.
+    has_event: bool,
 }
 
 impl Reservation {
+    /// Records that the server sent events of a stream.
+    pub fn record_event(&mut self) {
+        let Some(group) = &self.group else { return };
+        let now = self.gateway.now();
+        let progress = &mut self.gateway.state.borrow_mut().progress;
+        match std::mem::replace(&mut self.has_event, true) {
+            true => progress.record_event(group, now),
+            false => progress.begin_stream(group, now),
+        }
+    }
+
     /// Sets the outcome of the attempt; without a call it stays neutral.
     pub fn set_outcome(&mut self, outcome: selector::Outcome) {
         self.outcome = outcome;
@@ -68,7 +89,13 @@
 impl Drop for Reservation {
     fn drop(&mut self) {
         let now = self.gateway.now();
-        self.gateway.state.borrow_mut().selector.release(&self.server, self.outcome, now);
+        {
+            let mut state = self.gateway.state.borrow_mut();
+            state.selector.release(&self.server, self.outcome, now);
+            if let Some(group) = self.group.as_deref().filter(|_| self.has_event) {
+                state.progress.end_stream(group);
+            }
+        }
         if self.outcome == selector::Outcome::Replaced {
             self.gateway.server_replaced.notify_one();
         }
@@ -83,10 +110,18 @@
     Full,
     /// No registered server may get the request.
     NoServer,
+    /// The groups of all servers are stalled.
+    Stalled,
     /// All servers that may get the request have asked for a pause, which ends after this time.
     Paused(time::Duration),
 }
 
+/// Returns how long all streams of a group may be silent before it counts as stalled, for streams
+/// whose events are to be at most `max_event_gap` apart.
+fn max_silence(max_event_gap: time::Duration) -> time::Duration {
+    (max_event_gap * SILENT_EVENT_GAPS).max(MIN_SILENCE)
+}
+
 impl Gateway {
     /// Creates a gateway without a configuration and without registered servers.
     pub fn new(cfg: &site::Settings, metrics: metrics::Entry) -> rc::Rc<Self> {
@@ -94,6 +129,7 @@
             catalog: None,
             registry: Registry::default(),
             selector: ServerSelector::default(),
+            progress: GroupProgress::default(),
             budgets: BTreeMap::new(),
             gateways: GatewaySet::new(&cfg.host),
             rng: daemon::seeded_rng(&cfg.host),
@@ -309,18 +345,38 @@
             tried,
             now,
         };
-        match state.selector.select(
-            state.registry.available_servers(service),
-            criteria,
-            &mut state.rng,
-        ) {
-            Choice::Server { server, addr, in_flight } => Ok(Reservation {
-                gateway: rc::Rc::clone(self),
-                server,
-                addr,
-                in_flight,
-                outcome: selector::Outcome::Neutral,
-            }),
+        let (progress, mut has_stalled) = (&mut state.progress, false);
+        let max_silence = max_event_gap.map(max_silence);
+        let candidates = state.registry.available_servers(service).filter(|server| {
+            let stalled = server
+                .registration
+                .member
+                .as_ref()
+                .zip(max_silence)
+                .is_some_and(|(member, max)| progress.is_stalled(&member.group, now, max));
+            has_stalled |= stalled;
+            !stalled
+        });
+        let choice = state.selector.select(candidates, criteria, &mut state.rng);
+        match choice {
+            Choice::Server { server, addr, in_flight } => {
+                let registered = state.registry.get(&server);
+                let member = registered.and_then(|server| server.registration.member.as_ref());
+                let group = member.map(|member| member.group.clone());
+                if let Some(group) = &group {
+                    state.progress.record_attempt(group, now);
+                }
+                Ok(Reservation {
+                    gateway: rc::Rc::clone(self),
+                    server,
+                    addr,
+                    in_flight,
+                    outcome: selector::Outcome::Neutral,
+                    group,
+                    has_event: false,
+                })
+            }
+            Choice::NoServer if has_stalled => Err(ReserveError::Stalled),
             Choice::Full => Err(ReserveError::Full),
             Choice::NoServer => Err(ReserveError::NoServer),
             Choice::Paused { until } => Err(ReserveError::Paused(until.saturating_sub(now))),
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -4,7 +4,8 @@
 
 use knapweedford::{
     balance::{
-        self, Choice, GatewaySet, RetryBudget, ServerSelector, SlidingWindow, capacity, selector,
+        self, Choice, GatewaySet, GroupProgress, RetryBudget, ServerSelector, SlidingWindow,
+        capacity, selector,
     },
     name,
     settings::site::RetryLimits,
@@ -386,6 +387,43 @@
     assert!(sent.values().all(|requests| *requests <= 6), "{sent:?}");
 }
 
+/// The host of a group's owner is frozen while it holds a pass: no stream of the group gets an event.
+/// New requests are refused within half a second, but for a probe now and then, until the group goes
+/// on, also after the callers of the silent streams have left.
+#[test]
+fn stalled_group_refused() {
+    let (ms, silence) = (Duration::from_millis, Duration::from_millis(500));
+    let mut progress = GroupProgress::default();
+    assert!(!progress.is_stalled("g", ms(0), silence), "an unknown group is tried");
+    for at_ms in (0..1_000).step_by(100) {
+        match at_ms < 300 {
+            true => progress.begin_stream("g", ms(at_ms)),
+            false => progress.record_event("g", ms(at_ms)),
+        }
+        assert!(!progress.is_stalled("g", ms(at_ms + 90), silence));
+    }
+    assert!(progress.is_stalled("g", ms(1_450), silence));
+    (0..3).for_each(|_| progress.end_stream("g"));
+    let mut probes = 0;
+    for at_ms in (1_450..5_450).step_by(10) {
+        if !progress.is_stalled("g", ms(at_ms), silence) {
+            progress.record_attempt("g", ms(at_ms));
+            probes += 1;
+        }
+    }
+    assert!((6..=8).contains(&probes), "{probes} probes in four seconds");
+    progress.begin_stream("g", ms(5_500));
+    assert!(!progress.is_stalled("g", ms(5_510), silence), "an event does not end the refusals");
+}
+
+/// One silent stream may have been preempted by its engine; that says nothing about the group.
+#[test]
+fn preempted_stream() {
+    let mut progress = GroupProgress::default();
+    progress.begin_stream("g", Duration::ZERO);
+    assert!(!progress.is_stalled("g", Duration::from_secs(5), Duration::from_millis(500)));
+}
+
 #[test]
 fn tried_servers_skipped() {
     let mut fixture = Fixture::new(2, 1);
