Keep the set of gateways during an outage; test outdated plans

A gateway that could not read heartbeats for 30 s would have thought itself alone and used all limits whole; only a read shows now that a heartbeat is missing.

--- a/src/balance/gateways.rs
+++ b/src/balance/gateways.rs
@@ -57,16 +57,8 @@
                 *latest = Heartbeat { version, read_at: now };
             }
         }
-        self.expire(now);
-    }
-
-    /// Drops the gateways whose last heartbeat is too old at `now`.
-    pub fn expire(&mut self, now: time::Duration) {
-        if self.heartbeats.is_empty() {
-            return;
-        }
-        let is_running = |heartbeat: &Heartbeat| heartbeat.read_at + HEARTBEAT_TIMEOUT >= now;
-        self.heartbeats.retain(|_, heartbeat| is_running(heartbeat));
+        // Only a read shows that a heartbeat is missing: while the store is away, the set stays.
+        self.heartbeats.retain(|_, heartbeat| heartbeat.read_at + HEARTBEAT_TIMEOUT >= now);
         let others: Vec<u64> = self
             .heartbeats
             .keys()
--- a/src/balance/selector.rs
+++ b/src/balance/selector.rs
@@ -161,7 +161,7 @@
 }
 
 /// Returns how gateways share `servers` servers.
-fn sharing(criteria: &Criteria<'_>, servers: usize) -> Sharing {
+fn sharing_of(criteria: &Criteria<'_>, servers: usize) -> Sharing {
     let report_delay = if relay::has_relays(servers) { RELAYED_REPORT_DELAY } else { REPORT_DELAY };
     Sharing { gateways: gateways_per_server(criteria, servers), report_delay }
 }
@@ -253,9 +253,9 @@
         let ejected =
             candidates.iter().filter(|server| self.is_ejected(server, criteria.now)).count();
         let honor_ejections = ejected * SERVERS_PER_EJECTED <= candidates.len();
-        let sharing = sharing(&criteria, candidates.len());
+        let sharing = sharing_of(&criteria, candidates.len());
         let mut best: Option<(f64, &RegisteredServer)> = None;
-        // Whether a server is only full, and the end of the first pause of the others.
+        // Whether a server is full or left to other gateways, and the end of the first pause.
         let (mut is_full, mut paused_until) = (false, None::<time::Duration>);
         for server in &candidates {
             let untried = !criteria.tried.contains(&server.registration.server);
@@ -273,10 +273,9 @@
                 continue;
             }
             let position = load.position(&server.registration.server, criteria.gateways);
-            if position >= sharing.gateways {
-                continue;
-            }
-            if !load.has_capacity(&criteria, &sharing, position, max_in_flight) {
+            if position >= sharing.gateways
+                || !load.has_capacity(&criteria, &sharing, position, max_in_flight)
+            {
                 is_full = true;
                 continue;
             }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -336,7 +336,6 @@
         let fallback = catalog::Service::default();
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
-        state.gateways.expire(now);
         let criteria = selector::Criteria {
             service: catalog.services.get(service).unwrap_or(&fallback),
             zone: &self.zone,
--- a/src/group/rebalance.rs
+++ b/src/group/rebalance.rs
@@ -13,6 +13,11 @@
 /// the next jump comes while the change is under way.
 const MIN_NET_GAIN_S: f64 = 0.1;
 
+/// Rise of a planned map's skew above its expected skew from which the plan may be outdated.
+const OUTDATED_SKEW_RISE: f64 = 0.6;
+/// Part of the present map's excess skew that a planned map must still remove to be worth finishing.
+/// A new search and a new copy take longer than the rest of a change under way.
+const WORTHWHILE_EXCESS_REMOVED: f64 = 0.5;
 /// Skew up to which a layer counts as even.
 const EVEN_SKEW: f64 = 1.05;
 /// Maximum number of ranks that are considered for taking load from the most loaded one in one
@@ -92,6 +97,21 @@
         > MIN_NET_GAIN_S
 }
 
+/// Whether popularity, as the `weights` of the experts by layer, has moved so far away from the plan
+/// for the map `planned`, whose skew was to be `expected_skew`, that a new plan is better. `present`
+/// is the map in use.
+pub fn is_outdated(
+    planned: &[LayerMap],
+    present: &[LayerMap],
+    expected_skew: f64,
+    weights: &[Vec<f64>],
+) -> bool {
+    let planned_skew = mean_skew(planned, weights);
+    let present_excess = mean_skew(present, weights) - 1.0;
+    planned_skew > expected_skew + OUTDATED_SKEW_RISE
+        && planned_skew - 1.0 > (1.0 - WORTHWHILE_EXCESS_REMOVED) * present_excess
+}
+
 /// Returns the edit of `map` with the highest net gain, or `None` if no edit pays off.
 ///
 /// `weights` gives the load of each expert, by layer.
--- a/src/rank/ownership.rs
+++ b/src/rank/ownership.rs
@@ -34,11 +34,6 @@
 const COPY_COST_FACTOR: f64 = 0.5;
 /// Ratio of requests to request slots from which the group counts as fully utilized.
 const FULL_UTILIZATION: f64 = 0.6;
-/// Rise of a planned map's skew above its expected skew from which the plan may be outdated.
-const OUTDATED_SKEW_RISE: f64 = 0.6;
-/// Part of the present map's excess skew that a planned map must still remove to be worth finishing.
-/// A new search and a new copy take longer than the rest of a change under way.
-const WORTHWHILE_EXCESS_REMOVED: f64 = 0.5;
 /// Rise of the skew since a search that found no edit from which the next one is run at once.
 const RETRY_SKEW_RISE: f64 = 0.1;
 /// Time after a search that found no edit before the next one, unless the skew rises.
@@ -339,11 +334,9 @@
         if self.change.is_some() || !unchanged {
             return;
         }
-        if self
-            .popularity
-            .weights(now)
-            .is_some_and(|weights| is_outdated(&edit.map, &search.map, edit.skew.1, &weights))
-        {
+        if self.popularity.weights(now).is_some_and(|weights| {
+            rebalance::is_outdated(&edit.map, &search.map, edit.skew.1, &weights)
+        }) {
             log::info!(epoch = self.epoch; "map change not started: popularity jumped");
             return;
         }
@@ -483,7 +476,7 @@
             return false;
         };
         let Some(weights) = self.popularity.weights(now) else { return false };
-        is_outdated(change.new_map(), change.current_map(), self.expected_skew, &weights)
+        rebalance::is_outdated(change.new_map(), change.current_map(), self.expected_skew, &weights)
     }
 
     /// Returns the utilization of the group, from 0 to 1.
@@ -559,20 +552,6 @@
     each.collect::<Vec<_>>().join(",")
 }
 
-/// Whether popularity, as the `weights` of the experts by set, has moved so far away from the plan
-/// for the map `planned`, whose skew was to be `expected_skew`, that a new plan is better.
-fn is_outdated(
-    planned: &[LayerMap],
-    present: &[LayerMap],
-    expected_skew: f64,
-    weights: &[Vec<f64>],
-) -> bool {
-    let planned_skew = rebalance::mean_skew(planned, weights);
-    let present_excess = rebalance::mean_skew(present, weights) - 1.0;
-    planned_skew > expected_skew + OUTDATED_SKEW_RISE
-        && planned_skew - 1.0 > (1.0 - WORTHWHILE_EXCESS_REMOVED) * present_excess
-}
-
 /// Whether `status` and `known` were read by the same process and `status` first.
 fn is_older(status: &Status, known: &Status) -> bool {
     status.read_id.0 == known.read_id.0 && status.read_id.1 < known.read_id.1
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -177,8 +177,11 @@
     gateways.update(heartbeats(&[("a", 1), ("b", 2)]), Duration::from_secs(1));
     assert_eq!(gateways.count(), 2);
     gateways.update(heartbeats(&[("a", 1), ("b", 9)]), Duration::from_secs(25));
-    gateways.expire(Duration::from_secs(35));
+    gateways.update(heartbeats(&[("a", 1), ("b", 10)]), Duration::from_secs(35));
     assert_eq!(gateways.count(), 1, "gateway a sent no new heartbeat");
+    gateways.update(heartbeats(&[("a", 2), ("b", 11)]), Duration::from_secs(36));
+    gateways.update(heartbeats(&[]), Duration::from_secs(37));
+    assert_eq!(gateways.count(), 2, "a restored store lacks the rows");
 }
 
 /// The gateways agree on the order in which they share a limit, so that their parts add up to it,
--- a/tests/rebalance.rs
+++ b/tests/rebalance.rs
@@ -223,6 +223,18 @@
     assert!(took < Duration::from_secs(2), "{took:?}");
 }
 
+/// A plan made from few requests does worse than expected once more are known. It is still carried
+/// out while it removes most of the excess load, and dropped when popularity has jumped again.
+#[test]
+fn plan_outdated() {
+    let (map, weights, params) = (initial_map(), popular_from(0), params());
+    let edit = rebalance::best_edit(&map, &weights, &params).expect("an edit pays");
+    let too_low = edit.skew.1 - 0.7;
+    assert!(!rebalance::is_outdated(&edit.map, &map, edit.skew.1, &weights));
+    assert!(!rebalance::is_outdated(&edit.map, &map, too_low, &weights), "noise ended a good plan");
+    assert!(rebalance::is_outdated(&edit.map, &map, edit.skew.1, &popular_from(40)));
+}
+
 /// In a group of 129 ranks with 258 experts and room for one spare copy in two, copies can only be
 /// exchanged, and one edit still removes most of the excess load.
 #[test]
