Log what a gateway knows of each answer that broke off

A line per broken answer now names the server, the events received, the time since the last one, and the shared parts of the prompt.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -75,6 +75,8 @@
     pub body: Bytes,
     /// Identity of this attempt of the client.
     pub id: String,
+    /// Parts of the prompt that other requests may share.
+    pub shared_prompt: Vec<name::PromptPart>,
     /// Configuration that the route is from.
     pub catalog: rc::Rc<Catalog>,
     /// Route that matched.
@@ -167,6 +169,7 @@
             head,
             body,
             id: info.id,
+            shared_prompt: info.shared_prompt,
             catalog,
             route,
             service,
@@ -244,6 +247,7 @@
                 }
                 Ok(AttemptResult::Unknown(failure)) => {
                     request_log.add_failure(&failure);
+                    reservation.record_break(&req, &failure);
                     req.arrivals += 1;
                     req.may_have_run = true;
                     if !req.is_repeatable() || !req.take_retry(&self.gateway) {
@@ -314,6 +318,7 @@
             Ok(Err(failure)) => {
                 reservation.set_outcome(selector::Outcome::Failure);
                 request_log.add_failure(&failure);
+                reservation.record_break(req, &failure);
                 if req.is_repeatable() && req.take_retry(&self.gateway) {
                     return None;
                 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -96,6 +96,7 @@
             Err(Interruption::Server(failure)) => {
                 reservation.set_outcome(selector::Outcome::Failure);
                 request_log.add_failure(&failure);
+                reservation.record_break(&req, &failure);
             }
         }
         // Closes the connection and releases the slot before another one is reserved.
@@ -128,12 +129,12 @@
         let complete = events.push(&data);
         let complete =
             complete.map_err(|err| Interruption::Server(Failure::Sent(err.to_string())))?;
-        let Some((complete, _)) = complete else { continue };
+        let Some((complete, events)) = complete else { continue };
         if let Some(id) = EventSplitter::last_id(&complete) {
             *last_id = Some(id.to_owned());
         }
         request_log.record_piece();
-        reservation.record_event();
+        reservation.record_events(events);
         tx.send(Piece::Data(complete.into())).await.map_err(|_| Interruption::ClientLeft)?;
     }
     match events.at_event_boundary() {
@@ -176,6 +177,7 @@
             }
             AttemptResult::Unknown(failure) => {
                 request_log.add_failure(&failure);
+                reservation.record_break(req, &failure);
                 req.arrivals += 1;
             }
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -6,6 +6,7 @@
 use rand_pcg::Pcg64;
 use tokio::{sync::Notify, time::Instant};
 
+use super::forward::RoutedRequest;
 use crate::{
     balance::{Choice, GatewaySet, GroupProgress, RetryBudget, ServerSelector, selector},
     daemon, http,
@@ -64,22 +65,41 @@
     outcome: selector::Outcome,
     /// Group that the server is a rank of.
     group: Option<String>,
-    /// Whether the server has sent an event of a stream.
-    has_event: bool,
+    /// Events of a stream that the server has sent.
+    events: u64,
+    /// Time of the reservation or of the latest event.
+    active_at: time::Duration,
 }
 
 impl Reservation {
-    /// Records that the server sent events of a stream.
-    pub fn record_event(&mut self) {
-        let Some(group) = &self.group else { return };
+    /// Records that the server has sent `events` events of a stream so far.
+    pub fn record_events(&mut self, events: u64) {
         let now = self.gateway.now();
+        let is_first = self.events == 0;
+        (self.events, self.active_at) = (events, now);
+        let Some(group) = &self.group else { return };
         let progress = &mut self.gateway.state.borrow_mut().progress;
-        match std::mem::replace(&mut self.has_event, true) {
-            true => progress.record_event(group, now),
-            false => progress.begin_stream(group, now),
+        match is_first {
+            true => progress.begin_stream(group, now),
+            false => progress.record_event(group, now),
         }
     }
 
+    /// Records that the server's answer to `req` broke off, or did not come, because of `failure`.
+    pub fn record_break(&self, req: &RoutedRequest, failure: &client::Failure) {
+        let silent_ms = self.gateway.now().saturating_sub(self.active_at).as_millis() as u64;
+        let parts: Vec<&str> = req.shared_prompt.iter().map(name::PromptPart::as_str).collect();
+        log::info!(
+            req:% = req.id,
+            server:% = self.server,
+            events = self.events,
+            silent_ms,
+            prompt:% = parts.join(","),
+            problem = failure.problem();
+            "answer broke off"
+        );
+    }
+
     /// Sets the outcome of the attempt; without a call it stays neutral.
     pub fn set_outcome(&mut self, outcome: selector::Outcome) {
         self.outcome = outcome;
@@ -92,7 +112,7 @@
         {
             let mut state = self.gateway.state.borrow_mut();
             state.selector.release(&self.server, self.outcome, now);
-            if let Some(group) = self.group.as_deref().filter(|_| self.has_event) {
+            if let Some(group) = self.group.as_deref().filter(|_| self.events > 0) {
                 state.progress.end_stream(group);
             }
         }
@@ -372,7 +392,8 @@
                     in_flight,
                     outcome: selector::Outcome::Neutral,
                     group,
-                    has_event: false,
+                    events: 0,
+                    active_at: now,
                 })
             }
             Choice::NoServer if has_stalled => Err(ReserveError::Stalled),
