--- a/tests/gateways.rs
+++ b/tests/gateways.rs
@@ -2,7 +2,9 @@
 
 use std::{
     collections::BTreeMap,
-    fs, net, path, process,
+    fs,
+    io::Write,
+    net, path, process,
     sync::{Arc, Mutex, atomic},
     thread,
     time::{Duration, Instant},
@@ -40,8 +42,13 @@
     Leave,
     /// Refuses requests, stating that they did not run, with this Retry-After.
     Pause(&'static str),
+    /// Streams with this many milliseconds between events.
+    Paced(u64),
 }
 
+/// Time for which a server that has crashed answers nothing.
+const RESTART_TIME: Duration = Duration::from_millis(300);
+
 /// A request as a server received it.
 #[derive(Clone, Debug)]
 pub struct ReceivedRequest {
@@ -60,6 +67,16 @@
     pub addr: net::SocketAddr,
     behavior: Arc<Mutex<Behavior>>,
     requests: Arc<Mutex<Vec<ReceivedRequest>>>,
+    crashes: Arc<Mutex<Crashes>>,
+}
+
+/// The part of a prompt that crashes a server, and the crashes so far.
+#[derive(Default)]
+struct Crashes {
+    part: Option<String>,
+    /// Store in which the server registers again.
+    store: Option<Store>,
+    times: Vec<Instant>,
 }
 
 impl Server {
@@ -67,7 +84,8 @@
         let server = tiny_http::Server::http("127.0.0.1:0").unwrap();
         let addr = server.server_addr().to_ip().unwrap();
         let behavior = Arc::new(Mutex::new(Behavior::Answer));
-        let started = Self { id: id.into(), addr, behavior, requests: Arc::default() };
+        let (requests, crashes) = (Arc::default(), Arc::default());
+        let started = Self { id: id.into(), addr, behavior, requests, crashes };
         let listening = started.clone();
         thread::spawn(move || {
             for req in server.incoming_requests() {
@@ -87,6 +105,47 @@
         *self.behavior.lock().unwrap() = behavior;
     }
 
+    /// Lets the server crash whenever it begins to answer a request whose prompt has `part`. It
+    /// starts again with another id, which it registers in `store`.
+    pub fn crash_on(&self, part: &str, store: &Store) {
+        let mut crashes = self.crashes.lock().unwrap();
+        (crashes.part, crashes.store) = (Some(part.into()), Some(store.clone()));
+    }
+
+    /// Returns the times of the crashes so far.
+    pub fn crash_times(&self) -> Vec<Instant> {
+        self.crashes.lock().unwrap().times.clone()
+    }
+
+    /// Returns the id of the incarnation that runs after `crashes` crashes.
+    fn incarnation(&self, crashes: usize) -> String {
+        match crashes {
+            0 => self.id.clone(),
+            crashes => format!("{}-{crashes}", self.id),
+        }
+    }
+
+    /// Records a crash if `prompt` has the part that causes one, and registers again.
+    fn crash_if_caused_by(&self, prompt: &str) -> bool {
+        let mut crashes = self.crashes.lock().unwrap();
+        let causes =
+            |part: &str| prompt.split(',').any(|entry| entry.split(':').next() == Some(part));
+        if !crashes.part.as_deref().is_some_and(causes) {
+            return false;
+        }
+        let old_id = self.incarnation(crashes.times.len());
+        crashes.times.push(Instant::now());
+        let (count, store) = (crashes.times.len(), crashes.store.clone());
+        let (server, new_id) = (self.clone(), self.incarnation(count));
+        thread::spawn(move || {
+            thread::sleep(RESTART_TIME);
+            let store = store.expect("a server that may crash has a store");
+            store.remove("servers", &old_id);
+            register(&store, &Server { id: new_id, ..server.clone() }, server.addr, "ready");
+        });
+        true
+    }
+
     pub fn requests(&self) -> Vec<ReceivedRequest> {
         self.requests.lock().unwrap().clone()
     }
@@ -99,10 +158,16 @@
             .collect();
         let mut body = String::new();
         std::io::Read::read_to_string(req.as_reader(), &mut body).unwrap();
+        let crash_times = self.crash_times();
+        if crash_times.last().is_some_and(|at| at.elapsed() < RESTART_TIME) {
+            return abort(req);
+        }
+        let current_id = self.incarnation(crash_times.len());
         let expected = headers.get("x-knapweedford-expect-instance");
-        if expected.is_some_and(|expected| *expected != self.id) {
+        if expected.is_some_and(|expected| *expected != current_id) {
             return respond(req, 421, "", &[]);
         }
+        let prompt = headers.get("x-knapweedford-prefix-hash").cloned().unwrap_or_default();
         let id = headers.get("x-knapweedford-request-id").cloned().unwrap_or_default();
         let last_event: usize =
             headers.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or_default();
@@ -117,6 +182,9 @@
             received_at,
             ran,
         });
+        if self.crash_if_caused_by(&prompt) {
+            return abort(req);
+        }
         let seal = format!("seal-{}", self.id);
         let answer_headers =
             [("X-Knapweedford-Request-Id", id.as_str()), ("X-Knapweedford-Response-Seal", &seal)];
@@ -135,9 +203,17 @@
                 respond(req, 200, "other", &[("X-Knapweedford-Request-Id", "another")])
             }
             Behavior::Hang => thread::sleep(Duration::from_secs(4)),
-            Behavior::Answer | Behavior::CutStream if url.starts_with("/stream/") => {
+            Behavior::Answer | Behavior::CutStream | Behavior::Paced(_)
+                if url.starts_with("/stream/") =>
+            {
                 let mut chunks = ChunkedAnswer::start(req, "text/event-stream").unwrap();
                 for n in last_event + 1..=6 {
+                    if let Behavior::Paced(gap_ms) = behavior {
+                        thread::sleep(Duration::from_millis(gap_ms));
+                    }
+                    if self.crash_times().len() > crash_times.len() {
+                        return chunks.abort();
+                    }
                     if behavior == Behavior::CutStream && n == last_event + 3 {
                         let _ = chunks.send_chunk(&format!("id: {n}\nda"));
                         return chunks.abort();
@@ -149,13 +225,20 @@
                 }
                 let _ = chunks.finish();
             }
-            Behavior::Answer | Behavior::CutStream => {
+            Behavior::Answer | Behavior::CutStream | Behavior::Paced(_) => {
                 respond(req, 200, &format!("by {}", self.id), &answer_headers)
             }
         }
     }
 }
 
+/// Ends a request without an answer, as a crash does, by sending bytes that are no answer.
+fn abort(req: tiny_http::Request) {
+    let mut tx = req.into_writer();
+    // The client may have closed its connection.
+    let _ = tx.write_all(b"cut\r\n\r\n").and_then(|()| tx.flush());
+}
+
 fn respond(req: tiny_http::Request, status: u16, body: &str, headers: &[(&str, &str)]) {
     let mut res = tiny_http::Response::from_string(body).with_status_code(status);
     for (name, value) in headers {
@@ -287,6 +370,18 @@
     call_by(agent, at, method, path, &headers)
 }
 
+/// Sends a request for a stream whose prompt has the parts `prompt`, as `HASH:TOKENS` each.
+pub fn send_prompt(at: net::SocketAddr, prompt: &str, id: &str) -> Answer {
+    let headers = [
+        ("Host", HOST),
+        ("Api-Key", API_KEY),
+        ("X-Knapweedford-Request-Id", id),
+        ("X-Knapweedford-Deadline-Ms", "3000"),
+        ("X-Knapweedford-Prefix-Hash", prompt),
+    ];
+    call(at, "POST", "/stream/a", &headers)
+}
+
 #[derive(Debug)]
 pub struct Answer {
     pub status: u16,
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -18,6 +18,7 @@
 mod cold;
 mod collecting;
 mod configuration;
+mod crashing_prompts;
 mod days;
 mod deaths;
 mod edits;
