Quarantine prompt parts that crash backend servers

Cause: every gateway decided alone, and only on counts of failures per server. None remembered what ran when a server ended, so each new request with the part went to the next server, and the gateway's own resumes carried single requests from server to server (logged: two ranks 35 ms apart).

Change: a gateway notes the shared parts of prompts that had just begun when their server crashed, and shares the notes through the store. A part that is in three crashes, explains half of them and was in no answered prompt is refused everywhere at once. A broken request whose parts were in an earlier crash is not sent again. A gateway that starts reads the notes before it is ready.

What tells a crash from other breaks: the rank that crashed breaks off 60 ms after the last event or sooner, the others after the stall. A lost connection looks the same; the server, or its group, is heard from within 0.8 s, and the note is withdrawn.

--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -6,11 +6,13 @@
 pub mod capacity;
 pub mod gateways;
 pub mod progress;
+pub mod quarantine;
 pub mod selector;
 pub mod window;
 
 pub use budget::RetryBudget;
 pub use gateways::GatewaySet;
 pub use progress::GroupProgress;
+pub use quarantine::Quarantine;
 pub use selector::{Choice, ServerSelector};
 pub use window::SlidingWindow;
--- /dev/null
+++ b/src/balance/quarantine.rs
@@ -0,0 +1,472 @@
+//! Quarantine of prompt parts that crash backend servers.
+//!
+//! A server that crashes ends all of its requests, and at most one of them is the cause. A single
+//! gateway sees few of the crashes. So each gateway notes, for each crash that it sees, the parts of
+//! the prompts that had just begun there; the notes are shared through the store. A gateway that
+//! hears from the server afterwards withdraws the note: only a connection was lost. A part that keeps
+//! turning up in crashes, and with which no prompt is answered, is quarantined: requests with it are
+//! refused by all gateways.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::name;
+
+/// Events of a stream after which its prompt counts as answered: a prompt that crashes its server
+/// does so as the answer begins.
+pub const ANSWERED_EVENTS: u64 = 8;
+/// Crashes with the same part after which it is quarantined.
+const QUARANTINE_CRASHES: usize = 3;
+/// Crashes with the same part after which a request with it is not sent again when it breaks off.
+const RESEND_CRASHES: usize = 2;
+/// Time from a break until what the server and its group send shows that it did not crash: events
+/// from before the break may be read a little later.
+const LATE_EVENT_TIME: time::Duration = time::Duration::from_millis(400);
+/// Time from a crash until which its group cannot have formed anew.
+const MIN_STALL_TIME: time::Duration = time::Duration::from_millis(800);
+/// Time from a crash until which the server cannot have started again.
+const MIN_RESTART_TIME: time::Duration = time::Duration::from_secs(2);
+/// Time for which a crash may be disproved before it counts.
+const SETTLE_TIME: time::Duration = time::Duration::from_secs(1);
+/// Time for which an answered prompt shows that its parts do no harm; it may be up to twice as long.
+const CLEARANCE_TIME: time::Duration = time::Duration::from_secs(60);
+/// Time for which a note counts. A quarantine begins anew with each refused request.
+const NOTE_LIFETIME: time::Duration = time::Duration::from_secs(3600);
+/// Number of notes kept; the oldest crashes are dropped first.
+const MAX_NOTES: usize = 128;
+/// Number of parts in the note of one crash.
+const MAX_PARTS_PER_NOTE: usize = 128;
+/// Number of harmless parts that are remembered for one [`CLEARANCE_TIME`].
+const MAX_CLEARED_PARTS: usize = 8192;
+
+/// What gateways tell each other about crashes.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Note {
+    /// A server crashed.
+    Crash {
+        /// Server that crashed.
+        server: name::Server,
+        /// Start of the incarnation that crashed, in Unix milliseconds.
+        started_ms: u64,
+        /// Group that the server is a rank of, which stalls with it.
+        group: Option<String>,
+        /// Gateway that saw the crash.
+        gateway: name::Host,
+        /// Shared parts of the prompts of that gateway that had just begun there.
+        parts: BTreeSet<name::PromptPart>,
+    },
+    /// Requests with a part are refused.
+    Quarantine {
+        /// Part of the prompt.
+        part: name::PromptPart,
+    },
+}
+
+impl Note {
+    /// Returns the key of the note in the store; a note replaces the one with the same key.
+    pub fn key(&self) -> String {
+        match self {
+            Self::Crash { server, started_ms, gateway, .. } => {
+                format!("crash/{server}/{started_ms}/{gateway}")
+            }
+            Self::Quarantine { part } => format!("part/{part}"),
+        }
+    }
+}
+
+/// A note, and what this gateway knows of its copy in the store.
+#[derive(Debug)]
+struct KnownNote {
+    note: Note,
+    /// Version of the copy in the store; `None` if none was read.
+    stored_version: Option<u64>,
+    /// Whether the note is to be written to the store.
+    is_pending: bool,
+    known_since: time::Duration,
+    expires_at: time::Duration,
+}
+
+/// Parts of prompts that were answered recently, in two generations.
+#[derive(Debug, Default)]
+struct ClearedParts {
+    current: BTreeSet<name::PromptPart>,
+    previous: BTreeSet<name::PromptPart>,
+    current_since: time::Duration,
+}
+
+impl ClearedParts {
+    fn insert(&mut self, parts: &[name::PromptPart], now: time::Duration) {
+        self.remove_expired(now);
+        if self.current.len() + parts.len() > MAX_CLEARED_PARTS {
+            self.begin_generation(now);
+        }
+        for part in parts {
+            if !self.current.contains(part) {
+                self.current.insert(part.clone());
+            }
+        }
+    }
+
+    fn contains(&mut self, part: &name::PromptPart, now: time::Duration) -> bool {
+        self.remove_expired(now);
+        self.current.contains(part) || self.previous.contains(part)
+    }
+
+    fn remove_expired(&mut self, now: time::Duration) {
+        match now.saturating_sub(self.current_since) {
+            age if age >= 2 * CLEARANCE_TIME => {
+                self.previous.clear();
+                self.current.clear();
+                self.current_since = now;
+            }
+            age if age >= CLEARANCE_TIME => self.begin_generation(now),
+            _ => {}
+        }
+    }
+
+    fn begin_generation(&mut self, now: time::Duration) {
+        self.previous = std::mem::take(&mut self.current);
+        self.current_since = now;
+    }
+}
+
+/// Crashes that all gateways have seen, and the parts of prompts that they are put down to. Times
+/// are on the process's monotonic clock.
+#[derive(Debug)]
+pub struct Quarantine {
+    host: name::Host,
+    notes: BTreeMap<String, KnownNote>,
+    quarantined: BTreeSet<name::PromptPart>,
+    cleared: ClearedParts,
+    /// Keys of expired notes that are still in the store.
+    expired_keys: BTreeSet<String>,
+    /// Era of the store at the last read; `None` before the first one.
+    era: Option<u64>,
+}
+
+impl Quarantine {
+    /// Creates the quarantine of the gateway on `host`, without notes.
+    pub fn new(host: &name::Host) -> Self {
+        Self {
+            host: host.clone(),
+            notes: BTreeMap::new(),
+            quarantined: BTreeSet::new(),
+            cleared: ClearedParts::default(),
+            expired_keys: BTreeSet::new(),
+            era: None,
+        }
+    }
+
+    /// Returns whether the notes in the store have been read.
+    pub fn is_loaded(&self) -> bool {
+        self.era.is_some()
+    }
+
+    /// Returns the quarantined parts.
+    pub fn parts(&self) -> impl Iterator<Item = &name::PromptPart> {
+        self.quarantined.iter()
+    }
+
+    /// Records that a prompt with `parts` was answered, at least for the most part.
+    pub fn record_answer(&mut self, parts: &[name::PromptPart], now: time::Duration) {
+        self.cleared.insert(parts, now);
+    }
+
+    /// Records that `server` seems to have crashed while it began to answer a prompt with `parts`.
+    /// Returns whether there is a note to write.
+    pub fn record_crash(
+        &mut self,
+        server: &Incarnation<'_>,
+        parts: &[name::PromptPart],
+        now: time::Duration,
+    ) -> bool {
+        let uncleared = parts.iter().filter(|part| !self.cleared.contains(part, now));
+        let suspects: BTreeSet<name::PromptPart> =
+            uncleared.take(MAX_PARTS_PER_NOTE).cloned().collect();
+        if suspects.is_empty() {
+            return false;
+        }
+        let note = Note::Crash {
+            server: server.server.clone(),
+            started_ms: server.started_ms,
+            group: server.group.map(str::to_owned),
+            gateway: self.host.clone(),
+            parts: suspects,
+        };
+        match (self.notes.get_mut(&note.key()), &note) {
+            (Some(known), Note::Crash { parts, .. }) => known.add_parts(parts, true),
+            _ => self.insert(note, None, true, now),
+        }
+        true
+    }
+
+    /// Records that `server` sent something. Withdraws the notes of crashes that this disproves, and
+    /// returns whether there were any: the server itself, or a rank of the same group, was alive
+    /// after it seemed to have crashed.
+    pub fn record_activity(&mut self, server: &Incarnation<'_>, now: time::Duration) -> bool {
+        let disproved = self.notes.iter().filter(|(_, known)| {
+            let age = now.saturating_sub(known.known_since);
+            let Some(crash) = known.crash().filter(|_| age > LATE_EVENT_TIME) else { return false };
+            match crash.server {
+                crashed if crashed == *server => age < MIN_RESTART_TIME,
+                crashed => {
+                    age < MIN_STALL_TIME && server.group.is_some() && crashed.group == server.group
+                }
+            }
+        });
+        let keys: Vec<String> = disproved.map(|(key, _)| key.clone()).collect();
+        for key in &keys {
+            log::info!(note:% = key; "server did not crash; note withdrawn");
+            self.remove(key);
+        }
+        !keys.is_empty()
+    }
+
+    /// Applies a complete read of the notes, each with its version, made when the store was in
+    /// `era`.
+    pub fn apply(&mut self, notes: Vec<(Note, u64)>, era: u64, now: time::Duration) {
+        let was_restored = self.era.replace(era).is_some_and(|previous| previous < era);
+        let mut stored_keys = BTreeSet::new();
+        for (note, version) in notes {
+            let key = note.key();
+            stored_keys.insert(key.clone());
+            match self.notes.get_mut(&key) {
+                Some(known) if known.stored_version == Some(version) => {}
+                Some(known) => {
+                    known.stored_version = Some(version);
+                    known.expires_at = now + NOTE_LIFETIME;
+                    if let Note::Crash { parts, .. } = &note {
+                        known.add_parts(parts, false);
+                    }
+                }
+                None if self.expired_keys.contains(&key) => {}
+                None => self.insert(note, Some(version), false, now),
+            }
+        }
+        self.expired_keys.retain(|key| stored_keys.contains(key));
+        self.notes.retain(|key, known| {
+            let is_missing = known.stored_version.is_some() && !stored_keys.contains(key);
+            // A store that was restored from an older copy lacks notes that still hold.
+            known.is_pending |= is_missing && was_restored;
+            !is_missing || known.is_pending
+        });
+        self.remove_expired(now);
+    }
+
+    /// Returns the time for which requests with `parts` will be refused; `None` if none of the parts
+    /// is quarantined, or about to be. A refusal prolongs the quarantine.
+    pub fn refusal_time(
+        &mut self,
+        parts: &[name::PromptPart],
+        now: time::Duration,
+    ) -> Option<time::Duration> {
+        let suspects = parts.iter().filter(|part| !self.cleared.contains(part, now));
+        let suspects: Vec<&name::PromptPart> = suspects.collect();
+        for part in &suspects {
+            if !self.quarantined.contains(*part) && self.explains_crashes(part, SETTLE_TIME, now) {
+                self.quarantine(part, now);
+            }
+        }
+        if let Some(part) = suspects.iter().find(|part| self.quarantined.contains(**part)) {
+            let key = Note::Quarantine { part: (*part).clone() }.key();
+            let known = self.notes.get_mut(&key)?;
+            if known.expires_at < now + NOTE_LIFETIME / 2 {
+                known.expires_at = now + NOTE_LIFETIME;
+                known.is_pending = true;
+            }
+            return Some(known.expires_at.saturating_sub(now));
+        }
+        let is_suspect =
+            |part: &&name::PromptPart| self.explains_crashes(part, time::Duration::ZERO, now);
+        suspects.into_iter().any(|part| is_suspect(&part)).then_some(SETTLE_TIME)
+    }
+
+    /// Returns whether a request with `parts` that broke off may be sent again.
+    pub fn may_resend(&mut self, parts: &[name::PromptPart], now: time::Duration) -> bool {
+        parts.iter().all(|part| {
+            self.cleared.contains(part, now)
+                || self.crashes_with(part, time::Duration::ZERO, now).len() < RESEND_CRASHES
+        })
+    }
+
+    /// Returns whether notes are to be written to the store, or removed from it.
+    pub fn has_pending(&self) -> bool {
+        !self.expired_keys.is_empty() || self.notes.values().any(|known| known.is_pending)
+    }
+
+    /// Returns up to `limit` notes to write to the store, and keys of notes to remove from it. They
+    /// count as written unless [`restore_pending`](Self::restore_pending) is called.
+    pub fn take_pending(&mut self, limit: usize) -> (Vec<Note>, Vec<String>) {
+        let pending = self.notes.values_mut().filter(|known| known.is_pending).take(limit);
+        let notes = pending.map(|known| {
+            known.is_pending = false;
+            known.note.clone()
+        });
+        let notes = notes.collect();
+        let keys = self.expired_keys.iter().take(limit).cloned().collect();
+        (notes, keys)
+    }
+
+    /// Records that `notes` could not be written.
+    pub fn restore_pending(&mut self, notes: &[Note]) {
+        for note in notes {
+            if let Some(known) = self.notes.get_mut(&note.key()) {
+                known.is_pending = true;
+            }
+        }
+    }
+
+    /// Records that the expired notes with `keys` are no longer in the store.
+    pub fn forget_expired(&mut self, keys: &[String]) {
+        keys.iter().for_each(|key| {
+            self.expired_keys.remove(key);
+        });
+    }
+
+    fn insert(
+        &mut self,
+        note: Note,
+        stored_version: Option<u64>,
+        is_pending: bool,
+        now: time::Duration,
+    ) {
+        if let Note::Quarantine { part } = &note {
+            log::warn!(
+                part:%, from_store = stored_version.is_some();
+                "prompt part is quarantined: servers keep crashing on it"
+            );
+            self.quarantined.insert(part.clone());
+        }
+        let known = KnownNote {
+            note,
+            stored_version,
+            is_pending,
+            known_since: now,
+            expires_at: now + NOTE_LIFETIME,
+        };
+        self.notes.insert(known.note.key(), known);
+        if self.notes.len() > MAX_NOTES {
+            let order = |known: &KnownNote| {
+                (matches!(known.note, Note::Quarantine { .. }), known.known_since)
+            };
+            let oldest = self.notes.iter().min_by_key(|(_, known)| order(known));
+            if let Some(key) = oldest.map(|(key, _)| key.clone()) {
+                self.remove(&key);
+            }
+        }
+    }
+
+    fn remove(&mut self, key: &str) {
+        let Some(known) = self.notes.remove(key) else { return };
+        if known.stored_version.is_some() {
+            self.expired_keys.insert(key.to_owned());
+        }
+        if let Note::Quarantine { part } = known.note {
+            log::info!(part:%; "quarantine of a prompt part ended");
+            self.quarantined.remove(&part);
+        }
+    }
+
+    fn remove_expired(&mut self, now: time::Duration) {
+        let expired = self.notes.iter().filter(|(_, known)| known.expires_at <= now);
+        let keys: Vec<String> = expired.map(|(key, _)| key.clone()).collect();
+        keys.iter().for_each(|key| self.remove(key));
+    }
+
+    /// Returns the crashes with `part` that are at least `min_age` old, each once also if several
+    /// gateways saw it.
+    fn crashes_with(
+        &self,
+        part: &name::PromptPart,
+        min_age: time::Duration,
+        now: time::Duration,
+    ) -> BTreeSet<Incarnation<'_>> {
+        let crashes = self.notes.values().filter_map(KnownNote::crash);
+        let settled = crashes.filter(|crash| crash.known_since + min_age <= now);
+        let with_part = settled.filter(|crash| crash.parts.contains(part));
+        with_part.map(|crash| crash.server).collect()
+    }
+
+    /// Quarantines `part`. All gateways come to this conclusion; those that saw a crash write it.
+    fn quarantine(&mut self, part: &name::PromptPart, now: time::Duration) {
+        let crashes = self.notes.values().filter_map(KnownNote::crash);
+        let is_witness = crashes
+            .filter(|crash| crash.parts.contains(part))
+            .any(|crash| *crash.gateway == self.host);
+        self.insert(Note::Quarantine { part: part.clone() }, None, is_witness, now);
+    }
+
+    /// Whether `part` is in enough crashes that are at least `min_age` old, and in at least half of
+    /// those since the first of them that no quarantined part explains.
+    fn explains_crashes(
+        &self,
+        part: &name::PromptPart,
+        min_age: time::Duration,
+        now: time::Duration,
+    ) -> bool {
+        let with_part = self.crashes_with(part, min_age, now);
+        if with_part.len() < QUARANTINE_CRASHES {
+            return false;
+        }
+        let crashes = || self.notes.values().filter_map(KnownNote::crash);
+        let with_part_since =
+            crashes().filter(|crash| crash.parts.contains(part)).map(|crash| crash.known_since);
+        let first = with_part_since.min().unwrap_or_default();
+        let explained: BTreeSet<Incarnation<'_>> = crashes()
+            .filter(|crash| !crash.parts.is_disjoint(&self.quarantined))
+            .map(|crash| crash.server)
+            .collect();
+        let unexplained: BTreeSet<Incarnation<'_>> = crashes()
+            .filter(|crash| crash.known_since >= first && !explained.contains(&crash.server))
+            .map(|crash| crash.server)
+            .collect();
+        2 * with_part.len() >= unexplained.len()
+    }
+}
+
+/// One incarnation of a backend server.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Incarnation<'a> {
+    /// Name of the server.
+    pub server: &'a name::Server,
+    /// Start of the incarnation, in Unix milliseconds; 0 if it is not known.
+    pub started_ms: u64,
+    /// Group that the server is a rank of.
+    pub group: Option<&'a str>,
+}
+
+/// A crash as one gateway saw it.
+struct Crash<'a> {
+    server: Incarnation<'a>,
+    gateway: &'a name::Host,
+    parts: &'a BTreeSet<name::PromptPart>,
+    known_since: time::Duration,
+}
+
+impl KnownNote {
+    /// Adds parts to the note of a crash; `is_new` if the store may lack them.
+    fn add_parts(&mut self, added: &BTreeSet<name::PromptPart>, is_new: bool) {
+        let Note::Crash { parts, .. } = &mut self.note else { return };
+        let room = MAX_PARTS_PER_NOTE.saturating_sub(parts.len());
+        let missing: Vec<_> = added.difference(parts).take(room).cloned().collect();
+        self.is_pending |= is_new && !missing.is_empty();
+        parts.extend(missing);
+    }
+
+    fn crash(&self) -> Option<Crash<'_>> {
+        match &self.note {
+            Note::Crash { server, started_ms, group, gateway, parts } => Some(Crash {
+                server: Incarnation { server, started_ms: *started_ms, group: group.as_deref() },
+                gateway,
+                parts,
+                known_since: self.known_since,
+            }),
+            Note::Quarantine { .. } => None,
+        }
+    }
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -85,7 +85,10 @@
     let kind = exchange::classify_answer(head.status, &head.headers, &req.id);
     let notice = match kind {
         AnswerKind::OtherServer => exchange::ServerNotice::default(),
-        _ => exchange::server_notice(head.status, &head.headers),
+        _ => {
+            reservation.record_activity();
+            exchange::server_notice(head.status, &head.headers)
+        }
     };
     gateway.record_notice(&reservation.server, notice);
     match kind {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -76,7 +76,7 @@
     /// Identity of this attempt of the client.
     pub id: String,
     /// Parts of the prompt that other requests may share.
-    pub shared_prompt: Vec<name::PromptPart>,
+    pub shared_prompt: rc::Rc<[name::PromptPart]>,
     /// Configuration that the route is from.
     pub catalog: rc::Rc<Catalog>,
     /// Route that matched.
@@ -97,8 +97,8 @@
     pub arrivals: u32,
     /// Whether an attempt may have run.
     pub may_have_run: bool,
-    /// Time until the first server accepts requests again, if all have asked for a pause.
-    pub servers_paused_for: Option<time::Duration>,
+    /// Time before which a retry cannot succeed, if it is known.
+    pub min_retry_after: Option<time::Duration>,
     /// Failure that a server returned; sent to the client if no other server succeeds.
     pub failure: Option<http::Response>,
 }
@@ -128,6 +128,12 @@
         self.route.repeatability != catalog::Repeatability::Once
     }
 
+    /// Returns whether the request may be sent again after an attempt that broke off, and takes the
+    /// retry from the budget.
+    pub fn take_retry_after_break(&self, gateway: &Gateway) -> bool {
+        self.is_repeatable() && gateway.may_resend(&self.shared_prompt) && self.take_retry(gateway)
+    }
+
     /// Returns whether the remaining time, the route and the retry budget allow one more attempt,
     /// and takes it from the budget if an earlier attempt arrived at a server.
     pub fn take_retry(&self, gateway: &Gateway) -> bool {
@@ -169,7 +175,7 @@
             head,
             body,
             id: info.id,
-            shared_prompt: info.shared_prompt,
+            shared_prompt: info.shared_prompt.into(),
             catalog,
             route,
             service,
@@ -180,7 +186,7 @@
             tried: Vec::new(),
             arrivals: 0,
             may_have_run: false,
-            servers_paused_for: None,
+            min_retry_after: None,
             failure: None,
         };
         self.gateway.record_first_attempt(&req.service);
@@ -218,9 +224,13 @@
                 Err(err) => {
                     let refusal = match err {
                         ReserveError::Paused(left) => {
-                            req.servers_paused_for = Some(left);
+                            req.min_retry_after = Some(left);
                             Refusal::Paused
                         }
+                        ReserveError::Quarantined(left) => {
+                            req.min_retry_after = Some(left);
+                            Refusal::Quarantined
+                        }
                         _ if req.arrivals > 0 => Refusal::NotRun,
                         ReserveError::Full => Refusal::Full,
                         ReserveError::NoServer => Refusal::NoServer,
@@ -250,7 +260,7 @@
                     reservation.record_break(&req, &failure);
                     req.arrivals += 1;
                     req.may_have_run = true;
-                    if !req.is_repeatable() || !req.take_retry(&self.gateway) {
+                    if !req.take_retry_after_break(&self.gateway) {
                         return self.give_up(Refusal::NoAnswer, req, &mut request_log);
                     }
                 }
@@ -286,10 +296,7 @@
         let wait_until = Instant::now() + req.route.latency_target.mul_f64(SLOT_WAIT_FRACTION);
         loop {
             let slot_freed = self.gateway.slot_freed.notified();
-            let max_event_gap = req.route.max_event_gap;
-            let reserved =
-                self.gateway.reserve(&req.catalog, &req.service, max_event_gap, &req.tried);
-            match reserved {
+            match self.gateway.reserve(req) {
                 Err(ReserveError::Full) if req.arrivals == 0 => {}
                 reserved => return reserved,
             }
@@ -319,18 +326,17 @@
                 reservation.set_outcome(selector::Outcome::Failure);
                 request_log.add_failure(&failure);
                 reservation.record_break(req, &failure);
-                if req.is_repeatable() && req.take_retry(&self.gateway) {
+                if req.take_retry_after_break(&self.gateway) {
                     return None;
                 }
                 return Some(self.refuse(Refusal::NoAnswer, Some(req), request_log));
             }
             Ok(Ok(data)) => data,
         };
-        reservation.set_outcome(if succeeded {
-            selector::Outcome::Success
-        } else {
-            selector::Outcome::Failure
-        });
+        match succeeded {
+            true => reservation.record_complete_answer(),
+            false => reservation.set_outcome(selector::Outcome::Failure),
+        }
         request_log.add_result(head.status.as_str());
         let mut res = hyper::Response::new(http::Body::whole(data));
         *res.status_mut() = head.status;
@@ -377,16 +383,16 @@
     }
 
     /// Returns a randomized Retry-After, so that clients refused together do not retry together. It
-    /// is never before the end of a pause that all servers asked for.
+    /// is never before the time at which a retry can succeed, if that is known.
     fn retry_after(&self, refusal: Refusal, req: Option<&RoutedRequest>) -> time::Duration {
-        let paused_for = req.and_then(|req| req.servers_paused_for).unwrap_or_default();
+        let min_retry_after = req.and_then(|req| req.min_retry_after).unwrap_or_default();
         let remaining = req.map(|req| req.deadline.saturating_duration_since(Instant::now()));
         let remaining_s = remaining.map_or(DEFAULT_REMAINING_S, |left| left.as_secs_f64());
         let (min, max) = match refusal {
             Refusal::NotRun | Refusal::NoServer | Refusal::Stalled => RETRY_AFTER_OUTAGE_RANGE,
             _ => RETRY_AFTER_RANGE,
         };
-        paused_for
+        min_retry_after
             .max(time::Duration::from_secs_f64(self.gateway.random_between(min, max) * remaining_s))
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! One thread runs all sockets and holds all state. [`state`] holds the configuration, the registry
 //! and the load of the servers, and selects a server for each attempt; [`watch`] updates it from the
-//! store and from rank agents. [`forward`] sends a request and retries it where that is safe, and
+//! store and from rank agents, and [`crash_notes`] shares what gateways know of crashes. [`forward`] sends a request and retries it where that is safe, and
 //! [`relay`] forwards a stream of events to the client.
 
 use std::{net, path, rc, time};
@@ -12,6 +12,7 @@
 use crate::{Result, daemon, http, metrics, platform, settings::site};
 
 pub mod attempt;
+pub mod crash_notes;
 pub mod forward;
 pub mod handlers;
 pub mod refusal;
@@ -59,6 +60,8 @@
     let store = platform::Store::new(cfg.store);
     task::spawn_local(watch::watch_operator_state(store.clone(), rc::Rc::clone(&gateway)));
     task::spawn_local(watch::watch_servers(store.clone(), rc::Rc::clone(&gateway)));
+    task::spawn_local(crash_notes::watch(store.clone(), rc::Rc::clone(&gateway)));
+    task::spawn_local(crash_notes::write(store.clone(), rc::Rc::clone(&gateway)));
     task::spawn_local(watch::send_heartbeats(store, rc::Rc::clone(&gateway), cfg.host.clone()));
     let reloading = rc::Rc::clone(&gateway);
     task::spawn_local(daemon::reload::watch(cfg.clone(), path, move |cfg| reloading.reload(cfg)));
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -31,6 +31,8 @@
     Stalled,
     /// All servers have asked for a pause.
     Paused,
+    /// Servers keep crashing on a part of the prompt.
+    Quarantined,
     /// No server accepted the request; it has not run.
     NotRun,
     /// A server may have run the request, but sent no complete answer.
@@ -49,6 +51,7 @@
             | Self::NoServer
             | Self::Stalled
             | Self::Paused
+            | Self::Quarantined
             | Self::NotRun => 503,
             Self::Malformed | Self::BodyIncomplete => 400,
             Self::NoRoute => 404,
@@ -74,6 +77,7 @@
             Self::NoServer => "no-server",
             Self::Stalled => "stalled",
             Self::Paused => "paused",
+            Self::Quarantined => "quarantined",
             Self::NotRun => "not-run",
             Self::NoAnswer => "no-answer",
             Self::Timeout => "late",
@@ -111,6 +115,9 @@
             Self::Paused => {
                 "All backend servers ask for a pause; it did not run; send it again later."
             }
+            Self::Quarantined => {
+                "Backend servers crash on a part of the prompt; it did not run; change the prompt."
+            }
             Self::NotRun => "No backend server took it; it did not run; send it again later.",
             Self::NoAnswer => "A backend server gave no whole answer; it may have run.",
             Self::Timeout => "The time allowed is over; it may have run.",
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -82,7 +82,7 @@
         };
         match forwarded {
             Ok(()) => {
-                reservation.set_outcome(selector::Outcome::Success);
+                reservation.record_complete_answer();
                 request_log.add_result("end");
                 request_log.set_end(metrics::Ending::Complete, status, "answered");
                 let _ = tx.send(Piece::End).await;
@@ -156,10 +156,8 @@
     if req.route.repeatability != catalog::Repeatability::Resumable {
         return None;
     }
-    while req.take_retry(gateway) {
-        let mut reservation = gateway
-            .reserve(&req.catalog, &req.service, req.route.max_event_gap, &req.tried)
-            .ok()?;
+    while req.take_retry_after_break(gateway) {
+        let mut reservation = gateway.reserve(req).ok()?;
         request_log.add_attempt(&reservation.server, reservation.in_flight);
         req.tried.push(reservation.server.clone());
         match attempt::send(gateway, &mut reservation, req, last_id).await {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -8,7 +8,10 @@
 
 use super::forward::RoutedRequest;
 use crate::{
-    balance::{Choice, GatewaySet, GroupProgress, RetryBudget, ServerSelector, selector},
+    balance::{
+        Choice, GatewaySet, GroupProgress, Quarantine, RetryBudget, ServerSelector, quarantine,
+        selector,
+    },
     daemon, http,
     http::client,
     metrics, name,
@@ -20,6 +23,9 @@
 /// Longest pauses between events, one after the other, for which a group is silent before it counts
 /// as stalled.
 const SILENT_EVENT_GAPS: u32 = 4;
+/// Part of the time for which a group stalls after a crash within which an answer breaks off at the
+/// server that crashed; at the other servers of its group it breaks off after all of that time.
+const CRASH_SILENCE_FRACTION: f64 = 0.8;
 /// Shortest silence after which a group counts as stalled.
 const MIN_SILENCE: time::Duration = time::Duration::from_millis(500);
 /// Time that clients' connections may stay idle while no configuration is known.
@@ -35,6 +41,12 @@
     started: Instant,
     retries: cell::Cell<site::RetryLimits>,
     max_view_age: cell::Cell<site::MaxViewAge>,
+    /// Longest silence of an answer that breaks off because its own server crashed.
+    max_crash_silence: time::Duration,
+    /// Notified when notes of crashes are to be written to the store.
+    pub notes_pending: Notify,
+    /// Notified when a call to the store succeeds after failed ones.
+    pub store_recovered: Notify,
     /// Notified when a slot at a server may have become free.
     pub slot_freed: Notify,
     /// Notified when a server was found replaced by another one at its address.
@@ -47,6 +59,7 @@
     registry: Registry,
     selector: ServerSelector,
     progress: GroupProgress,
+    quarantine: Quarantine,
     budgets: BTreeMap<name::Service, RetryBudget>,
     gateways: GatewaySet,
     rng: Pcg64,
@@ -63,6 +76,10 @@
     /// Requests of this gateway that the server had before this one.
     pub in_flight: u32,
     outcome: selector::Outcome,
+    /// Start of the server's incarnation, in Unix milliseconds.
+    started_ms: u64,
+    /// Parts of the request's prompt that other requests may share.
+    shared_prompt: rc::Rc<[name::PromptPart]>,
     /// Group that the server is a rank of.
     group: Option<String>,
     /// Events of a stream that the server has sent.
@@ -75,29 +92,66 @@
     /// Records that the server has sent `events` events of a stream so far.
     pub fn record_events(&mut self, events: u64) {
         let now = self.gateway.now();
-        let is_first = self.events == 0;
-        (self.events, self.active_at) = (events, now);
-        let Some(group) = &self.group else { return };
-        let progress = &mut self.gateway.state.borrow_mut().progress;
-        match is_first {
-            true => progress.begin_stream(group, now),
-            false => progress.record_event(group, now),
+        let previous = std::mem::replace(&mut self.events, events);
+        self.active_at = now;
+        self.record_activity();
+        let state = &mut *self.gateway.state.borrow_mut();
+        if previous < quarantine::ANSWERED_EVENTS && events >= quarantine::ANSWERED_EVENTS {
+            state.quarantine.record_answer(&self.shared_prompt, now);
+        }
+        match &self.group {
+            Some(group) if previous == 0 => state.progress.begin_stream(group, now),
+            Some(group) => state.progress.record_event(group, now),
+            None => {}
+        }
+    }
+
+    /// Records that the server sent something, so that it has not crashed.
+    pub fn record_activity(&self) {
+        let now = self.gateway.now();
+        let quarantine = &mut self.gateway.state.borrow_mut().quarantine;
+        if quarantine.record_activity(&self.incarnation(), now) {
+            self.gateway.notes_pending.notify_one();
+        }
+    }
+
+    fn incarnation(&self) -> quarantine::Incarnation<'_> {
+        quarantine::Incarnation {
+            server: &self.server,
+            started_ms: self.started_ms,
+            group: self.group.as_deref(),
         }
     }
 
+    /// Records that the server answered the request successfully and completely.
+    pub fn record_complete_answer(&mut self) {
+        self.set_outcome(selector::Outcome::Success);
+        let now = self.gateway.now();
+        self.gateway.state.borrow_mut().quarantine.record_answer(&self.shared_prompt, now);
+    }
+
     /// Records that the server's answer to `req` broke off, or did not come, because of `failure`.
     pub fn record_break(&self, req: &RoutedRequest, failure: &client::Failure) {
-        let silent_ms = self.gateway.now().saturating_sub(self.active_at).as_millis() as u64;
+        let now = self.gateway.now();
+        let silent_for = now.saturating_sub(self.active_at);
+        let has_crashed = silent_for <= self.gateway.max_crash_silence;
         let parts: Vec<&str> = req.shared_prompt.iter().map(name::PromptPart::as_str).collect();
         log::info!(
             req:% = req.id,
             server:% = self.server,
             events = self.events,
-            silent_ms,
+            silent_ms = silent_for.as_millis() as u64,
+            has_crashed,
             prompt:% = parts.join(","),
             problem = failure.problem();
             "answer broke off"
         );
+        if has_crashed && self.events < quarantine::ANSWERED_EVENTS {
+            let quarantine = &mut self.gateway.state.borrow_mut().quarantine;
+            if quarantine.record_crash(&self.incarnation(), &self.shared_prompt, now) {
+                self.gateway.notes_pending.notify_one();
+            }
+        }
     }
 
     /// Sets the outcome of the attempt; without a call it stays neutral.
@@ -134,6 +188,8 @@
     Stalled,
     /// All servers that may get the request have asked for a pause, which ends after this time.
     Paused(time::Duration),
+    /// Servers keep crashing on a part of the prompt; requests with it are refused for this time.
+    Quarantined(time::Duration),
 }
 
 /// Returns how long all streams of a group may be silent before it counts as stalled, for streams
@@ -150,6 +206,7 @@
             registry: Registry::default(),
             selector: ServerSelector::default(),
             progress: GroupProgress::default(),
+            quarantine: Quarantine::new(&cfg.host),
             budgets: BTreeMap::new(),
             gateways: GatewaySet::new(&cfg.host),
             rng: daemon::seeded_rng(&cfg.host),
@@ -162,6 +219,9 @@
             started: Instant::now(),
             retries: cell::Cell::new(cfg.retries),
             max_view_age: cell::Cell::new(cfg.max_view_age),
+            max_crash_silence: cfg.stall.mul_f64(CRASH_SILENCE_FRACTION),
+            notes_pending: Notify::new(),
+            store_recovered: Notify::new(),
             slot_freed: Notify::new(),
             server_replaced: Notify::new(),
             state: cell::RefCell::new(state),
@@ -278,6 +338,37 @@
         }
     }
 
+    /// Applies a complete read of the notes of crashes, made when the store was in `era`.
+    pub fn apply_crash_notes(&self, notes: Vec<(quarantine::Note, u64)>, era: u64) {
+        let now = self.now();
+        let quarantine = &mut self.state.borrow_mut().quarantine;
+        quarantine.apply(notes, era, now);
+        if quarantine.has_pending() {
+            self.notes_pending.notify_one();
+        }
+    }
+
+    /// Returns up to `limit` notes of crashes to write to the store, and keys of notes to remove.
+    pub fn take_pending_notes(&self, limit: usize) -> (Vec<quarantine::Note>, Vec<String>) {
+        self.state.borrow_mut().quarantine.take_pending(limit)
+    }
+
+    /// Records that `notes` of crashes could not be written.
+    pub fn restore_pending_notes(&self, notes: &[quarantine::Note]) {
+        self.state.borrow_mut().quarantine.restore_pending(notes);
+    }
+
+    /// Records that the expired notes with `keys` are no longer in the store.
+    pub fn forget_expired_notes(&self, keys: &[String]) {
+        self.state.borrow_mut().quarantine.forget_expired(keys);
+    }
+
+    /// Returns whether a request with these parts of a prompt may be sent again after it broke off.
+    pub fn may_resend(&self, shared_prompt: &[name::PromptPart]) -> bool {
+        let now = self.now();
+        self.state.borrow_mut().quarantine.may_resend(shared_prompt, now)
+    }
+
     /// Records the versions of the latest heartbeats of all gateways.
     pub fn record_heartbeats(&self, versions: BTreeMap<name::Host, u64>) {
         let now = self.now();
@@ -306,7 +397,10 @@
     /// Returns whether the balancer should send clients to this gateway.
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
-        !state.stopping && state.catalog.is_some() && state.registry.last_read_at().is_some()
+        !state.stopping
+            && state.catalog.is_some()
+            && state.registry.last_read_at().is_some()
+            && state.quarantine.is_loaded()
     }
 
     /// Makes the gateway not ready; from now on, answers ask clients to close their connections.
@@ -345,23 +439,24 @@
         route.pick_service(self.state.borrow_mut().rng.random())
     }
 
-    /// Reserves a slot at a server of `service` that is not among `tried`.
-    pub fn reserve(
-        self: &rc::Rc<Self>,
-        catalog: &Catalog,
-        service: &name::Service,
-        max_event_gap: Option<time::Duration>,
-        tried: &[name::Server],
-    ) -> Result<Reservation, ReserveError> {
+    /// Reserves a slot for `req` at a server where it was not attempted yet.
+    pub fn reserve(self: &rc::Rc<Self>, req: &RoutedRequest) -> Result<Reservation, ReserveError> {
         let fallback = catalog::Service::default();
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
+        if let Some(left) = state.quarantine.refusal_time(&req.shared_prompt, now) {
+            if state.quarantine.has_pending() {
+                self.notes_pending.notify_one();
+            }
+            return Err(ReserveError::Quarantined(left));
+        }
+        let (service, max_event_gap) = (&req.service, req.route.max_event_gap);
         let criteria = selector::Criteria {
-            service: catalog.services.get(service).unwrap_or(&fallback),
+            service: req.catalog.services.get(service).unwrap_or(&fallback),
             zone: &self.zone,
             max_event_gap,
             gateways: &state.gateways,
-            tried,
+            tried: &req.tried,
             now,
         };
         let (progress, mut has_stalled) = (&mut state.progress, false);
@@ -379,8 +474,9 @@
         let choice = state.selector.select(candidates, criteria, &mut state.rng);
         match choice {
             Choice::Server { server, addr, in_flight } => {
-                let registered = state.registry.get(&server);
-                let member = registered.and_then(|server| server.registration.member.as_ref());
+                let registered = state.registry.get(&server).map(|server| &server.registration);
+                let started_ms = registered.map_or(0, |registration| registration.started_ms);
+                let member = registered.and_then(|registration| registration.member.as_ref());
                 let group = member.map(|member| member.group.clone());
                 if let Some(group) = &group {
                     state.progress.record_attempt(group, now);
@@ -391,6 +487,8 @@
                     addr,
                     in_flight,
                     outcome: selector::Outcome::Neutral,
+                    started_ms,
+                    shared_prompt: rc::Rc::clone(&req.shared_prompt),
                     group,
                     events: 0,
                     active_at: now,
@@ -461,6 +559,11 @@
                 .collect::<Vec<_>>(),
             "leaving": state.stopping,
             "gateways": state.gateways.count(),
+            "quarantined": state
+                .quarantine
+                .parts()
+                .map(name::PromptPart::as_str)
+                .collect::<Vec<_>>(),
             "servers": servers,
         })
     }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -6,7 +6,10 @@
 use crate::{
     balance::gateways,
     name, peer,
-    platform::{Store, store::TableChange},
+    platform::{
+        Store,
+        store::{TableChange, WatchedTable},
+    },
     rank::{message, relay},
 };
 
@@ -39,7 +42,7 @@
 
 /// Backoff of one kind of call to the store; logs when the calls begin to fail and when they
 /// succeed again.
-struct Backoff {
+pub(super) struct Backoff {
     /// Data that the calls read, for logs.
     data: &'static str,
     failing_since: Option<time::Duration>,
@@ -47,19 +50,20 @@
 }
 
 impl Backoff {
-    fn new(data: &'static str) -> Self {
+    pub(super) fn new(data: &'static str) -> Self {
         Self { data, failing_since: None, delay: FIRST_RETRY_DELAY }
     }
 
-    fn reset(&mut self, gateway: &Gateway) {
+    pub(super) fn reset(&mut self, gateway: &Gateway) {
         if let Some(since) = self.failing_since.take() {
             let unavailable_ms = gateway.now().saturating_sub(since).as_millis() as u64;
             log::info!(what = self.data, unavailable_ms; "store available again");
+            gateway.store_recovered.notify_one();
         }
         self.delay = FIRST_RETRY_DELAY;
     }
 
-    async fn wait(&mut self, gateway: &Gateway, err: &crate::Error) {
+    pub(super) async fn wait(&mut self, gateway: &Gateway, err: &crate::Error) {
         if self.failing_since.is_none() {
             self.failing_since = Some(gateway.now());
             log::warn!(what = self.data; "store unavailable: {err}");
@@ -85,6 +89,7 @@
                 Some(version) => {
                     store
                         .wait_for_change(
+                            WatchedTable::Operators,
                             version,
                             gateway.max_view_age().orders.mul_f64(CHANGE_WAIT_FRACTION),
                         )
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -17,6 +17,8 @@
 /// Default for the maximum time until a change in the store takes effect, in milliseconds; the
 /// platform's documentation states it for the first sites.
 const DEFAULT_MAX_VIEW_AGE_MS: f64 = 2_000.0;
+/// Default time for which a group of engines stalls after the crash of one, in milliseconds.
+const DEFAULT_STALL_MS: f64 = 1_500.0;
 /// Default time from SIGTERM to SIGKILL, in seconds.
 const DEFAULT_GRACE_S: f64 = 8.0;
 
@@ -81,6 +83,8 @@
     pub retries: RetryLimits,
     /// Maximum age of the view of the store.
     pub max_view_age: MaxViewAge,
+    /// Time for which a group of engines stalls after the crash of one.
+    pub stall: time::Duration,
     /// Time from SIGTERM to SIGKILL.
     pub grace: time::Duration,
 }
@@ -141,6 +145,7 @@
             "token",
             "retries",
             "within",
+            "stall-ms",
             "grace-s",
         ];
         let table = MapReader::open(node, &known_keys, findings)?;
@@ -168,6 +173,7 @@
         let token = table.required("token", findings);
         let retries = table.optional("retries", RetryLimits::default(), findings);
         let max_view_age = table.optional("within", MaxViewAge::default(), findings);
+        let stall_ms: Option<f64> = table.optional("stall-ms", DEFAULT_STALL_MS, findings);
         let grace_s: Option<f64> = table.optional("grace-s", DEFAULT_GRACE_S, findings);
         Some(Self {
             host: name::Host::new(host?),
@@ -179,6 +185,7 @@
             token: token?,
             retries: retries?,
             max_view_age: max_view_age?,
+            stall: time::Duration::try_from_secs_f64(stall_ms? / 1000.0).ok()?,
             grace: time::Duration::try_from_secs_f64(grace_s?).ok()?,
         })
     }
--- a/stand-ins/store.rs
+++ b/stand-ins/store.rs
@@ -214,9 +214,15 @@
     }
 
     fn transact(&self, call: &serde_json::Value) -> (u16, serde_json::Value) {
-        let puts = call["puts"].as_array().cloned().unwrap_or_default();
+        let entries = |key: &str| call[key].as_array().cloned().unwrap_or_default();
+        let (puts, removed) = (entries("puts"), entries("remove"));
         self.change(|state| {
             state.ver += 1;
+            for row in removed {
+                let text = |key: &str| row[key].as_str().unwrap_or_default().to_owned();
+                let tombstone = Row { value: String::new(), ver: state.ver, tombstone: true };
+                state.rows.insert((text("table"), text("key")), tombstone);
+            }
             for put in puts {
                 let text = |key: &str| put[key].as_str().unwrap_or_default().to_owned();
                 let row = Row { value: text("value"), ver: state.ver, tombstone: false };
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -265,7 +265,9 @@
     let line = |id: &str| {
         let key = format!("req={id} ");
         wait_until("the line is written", || {
-            site.gateway.logs().lines().find(|line| line.contains(&key)).map(str::to_owned)
+            let logs = site.gateway.logs();
+            let mut lines = logs.lines().filter(|line| line.contains("request ended"));
+            lines.find(|line| line.contains(&key)).map(str::to_owned)
         })
     };
     let refused = line("id-refused");
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -50,6 +50,7 @@
 mod peers;
 mod platform;
 mod processes;
+mod quarantine;
 mod rebalance;
 mod registry;
 mod replays;
--- /dev/null
+++ b/tests/quarantine.rs
@@ -0,0 +1,241 @@
+//! The decision which part of a prompt is quarantined, from the crashes that gateways note.
+
+use std::time::Duration;
+
+use knapweedford::{
+    balance::{
+        Quarantine,
+        quarantine::{Incarnation, Note},
+    },
+    name::{PromptPart, Server},
+};
+
+const HOUR: Duration = Duration::from_secs(3600);
+
+fn parts(hashes: &[&str]) -> Vec<PromptPart> {
+    hashes.iter().copied().map(PromptPart::from).collect()
+}
+
+fn at(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+/// An incarnation of a rank of a group.
+fn rank(server: &Server, started_ms: u64) -> Incarnation<'_> {
+    Incarnation { server, started_ms, group: Some("g-0") }
+}
+
+/// A quarantine that has read an empty store.
+fn loaded(host: &str) -> Quarantine {
+    let mut quarantine = Quarantine::new(&host.into());
+    quarantine.apply(Vec::new(), 0, at(0));
+    quarantine
+}
+
+/// Writes the pending notes of `quarantines` to `stored`, and lets all of them read it.
+fn exchange(quarantines: &mut [&mut Quarantine], stored: &mut Vec<(Note, u64)>, now: Duration) {
+    for quarantine in quarantines.iter_mut() {
+        for note in quarantine.take_pending(100).0 {
+            let version = stored.len() as u64 + 1;
+            stored.retain(|(other, _)| other.key() != note.key());
+            stored.push((note, version));
+        }
+    }
+    for quarantine in quarantines.iter_mut() {
+        quarantine.apply(stored.clone(), 0, now);
+    }
+}
+
+/// Guards against crashes that each gateway sees one of, so that none of them sees the cause.
+#[test]
+fn spread_over_gateways() {
+    let (mut a, mut b, mut c) = (loaded("a"), loaded("b"), loaded("c"));
+    let mut stored = Vec::new();
+    a.record_crash(&rank(&"i-1".into(), 1), &parts(&["x", "bad"]), at(10));
+    exchange(&mut [&mut a, &mut b, &mut c], &mut stored, at(11));
+    b.record_crash(&rank(&"i-2".into(), 1), &parts(&["y", "bad"]), at(12));
+    exchange(&mut [&mut a, &mut b, &mut c], &mut stored, at(13));
+    assert_eq!(c.refusal_time(&parts(&["bad"]), at(14)), None);
+    a.record_crash(&rank(&"i-3".into(), 1), &parts(&["z", "bad"]), at(14));
+    exchange(&mut [&mut a, &mut b, &mut c], &mut stored, at(15));
+    for quarantine in [&mut a, &mut b, &mut c] {
+        assert!(quarantine.refusal_time(&parts(&["w", "bad"]), at(16)).is_some());
+        assert_eq!(quarantine.refusal_time(&parts(&["x", "y", "z"]), at(16)), None);
+    }
+    // A gateway that starts later knows it, too.
+    let mut d = loaded("d");
+    exchange(&mut [&mut a, &mut d], &mut stored, at(20));
+    assert!(d.refusal_time(&parts(&["bad"]), at(21)).is_some());
+}
+
+/// Guards against one crash that counts several times because several gateways, or several requests
+/// of one, saw it.
+#[test]
+fn one_crash_counts_once() {
+    let (mut a, mut b) = (loaded("a"), loaded("b"));
+    let mut stored = Vec::new();
+    for _ in 0..3 {
+        a.record_crash(&rank(&"i-1".into(), 1), &parts(&["x"]), at(10));
+        b.record_crash(&rank(&"i-1".into(), 1), &parts(&["x"]), at(10));
+    }
+    exchange(&mut [&mut a, &mut b], &mut stored, at(11));
+    assert_eq!(a.refusal_time(&parts(&["x"]), at(12)), None);
+    // Another incarnation with the same name is another crash.
+    a.record_crash(&rank(&"i-1".into(), 2), &parts(&["x"]), at(13));
+    a.record_crash(&rank(&"i-1".into(), 3), &parts(&["x"]), at(15));
+    assert!(a.refusal_time(&parts(&["x"]), at(16)).is_some());
+}
+
+/// Guards against lost connections that are taken for crashes: the server, or its group, goes on.
+#[test]
+fn lost_connections() {
+    for witness in ["i-0", "i-9"] {
+        let (mut a, mut b) = (loaded("a"), loaded("b"));
+        let mut stored = Vec::new();
+        for n in 0..6 {
+            let now = Duration::from_millis(10_000 + n * 100);
+            a.record_crash(&rank(&format!("i-{n}").as_str().into(), 1), &parts(&["hot"]), now);
+        }
+        exchange(&mut [&mut a, &mut b], &mut stored, Duration::from_millis(10_600));
+        // The other gateway hears from one of the servers, or from another rank.
+        let heard_at = Duration::from_millis(11_200);
+        assert!(b.record_activity(&rank(&witness.into(), 1), heard_at));
+        assert_eq!(b.refusal_time(&parts(&["hot"]), at(13)), None);
+        let (_, withdrawn) = b.take_pending(100);
+        assert_eq!(withdrawn.len(), 6, "{withdrawn:?}");
+        stored.retain(|(note, _)| !withdrawn.contains(&note.key()));
+        exchange(&mut [&mut a], &mut stored, at(12));
+        assert_eq!(a.refusal_time(&parts(&["hot"]), at(13)), None);
+    }
+}
+
+/// Events from before a crash that are read a little later, and those of the group after it has
+/// formed anew, do not disprove the crash; events of the next incarnation don't either.
+#[test]
+fn late_events() {
+    let mut quarantine = loaded("a");
+    for n in 0..3 {
+        let crashed_at = at(10 + 10 * n);
+        quarantine.record_crash(&rank(&"i-1".into(), n), &parts(&["bad"]), crashed_at);
+        let late = crashed_at + Duration::from_millis(100);
+        assert!(!quarantine.record_activity(&rank(&"i-1".into(), n), late));
+        assert!(!quarantine.record_activity(&rank(&"i-1".into(), n + 1), crashed_at + at(3)));
+        assert!(!quarantine.record_activity(&rank(&"i-2".into(), 0), crashed_at + at(3)));
+    }
+    assert!(quarantine.refusal_time(&parts(&["bad"]), at(40)).is_some());
+}
+
+/// Guards against the quarantine of a part that many sound prompts share: it is in all crashes, but
+/// prompts with it are answered.
+#[test]
+fn shared_part_cleared() {
+    let mut quarantine = loaded("a");
+    quarantine.record_answer(&parts(&["shared", "topic"]), at(5));
+    for n in 0..10 {
+        let server = format!("i-{n}");
+        quarantine.record_crash(
+            &rank(&server.as_str().into(), 1),
+            &parts(&["shared", "bad"]),
+            at(10 + n),
+        );
+    }
+    assert_eq!(quarantine.refusal_time(&parts(&["shared", "topic"]), at(20)), None);
+    assert!(quarantine.refusal_time(&parts(&["shared", "bad"]), at(20)).is_some());
+    assert!(quarantine.may_resend(&parts(&["shared", "topic"]), at(20)));
+}
+
+/// Guards against the quarantine of a part that happens to be in a few of many crashes, as when a
+/// rack of servers fails.
+#[test]
+fn many_servers_fail() {
+    let mut quarantine = loaded("a");
+    for n in 0..12 {
+        let part = if n % 4 == 0 { "often".to_owned() } else { format!("own-{n}") };
+        let server = format!("i-{n}");
+        quarantine.record_crash(&rank(&server.as_str().into(), 1), &parts(&[&part]), at(10));
+    }
+    assert_eq!(quarantine.refusal_time(&parts(&["often"]), at(11)), None);
+}
+
+/// A second bad part is found although the first one is in the same crashes.
+#[test]
+fn two_bad_parts() {
+    let mut quarantine = loaded("a");
+    for n in 0..6 {
+        let bad = if n % 2 == 0 { "bad-1" } else { "bad-2" };
+        let server = format!("i-{n}");
+        quarantine.record_crash(&rank(&server.as_str().into(), 1), &parts(&[bad]), at(10 + n));
+    }
+    assert!(quarantine.refusal_time(&parts(&["bad-1"]), at(20)).is_some());
+    assert!(quarantine.refusal_time(&parts(&["bad-2"]), at(20)).is_some());
+}
+
+/// A request is sent again after the first crash with its parts, but not after the second.
+#[test]
+fn resent_once() {
+    let mut quarantine = loaded("a");
+    quarantine.record_crash(&rank(&"i-1".into(), 1), &parts(&["bad"]), at(10));
+    assert!(quarantine.may_resend(&parts(&["bad"]), at(10)));
+    quarantine.record_crash(&rank(&"i-2".into(), 1), &parts(&["bad"]), at(11));
+    assert!(!quarantine.may_resend(&parts(&["bad"]), at(11)));
+    assert!(quarantine.may_resend(&parts(&["other"]), at(11)));
+}
+
+/// A quarantine ends an hour after the last request that it refused, here and in the store.
+#[test]
+fn ends_when_unused() {
+    let mut quarantine = loaded("a");
+    let mut stored = Vec::new();
+    for n in 0..3 {
+        quarantine.record_crash(
+            &rank(&format!("i-{n}").as_str().into(), 1),
+            &parts(&["bad"]),
+            at(n),
+        );
+    }
+    exchange(&mut [&mut quarantine], &mut stored, at(4));
+    assert!(quarantine.refusal_time(&parts(&["bad"]), at(3000)).is_some());
+    exchange(&mut [&mut quarantine], &mut stored, at(3001));
+    exchange(&mut [&mut quarantine], &mut stored, HOUR + at(100));
+    assert!(quarantine.refusal_time(&parts(&["bad"]), HOUR + at(101)).is_some());
+    exchange(&mut [&mut quarantine], &mut stored, 3 * HOUR);
+    assert_eq!(quarantine.refusal_time(&parts(&["bad"]), 3 * HOUR), None);
+    let (_, removed) = quarantine.take_pending(100);
+    assert!(removed.contains(&"part/bad".to_owned()), "{removed:?}");
+}
+
+/// Notes that a restored store lacks still hold, and are written again by those who know them.
+#[test]
+fn kept_after_restore() {
+    let mut quarantine = loaded("a");
+    let mut stored = Vec::new();
+    for n in 0..3 {
+        quarantine.record_crash(
+            &rank(&format!("i-{n}").as_str().into(), 1),
+            &parts(&["bad"]),
+            at(n),
+        );
+    }
+    exchange(&mut [&mut quarantine], &mut stored, at(4));
+    quarantine.apply(Vec::new(), 1, at(5));
+    assert!(quarantine.refusal_time(&parts(&["bad"]), at(6)).is_some());
+    assert_eq!(quarantine.take_pending(100).0.len(), 4, "three crashes and the quarantine");
+}
+
+/// Notes and remembered parts stay bounded, whatever callers send.
+#[test]
+fn bounded_memory() {
+    let mut quarantine = loaded("a");
+    for n in 0..2_000u64 {
+        let many: Vec<PromptPart> =
+            (0..32).map(|part| PromptPart::new(format!("{n}-{part}"))).collect();
+        quarantine.record_answer(&many, at(n / 100));
+        let other: Vec<PromptPart> =
+            (0..200).map(|part| PromptPart::new(format!("c{n}-{part}"))).collect();
+        quarantine.record_crash(&rank(&"i-1".into(), n), &other, at(n / 100));
+    }
+    let (notes, _) = quarantine.take_pending(10_000);
+    assert!(notes.len() <= 128, "{} notes", notes.len());
+    let bytes = serde_json::to_vec(&notes[0]).expect("a note serializes").len();
+    assert!(bytes < 16_000, "a note of {bytes} bytes");
+}
