Test answers that have neither a length nor chunks

The platform now has such answers, and streams that end within an event. Both hold on the present code: hyper reads such a body to the end of its connection, a reset is an error, and the relay takes a stream that ends within an event for broken.

--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -66,4 +66,5 @@
 mod streams;
 mod telemetry;
 mod tool;
+mod unframed;
 mod zones;
