--- a/tests/gateways.rs
+++ b/tests/gateways.rs
@@ -42,6 +42,8 @@
     Leave,
     /// Refuses requests, stating that they did not run, with this Retry-After.
     Pause(&'static str),
+    /// Answers, and names in each answer this limit on the requests a second.
+    Limit(&'static str),
     /// Streams with this many milliseconds between events.
     Paced(u64),
 }
@@ -198,6 +200,11 @@
                 let [id, seal] = answer_headers;
                 respond(req, 200, "last", &[id, seal, ("Server-Leaving", "1")]);
             }
+            Behavior::Limit(per_s) => {
+                let [id, seal] = answer_headers;
+                let body = format!("by {}", self.id);
+                respond(req, 200, &body, &[id, seal, ("Server-Limit", per_s)]);
+            }
             Behavior::Fail => respond(req, 500, "failed", &answer_headers),
             Behavior::WrongRequest => {
                 respond(req, 200, "other", &[("X-Knapweedford-Request-Id", "another")])
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -59,6 +59,7 @@
 mod routes;
 mod scheduling;
 mod sections;
+mod server_limits;
 mod shutdown;
 mod site;
 mod soak;
