Divide a limit that a server names among the gateways

Callers saw: a server that named Server-Limit got more than it allows (LIMIT); by then it refuses, and callers come back later.

Cause: no gateway read the header. Its class is a bound that holds for all gateways together and that each of them knows alone, as for cold servers.

Change: the first gateways in the server's order share the limit by equal intervals between their requests, with no credit for idle time. Retries and resumed streams count as each choice of a server does. A limit ends with an answer that does not name it, to a request sent after the limit was known, and with the incarnation. When only limits stand in the way, the request waits for the next interval if the answer can still be on time, and is else refused at once with a Retry-After that is not before it.

Ruled out: a bucket per gateway.

--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -7,6 +7,7 @@
 pub mod gateways;
 pub mod progress;
 pub mod quarantine;
+pub mod rate_limit;
 pub mod selector;
 pub mod window;
 
@@ -14,5 +15,6 @@
 pub use gateways::GatewaySet;
 pub use progress::GroupProgress;
 pub use quarantine::Quarantine;
+pub use rate_limit::RateLimit;
 pub use selector::{Choice, ServerSelector};
 pub use window::SlidingWindow;
--- a/src/balance/selector.rs
+++ b/src/balance/selector.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 
-use super::{GatewaySet, SlidingWindow, capacity, gateways};
+use super::{GatewaySet, RateLimit, SlidingWindow, capacity, gateways};
 use crate::{
     name,
     rank::relay,
@@ -56,6 +56,8 @@
     ejected_until: time::Duration,
     /// End of the pause that the server asked for.
     paused_until: time::Duration,
+    /// Limit on requests that the server names.
+    limit: Option<RateLimit>,
     /// Attempts of the last second.
     attempts: SlidingWindow,
     /// Attempts that load reports may not include yet.
@@ -82,6 +84,7 @@
             ejections: 0,
             ejected_until: time::Duration::ZERO,
             paused_until: time::Duration::ZERO,
+            limit: None,
             attempts: SlidingWindow::new(time::Duration::from_secs(1)),
             unreported: SlidingWindow::new(RELAYED_REPORT_DELAY),
             report: None,
@@ -211,6 +214,11 @@
         /// Time at which the first pause ends.
         until: time::Duration,
     },
+    /// The limits that servers name allow no request of this gateway now.
+    Limited {
+        /// Time at which the first of them does.
+        until: time::Duration,
+    },
 }
 
 /// Inputs of a selection besides the load of the servers.
@@ -255,8 +263,13 @@
         let honor_ejections = ejected * SERVERS_PER_EJECTED <= candidates.len();
         let sharing = sharing_of(&criteria, candidates.len());
         let mut best: Option<(f64, &RegisteredServer)> = None;
-        // Whether a server is full or left to other gateways, and the end of the first pause.
-        let (mut is_full, mut paused_until) = (false, None::<time::Duration>);
+        // Whether a server is full or left to other gateways, the end of the first pause, and the
+        // time at which the first limit allows a request.
+        let mut is_full = false;
+        let (mut paused_until, mut limited_until) = (None, None);
+        let earlier = |first: Option<time::Duration>, until: time::Duration| {
+            Some(first.map_or(until, |first| first.min(until)))
+        };
         for server in &candidates {
             let untried = !criteria.tried.contains(&server.registration.server);
             let healthy = !honor_ejections || !self.is_ejected(server, criteria.now);
@@ -268,11 +281,18 @@
                 .entry(server.registration.server.clone())
                 .or_insert_with(ServerLoad::new);
             if load.paused_until > criteria.now {
-                let until = load.paused_until;
-                paused_until = Some(paused_until.map_or(until, |first| first.min(until)));
+                paused_until = earlier(paused_until, load.paused_until);
                 continue;
             }
             let position = load.position(&server.registration.server, criteria.gateways);
+            let next_send_at = load
+                .limit
+                .map(|limit| limit.next_send_at(sharing.gateways, position, criteria.now))
+                .filter(|at| *at > criteria.now && position < sharing.gateways);
+            if let Some(next_send_at) = next_send_at {
+                limited_until = earlier(limited_until, next_send_at);
+                continue;
+            }
             if position >= sharing.gateways
                 || !load.has_capacity(&criteria, &sharing, position, max_in_flight)
             {
@@ -290,10 +310,11 @@
                 best = Some((score, server));
             }
         }
-        let selected = match (best, paused_until) {
-            (Some((_, selected)), _) => selected,
-            (None, Some(until)) if !is_full => return Choice::Paused { until },
-            (None, _) => return Choice::Full,
+        let selected = match (best, limited_until, paused_until) {
+            (Some((_, selected)), ..) => selected,
+            (None, Some(until), _) if !is_full => return Choice::Limited { until },
+            (None, None, Some(until)) if !is_full => return Choice::Paused { until },
+            (None, ..) => return Choice::Full,
         };
         let load =
             self.loads.entry(selected.registration.server.clone()).or_insert_with(ServerLoad::new);
@@ -301,6 +322,9 @@
         load.in_flight += 1;
         load.attempts.add(criteria.now);
         load.unreported.add(criteria.now);
+        if let Some(limit) = &mut load.limit {
+            limit.record_sent(criteria.now);
+        }
         let server = selected.registration.server.clone();
         Choice::Server { server, addr: selected.registration.address, in_flight }
     }
@@ -335,10 +359,32 @@
         load.paused_until = load.paused_until.max(now + pause);
     }
 
-    /// Ends the pause of `server`, which a new incarnation has not asked for.
-    pub fn clear_pause(&mut self, server: &name::Server) {
+    /// Records the limit that `server` named, in requests a second, in an answer received at `now`
+    /// to a request sent at `sent_at`; `None` if it named none. Returns whether the limit began or
+    /// ended.
+    pub fn set_limit(
+        &mut self,
+        server: &name::Server,
+        per_s: Option<f64>,
+        sent_at: time::Duration,
+        now: time::Duration,
+    ) -> bool {
+        let load = self.loads.entry(server.clone()).or_insert_with(ServerLoad::new);
+        match (&mut load.limit, per_s) {
+            (Some(limit), Some(per_s)) => limit.set_per_s(per_s),
+            (None, Some(per_s)) => load.limit = Some(RateLimit::new(per_s, now)),
+            // An answer to an earlier request may have been on its way when the limit began.
+            (Some(limit), None) if sent_at > limit.named_at() => load.limit = None,
+            (_, None) => return false,
+        }
+        load.limit.is_none_or(|limit| limit.named_at() == now)
+    }
+
+    /// Ends the pause and the limit of `server`, which a new incarnation has not asked for.
+    pub fn clear_notices(&mut self, server: &name::Server) {
         if let Some(load) = self.loads.get_mut(server) {
             load.paused_until = time::Duration::ZERO;
+            load.limit = None;
         }
     }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -86,11 +86,12 @@
     let notice = match kind {
         AnswerKind::OtherServer => exchange::ServerNotice::default(),
         _ => {
+            let notice = exchange::server_notice(head.status, &head.headers);
             reservation.record_activity();
-            exchange::server_notice(head.status, &head.headers)
+            reservation.record_notice(notice, kind != AnswerKind::NotRun);
+            notice
         }
     };
-    gateway.record_notice(&reservation.server, notice);
     match kind {
         AnswerKind::NotRun | AnswerKind::OtherServer => {
             let (reason, outcome) = match kind {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -227,6 +227,10 @@
                             req.min_retry_after = Some(left);
                             Refusal::Paused
                         }
+                        ReserveError::Limited(left) => {
+                            req.min_retry_after = Some(left);
+                            Refusal::Limited
+                        }
                         ReserveError::Quarantined(left) => {
                             req.min_retry_after = Some(left);
                             Refusal::Quarantined
@@ -290,14 +294,20 @@
         }
     }
 
-    /// Reserves a slot at a server. Waits for a free slot only before the first arrival, and only
-    /// while the answer can still be on time.
+    /// Reserves a slot at a server. Waits for a free slot, or until a server's limit allows the
+    /// request, only before the first arrival, and only while the answer can still be on time.
     async fn reserve(&self, req: &RoutedRequest) -> Result<Reservation, ReserveError> {
         let wait_until = Instant::now() + req.route.latency_target.mul_f64(SLOT_WAIT_FRACTION);
         loop {
             let slot_freed = self.gateway.slot_freed.notified();
             match self.gateway.reserve(req) {
                 Err(ReserveError::Full) if req.arrivals == 0 => {}
+                Err(ReserveError::Limited(left))
+                    if req.arrivals == 0 && Instant::now() + left <= wait_until =>
+                {
+                    tokio::time::sleep(left).await;
+                    continue;
+                }
                 reserved => return reserved,
             }
             if tokio::time::timeout_at(wait_until, slot_freed).await.is_err() {
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -31,6 +31,8 @@
     Stalled,
     /// All servers have asked for a pause.
     Paused,
+    /// The limits that servers name allow no further request now.
+    Limited,
     /// Servers keep crashing on a part of the prompt.
     Quarantined,
     /// No server accepted the request; it has not run.
@@ -51,6 +53,7 @@
             | Self::NoServer
             | Self::Stalled
             | Self::Paused
+            | Self::Limited
             | Self::Quarantined
             | Self::NotRun => 503,
             Self::Malformed | Self::BodyIncomplete => 400,
@@ -77,6 +80,7 @@
             Self::NoServer => "no-server",
             Self::Stalled => "stalled",
             Self::Paused => "paused",
+            Self::Limited => "limited",
             Self::Quarantined => "quarantined",
             Self::NotRun => "not-run",
             Self::NoAnswer => "no-answer",
@@ -115,6 +119,9 @@
             Self::Paused => {
                 "All backend servers ask for a pause; it did not run; send it again later."
             }
+            Self::Limited => {
+                "All backend servers limit their requests; it did not run; send it again later."
+            }
             Self::Quarantined => {
                 "Backend servers crash on a part of the prompt; it did not run; change the prompt."
             }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -84,6 +84,8 @@
     group: Option<String>,
     /// Events of a stream that the server has sent.
     events: u64,
+    /// Time of the reservation.
+    reserved_at: time::Duration,
     /// Time of the reservation or of the latest event.
     active_at: time::Duration,
 }
@@ -115,6 +117,27 @@
         }
     }
 
+    /// Records what the server said about itself in an answer. It holds at once, before the registry
+    /// shows it and while the store is unavailable. A limit ends only with an answer of a request
+    /// that ran, `has_run`, and does not name it.
+    pub fn record_notice(&self, notice: exchange::ServerNotice, has_run: bool) {
+        let now = self.gateway.now();
+        let (server, state) = (&self.server, &mut *self.gateway.state.borrow_mut());
+        if notice.leaving && state.registry.mark_leaving(server) {
+            log::info!(server:%; "server says that it is leaving");
+        }
+        if let Some(pause) = notice.pause {
+            log::info!(server:%, pause_ms = pause.as_millis() as u64; "server asks for a pause");
+            state.selector.pause(server, pause, now);
+        }
+        let limit = notice.limit_per_s;
+        if (has_run || limit.is_some())
+            && state.selector.set_limit(server, limit, self.reserved_at, now)
+        {
+            log::info!(server:%, limit_per_s:? = limit; "server's limit changed");
+        }
+    }
+
     fn incarnation(&self) -> quarantine::Incarnation<'_> {
         quarantine::Incarnation {
             server: &self.server,
@@ -188,6 +211,8 @@
     Stalled,
     /// All servers that may get the request have asked for a pause, which ends after this time.
     Paused(time::Duration),
+    /// The limits that servers name allow no request for this time.
+    Limited(time::Duration),
     /// Servers keep crashing on a part of the prompt; requests with it are refused for this time.
     Quarantined(time::Duration),
 }
@@ -290,7 +315,7 @@
             }
         }
         changes.gone.iter().for_each(|server| state.selector.remove(server));
-        changes.joined.iter().for_each(|server| state.selector.clear_pause(server));
+        changes.joined.iter().for_each(|server| state.selector.clear_notices(server));
     }
 
     /// Records that a read of the registry failed.
@@ -324,20 +349,6 @@
         self.slot_freed.notify_waiters();
     }
 
-    /// Records what `server` said about itself in an answer. It holds at once, before the registry
-    /// shows it and while the store is unavailable.
-    pub fn record_notice(&self, server: &name::Server, notice: exchange::ServerNotice) {
-        let now = self.now();
-        let state = &mut *self.state.borrow_mut();
-        if notice.leaving && state.registry.mark_leaving(server) {
-            log::info!(server:%; "server says that it is leaving");
-        }
-        if let Some(pause) = notice.pause {
-            log::info!(server:%, pause_ms = pause.as_millis() as u64; "server asks for a pause");
-            state.selector.pause(server, pause, now);
-        }
-    }
-
     /// Applies a complete read of the notes of crashes, made when the store was in `era`.
     pub fn apply_crash_notes(&self, notes: Vec<(quarantine::Note, u64)>, era: u64) {
         let now = self.now();
@@ -491,6 +502,7 @@
                     shared_prompt: rc::Rc::clone(&req.shared_prompt),
                     group,
                     events: 0,
+                    reserved_at: now,
                     active_at: now,
                 })
             }
@@ -498,6 +510,7 @@
             Choice::Full => Err(ReserveError::Full),
             Choice::NoServer => Err(ReserveError::NoServer),
             Choice::Paused { until } => Err(ReserveError::Paused(until.saturating_sub(now))),
+            Choice::Limited { until } => Err(ReserveError::Limited(until.saturating_sub(now))),
         }
     }
 
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -361,7 +361,7 @@
         fixture.select(later, &[]),
         Choice::Paused { until: later + Duration::from_secs(2) }
     );
-    fixture.selector.clear_pause(&name::Server::new("i-1"));
+    fixture.selector.clear_notices(&name::Server::new("i-1"));
     assert!(!matches!(fixture.select(later, &[]), Choice::Paused { .. }));
 }
 
@@ -440,3 +440,66 @@
     fixture.registry.update(Vec::new(), Duration::from_millis(1_700), 0);
     assert_eq!(fixture.select(now, &[]), Choice::NoServer);
 }
+
+/// Guards against limits of servers that the gateways keep only each for itself: with a steady load
+/// and with a burst after idle time, all gateways together stay within what the platform allows, and
+/// use most of a limit that their share of the load suffices for.
+#[test]
+fn named_limits() {
+    let (step, window) = (Duration::from_millis(25), Duration::from_secs(4));
+    let server = name::Server::new("i-0");
+    for (gateways, per_s) in
+        [(1, 3.0), (4, 0.1), (4, 0.5), (4, 2.3), (6, 40.0), (53, 1.0), (53, 9.5)]
+    {
+        let mut fixtures: Vec<Fixture> =
+            (0..gateways).map(|own| Fixture::of_gateway(own, 1, gateways)).collect();
+        for fixture in &mut fixtures {
+            fixture.service = Service { cold_requests_per_s: 0.0, engine: None };
+            fixture.selector.set_limit(&server, Some(per_s), Duration::ZERO, step);
+        }
+        let mut sent = Vec::new();
+        let mut now = step;
+        while now < Duration::from_secs(400) {
+            now += step;
+            // No requests come in the second quarter, and many at once after it.
+            if (100..200).contains(&now.as_secs()) {
+                continue;
+            }
+            for fixture in &mut fixtures {
+                if matches!(fixture.select(now, &[]), Choice::Server { .. }) {
+                    fixture.selector.release(&server, selector::Outcome::Success, now);
+                    sent.push(now);
+                }
+            }
+        }
+        let case = format!("{gateways} gateways, limit {per_s}");
+        let busiest = sent
+            .iter()
+            .map(|from| sent.iter().filter(|at| (*from..*from + window).contains(at)).count())
+            .max()
+            .unwrap_or_default();
+        let allowed = 1.5 * per_s * window.as_secs_f64() + 5.0;
+        assert!(busiest as f64 <= allowed, "{case}: {busiest} requests in 4 s, {allowed} allowed");
+        let used = sent.len() as f64 / (300.0 * per_s);
+        assert!(used > 0.7, "{case}: only {used:.2} of the limit used");
+    }
+}
+
+/// A limit ends with the answer of a request that was sent after the limit was known, and with the
+/// incarnation that named it.
+#[test]
+fn limit_forgotten() {
+    let server = name::Server::new("i-0");
+    let (early, named, late) =
+        (Duration::from_secs(1), Duration::from_secs(2), Duration::from_secs(3));
+    let mut fixture = Fixture::new(1, 1);
+    assert!(fixture.selector.set_limit(&server, Some(1.0), early, named));
+    assert!(!fixture.selector.set_limit(&server, None, early, named), "from before the limit");
+    assert_eq!(fixture.select(named, &[]), Choice::Limited { until: late });
+    assert!(fixture.selector.set_limit(&server, None, late, late));
+    assert!(matches!(fixture.select(late, &[]), Choice::Server { .. }));
+    fixture.selector.set_limit(&server, Some(0.0), late, late);
+    assert!(matches!(fixture.select(late, &[]), Choice::Limited { .. }));
+    fixture.selector.clear_notices(&server);
+    assert!(matches!(fixture.select(late, &[]), Choice::Server { .. }));
+}
