Let the soak send prompts that crash servers, and limit a server

The soak's faults gain requests with a part in their prompts that crashes servers, and one of its servers names a limit all the time. The stand-in server registers again with its last address and state, and names its limit in streams as well.

--- a/stand-ins/chunks.rs
+++ b/stand-ins/chunks.rs
@@ -6,13 +6,18 @@
 pub struct ChunkedAnswer(Box<dyn io::Write + Send>);
 
 impl ChunkedAnswer {
-    /// Starts the answer: sends the status line and headers.
-    pub fn start(req: tiny_http::Request, kind: &str) -> io::Result<Self> {
+    /// Starts the answer: sends the status line, the content type `kind` and `headers`.
+    pub fn start(
+        req: tiny_http::Request,
+        kind: &str,
+        headers: &[(&str, &str)],
+    ) -> io::Result<Self> {
         let mut tx = req.into_writer();
-        write!(
-            tx,
-            "HTTP/1.1 200 OK\r\nContent-Type: {kind}\r\nTransfer-Encoding: chunked\r\n\r\n"
-        )?;
+        write!(tx, "HTTP/1.1 200 OK\r\nContent-Type: {kind}\r\nTransfer-Encoding: chunked\r\n")?;
+        for (name, value) in headers {
+            write!(tx, "{name}: {value}\r\n")?;
+        }
+        write!(tx, "\r\n")?;
         tx.flush()?;
         Ok(Self(tx))
     }
--- a/stand-ins/engine.rs
+++ b/stand-ins/engine.rs
@@ -190,7 +190,7 @@
 
 /// Streams the answer, one event per token. Event ids start at 1; `[DONE]` has the last one.
 fn send_stream(engine: &sync::Mutex<model::Engine>, job: &Job, call: serve::Call) -> model::Ending {
-    let Ok(mut tx) = chunks::ChunkedAnswer::start(call.req, "text/event-stream") else {
+    let Ok(mut tx) = chunks::ChunkedAnswer::start(call.req, "text/event-stream", &[]) else {
         return model::Ending::ClientGone;
     };
     let mut due = time::Instant::now();
--- a/tests/gateways.rs
+++ b/tests/gateways.rs
@@ -42,8 +42,6 @@
     Leave,
     /// Refuses requests, stating that they did not run, with this Retry-After.
     Pause(&'static str),
-    /// Answers, and names in each answer this limit on the requests a second.
-    Limit(&'static str),
     /// Streams with this many milliseconds between events.
     Paced(u64),
 }
@@ -70,6 +68,10 @@
     behavior: Arc<Mutex<Behavior>>,
     requests: Arc<Mutex<Vec<ReceivedRequest>>>,
     crashes: Arc<Mutex<Crashes>>,
+    /// Limit on requests a second that the server names in its answers.
+    limit: Arc<Mutex<Option<&'static str>>>,
+    /// Address and state under which the server was registered last.
+    registered: Arc<Mutex<Option<(net::SocketAddr, String)>>>,
 }
 
 /// The part of a prompt that crashes a server, and the crashes so far.
@@ -86,8 +88,15 @@
         let server = tiny_http::Server::http("127.0.0.1:0").unwrap();
         let addr = server.server_addr().to_ip().unwrap();
         let behavior = Arc::new(Mutex::new(Behavior::Answer));
-        let (requests, crashes) = (Arc::default(), Arc::default());
-        let started = Self { id: id.into(), addr, behavior, requests, crashes };
+        let started = Self {
+            id: id.into(),
+            addr,
+            behavior,
+            requests: Arc::default(),
+            crashes: Arc::default(),
+            limit: Arc::default(),
+            registered: Arc::default(),
+        };
         let listening = started.clone();
         thread::spawn(move || {
             for req in server.incoming_requests() {
@@ -107,6 +116,11 @@
         *self.behavior.lock().unwrap() = behavior;
     }
 
+    /// Sets the limit on requests a second that the server names in its answers.
+    pub fn set_limit(&self, per_s: Option<&'static str>) {
+        *self.limit.lock().unwrap() = per_s;
+    }
+
     /// Lets the server crash whenever it begins to answer a request whose prompt has `part`. It
     /// starts again with another id, which it registers in `store`.
     pub fn crash_on(&self, part: &str, store: &Store) {
@@ -119,9 +133,9 @@
         self.crashes.lock().unwrap().times.clone()
     }
 
-    /// Returns the id of the incarnation that runs after `crashes` crashes.
-    fn incarnation(&self, crashes: usize) -> String {
-        match crashes {
+    /// Returns the id of the present incarnation.
+    fn current_id(&self) -> String {
+        match self.crash_times().len() {
             0 => self.id.clone(),
             crashes => format!("{}-{crashes}", self.id),
         }
@@ -129,21 +143,22 @@
 
     /// Records a crash if `prompt` has the part that causes one, and registers again.
     fn crash_if_caused_by(&self, prompt: &str) -> bool {
+        let old_id = self.current_id();
         let mut crashes = self.crashes.lock().unwrap();
         let causes =
             |part: &str| prompt.split(',').any(|entry| entry.split(':').next() == Some(part));
         if !crashes.part.as_deref().is_some_and(causes) {
             return false;
         }
-        let old_id = self.incarnation(crashes.times.len());
         crashes.times.push(Instant::now());
-        let (count, store) = (crashes.times.len(), crashes.store.clone());
-        let (server, new_id) = (self.clone(), self.incarnation(count));
+        let (server, store) = (self.clone(), crashes.store.clone());
         thread::spawn(move || {
             thread::sleep(RESTART_TIME);
             let store = store.expect("a server that may crash has a store");
             store.remove("servers", &old_id);
-            register(&store, &Server { id: new_id, ..server.clone() }, server.addr, "ready");
+            let registered = server.registered.lock().unwrap().clone();
+            let (addr, state) = registered.expect("a server that may crash is registered");
+            register(&store, &server, addr, &state);
         });
         true
     }
@@ -164,9 +179,8 @@
         if crash_times.last().is_some_and(|at| at.elapsed() < RESTART_TIME) {
             return abort(req);
         }
-        let current_id = self.incarnation(crash_times.len());
         let expected = headers.get("x-knapweedford-expect-instance");
-        if expected.is_some_and(|expected| *expected != current_id) {
+        if expected.is_some_and(|expected| *expected != self.current_id()) {
             return respond(req, 421, "", &[]);
         }
         let prompt = headers.get("x-knapweedford-prefix-hash").cloned().unwrap_or_default();
@@ -190,6 +204,7 @@
         let seal = format!("seal-{}", self.id);
         let answer_headers =
             [("X-Knapweedford-Request-Id", id.as_str()), ("X-Knapweedford-Response-Seal", &seal)];
+        let limit = *self.limit.lock().unwrap();
         match behavior {
             Behavior::Refuse => respond(req, 503, "", &[("X-Knapweedford-Not-Executed", "1")]),
             Behavior::Pause(retry_after) => {
@@ -200,11 +215,6 @@
                 let [id, seal] = answer_headers;
                 respond(req, 200, "last", &[id, seal, ("Server-Leaving", "1")]);
             }
-            Behavior::Limit(per_s) => {
-                let [id, seal] = answer_headers;
-                let body = format!("by {}", self.id);
-                respond(req, 200, &body, &[id, seal, ("Server-Limit", per_s)]);
-            }
             Behavior::Fail => respond(req, 500, "failed", &answer_headers),
             Behavior::WrongRequest => {
                 respond(req, 200, "other", &[("X-Knapweedford-Request-Id", "another")])
@@ -213,7 +223,9 @@
             Behavior::Answer | Behavior::CutStream | Behavior::Paced(_)
                 if url.starts_with("/stream/") =>
             {
-                let mut chunks = ChunkedAnswer::start(req, "text/event-stream").unwrap();
+                let headers: Vec<(&str, &str)> =
+                    limit.iter().map(|per_s| ("Server-Limit", *per_s)).collect();
+                let mut chunks = ChunkedAnswer::start(req, "text/event-stream", &headers).unwrap();
                 for n in last_event + 1..=6 {
                     if let Behavior::Paced(gap_ms) = behavior {
                         thread::sleep(Duration::from_millis(gap_ms));
@@ -233,7 +245,9 @@
                 let _ = chunks.finish();
             }
             Behavior::Answer | Behavior::CutStream | Behavior::Paced(_) => {
-                respond(req, 200, &format!("by {}", self.id), &answer_headers)
+                let mut headers = answer_headers.to_vec();
+                headers.extend(limit.map(|per_s| ("Server-Limit", per_s)));
+                respond(req, 200, &format!("by {}", self.id), &headers)
             }
         }
     }
@@ -424,11 +438,12 @@
 
 /// Writes a server that is reached at `addr` to the registry.
 pub fn register(store: &Store, server: &Server, addr: net::SocketAddr, state: &str) {
+    *server.registered.lock().unwrap() = Some((addr, state.into()));
     let row = format!(
         r#"{{"service":"llm","address":"{}","zone":"z","state":"{state}","born":1}}"#,
         addr
     );
-    store.put("servers", &server.id, &row);
+    store.put("servers", &server.current_id(), &row);
 }
 
 /// Returns a configuration whose routes lead to `service`.
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    gateways::{self, Behavior, Gateway, Server},
+    gateways::{self, Gateway, Server},
     processes::wait_until,
     store::Store,
 };
@@ -87,8 +87,8 @@
 #[test]
 fn sum_bounded() {
     let mut site = Site::start(3, 4);
-    site.servers[0].set_behavior(Behavior::Limit("2.3"));
-    site.servers[1].set_behavior(Behavior::Limit("6"));
+    site.servers[0].set_limit(Some("2.3"));
+    site.servers[1].set_limit(Some("6"));
     site.start_clients();
     thread::sleep(Duration::from_secs(3));
     let from = Instant::now();
@@ -108,10 +108,10 @@
 #[test]
 fn limit_ends() {
     let mut site = Site::start(2, 2);
-    site.servers[0].set_behavior(Behavior::Limit("2"));
+    site.servers[0].set_limit(Some("2"));
     site.start_clients();
     thread::sleep(Duration::from_secs(4));
-    site.servers[0].set_behavior(Behavior::Answer);
+    site.servers[0].set_limit(None);
     thread::sleep(Duration::from_secs(3));
     let from = Instant::now();
     thread::sleep(Duration::from_secs(4));
@@ -124,7 +124,7 @@
 #[test]
 fn all_limited() {
     let mut site = Site::start(2, 2);
-    site.servers.iter().for_each(|server| server.set_behavior(Behavior::Limit("3")));
+    site.servers.iter().for_each(|server| server.set_limit(Some("3")));
     site.start_clients();
     thread::sleep(Duration::from_secs(4));
     let from = Instant::now();
@@ -152,7 +152,7 @@
 #[test]
 fn kept_after_restart() {
     let mut site = Site::start(2, 3);
-    site.servers[0].set_behavior(Behavior::Limit("2.5"));
+    site.servers[0].set_limit(Some("2.5"));
     site.start_clients();
     thread::sleep(Duration::from_secs(4));
     site.gateways[0].process.kill();
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -44,6 +44,19 @@
 const FAULT_FREE_TIME: Duration = Duration::from_secs(1);
 /// Deadline that clients state.
 const DEADLINE: Duration = Duration::from_secs(3);
+/// Server that names a limit on the requests a second from all gateways together, and the limit.
+const LIMITED_SERVER: usize = SERVERS - 1;
+const LIMIT_PER_S: (&str, f64) = ("8", 8.0);
+/// Window over which the limit is checked.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Time after the start of the clients, or the last fault, from which the limit is checked.
+const LIMIT_KNOWN_TIME: Duration = Duration::from_secs(4);
+/// Part of prompts that crashes servers, and the time between two requests with it.
+const CRASHING_PART: &str = "bad";
+const CRASHING_REQUEST_PAUSE: Duration = Duration::from_millis(150);
+/// Crashes after which at most this many requests with the part may reach servers.
+const MAX_CRASHES: usize = 5;
+const MAX_LATER_CRASHING_REQUESTS: usize = 3;
 /// Time by which a busy machine may delay what a test observes.
 const SLACK: Duration = Duration::from_secs(2);
 
@@ -60,6 +73,8 @@
     Store(Mode),
     Drain(usize),
     Configure,
+    /// Requests with a part in their prompts that crashes servers arrive at all gateways.
+    CrashingPrompts,
 }
 
 impl Fault {
@@ -82,7 +97,7 @@
             Behavior::CutStream,
             Behavior::Hang,
         ];
-        match rng.random_range(0..10) {
+        match rng.random_range(0..11) {
             0 => Self::Terminate(gateway),
             1 => Self::Kill(gateway),
             2 => Self::Freeze(gateway),
@@ -94,6 +109,7 @@
                 [Mode::Silent, Mode::Refusing(503), Mode::Refusing(429)][rng.random_range(0..3)],
             ),
             8 => Self::Drain(server),
+            9 => Self::CrashingPrompts,
             _ => Self::Configure,
         }
     }
@@ -113,6 +129,8 @@
     stopped: Vec<Span>,
     /// Times from SIGSTOP to a gateway to SIGCONT.
     frozen: Vec<Span>,
+    /// Times in which a server's link did not work.
+    links: Vec<Span>,
     /// Times in which the store did not work or could not be reached.
     store_outages: Vec<Span>,
     /// Servers that were draining, with the beginning and end of that state in the store.
@@ -127,6 +145,7 @@
     gateways: Vec<Gateway>,
     version: u64,
     fault_times: FaultTimes,
+    crashing_clients: Option<CrashingClients>,
 }
 
 /// A request with its answer.
@@ -144,7 +163,9 @@
         let servers: Vec<Server> = (0..SERVERS).map(|n| Server::start(&format!("i-{n}"))).collect();
         let server_links: Vec<Link> =
             servers.iter().map(|server| Link::open(server.addr)).collect();
+        servers[LIMITED_SERVER].set_limit(Some(LIMIT_PER_S.0));
         for (server, link) in servers.iter().zip(&server_links) {
+            server.crash_on(CRASHING_PART, &store);
             gateways::register(&store, server, link.addr, "ready");
         }
         store.put("op", "config", &gateways::config(1, "llm"));
@@ -159,6 +180,7 @@
             gateways,
             version: 1,
             fault_times: FaultTimes::default(),
+            crashing_clients: None,
         };
         site.wait_until_ready();
         site
@@ -193,6 +215,10 @@
                 self.version += 1;
                 self.store.put("op", "config", &gateways::config(self.version, "llm"));
             }
+            Fault::CrashingPrompts => {
+                let addrs = self.gateways.iter().map(|gateway| gateway.process.address).collect();
+                self.crashing_clients = Some(CrashingClients::start(addrs));
+            }
         }
     }
 
@@ -206,6 +232,9 @@
             Fault::Kill(at) => self.gateways[at].restart(),
             Fault::Freeze(at) => self.gateways[at].process.signal("CONT"),
             Fault::Reload(_) | Fault::Configure => {}
+            Fault::CrashingPrompts => {
+                self.crashing_clients.take().expect("the clients were started").stop();
+            }
             Fault::Server(at, _) => self.servers[at].set_behavior(Behavior::Answer),
             Fault::ServerLink(at, _) => self.server_links[at].set_mode(LinkMode::Open),
             Fault::StoreLink(_) => self.store_link.set_mode(LinkMode::Open),
@@ -227,11 +256,42 @@
             Fault::Terminate(_) => self.fault_times.stopped.push(span),
             Fault::Freeze(_) => self.fault_times.frozen.push(span),
             Fault::StoreLink(_) | Fault::Store(_) => self.fault_times.store_outages.push(span),
+            Fault::ServerLink(..) => self.fault_times.links.push(span),
             _ => {}
         }
     }
 }
 
+/// A client that sends requests with the crashing part to all gateways until it is stopped.
+struct CrashingClients {
+    stop: Arc<AtomicBool>,
+    thread: thread::JoinHandle<()>,
+}
+
+impl CrashingClients {
+    fn start(gateways: Vec<net::SocketAddr>) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let stopping = Arc::clone(&stop);
+        let thread = thread::spawn(move || {
+            for n in 0.. {
+                if stopping.load(Ordering::Relaxed) {
+                    return;
+                }
+                let at = gateways[n % gateways.len()];
+                let prompt = format!("f{}:40,{CRASHING_PART}:200,own{n}:30", n % 5);
+                thread::spawn(move || gateways::send_prompt(at, &prompt, &format!("bad-{n}")));
+                thread::sleep(CRASHING_REQUEST_PAUSE);
+            }
+        });
+        Self { stop, thread }
+    }
+
+    fn stop(self) {
+        self.stop.store(true, Ordering::Relaxed);
+        self.thread.join().expect("the client ended well");
+    }
+}
+
 /// Clients that send requests until they are stopped; each keeps its connection open.
 struct Clients {
     stop: Arc<AtomicBool>,
@@ -297,12 +357,15 @@
 }
 
 /// Panics with the first guarantee that was violated during the case.
-fn check_guarantees(site: &Site, exchanges: &[Exchange]) {
+fn check_guarantees(site: &Site, exchanges: &[Exchange], started: Instant) {
     let mut runs: BTreeMap<String, usize> = BTreeMap::new();
     for received in site.servers.iter().flat_map(Server::requests) {
         let id = received.headers.get("x-knapweedford-request-id").cloned().unwrap_or_default();
         assert!(!received.headers.contains_key("api-key"), "the API key of {id} reached a server");
         assert_eq!(received.headers["x-knapweedford-tenant-id"], "w1", "{id}");
+        if id.starts_with("bad-") {
+            continue;
+        }
         *runs.entry(id).or_default() += usize::from(received.ran);
     }
     let fault_times = &site.fault_times;
@@ -349,6 +412,8 @@
             );
         }
     }
+    check_crashes(site);
+    check_limit(site, started);
     let fault_free = |exchange: &&Exchange| {
         !overlaps(&fault_times.all, exchange.sent_at, exchange.answered_at, RECOVERY_TIME)
     };
@@ -357,12 +422,58 @@
     }
 }
 
+/// Panics if requests with the crashing part reached servers too often after the fifth crash. Those
+/// that arrived during another fault, or soon after one, are excused.
+fn check_crashes(site: &Site) {
+    let mut crashes: Vec<Instant> = site.servers.iter().flat_map(Server::crash_times).collect();
+    crashes.sort();
+    let Some(fifth) = crashes.get(MAX_CRASHES - 1) else { return };
+    let fault_times = &site.fault_times;
+    let excusing = [
+        &fault_times.store_outages,
+        &fault_times.frozen,
+        &fault_times.killed,
+        &fault_times.stopped,
+        &fault_times.links,
+    ];
+    let later = site.servers.iter().flat_map(Server::requests).filter(|received| {
+        let at = received.received_at;
+        let prompt = received.headers.get("x-knapweedford-prefix-hash");
+        prompt.is_some_and(|prompt| prompt.contains(CRASHING_PART))
+            && at > *fifth + RECOVERY_TIME
+            && !excusing.iter().any(|spans| overlaps(spans, at, at, RECOVERY_TIME))
+    });
+    let later = later.count();
+    assert!(
+        later <= MAX_LATER_CRASHING_REQUESTS,
+        "{later} requests with the crashing part after the fifth of {} crashes",
+        crashes.len()
+    );
+}
+
+/// Panics if the limited server got more requests in a window without faults than it allows.
+fn check_limit(site: &Site, started: Instant) {
+    let requests = site.servers[LIMITED_SERVER].requests();
+    let times: Vec<Instant> = requests.iter().map(|received| received.received_at).collect();
+    let allowed = 1.5 * LIMIT_PER_S.1 * LIMIT_WINDOW.as_secs_f64() + 5.0;
+    for from in times.iter().filter(|from| **from > started + LIMIT_KNOWN_TIME) {
+        let to = *from + LIMIT_WINDOW;
+        let count = times.iter().filter(|at| (*from..to).contains(at)).count();
+        let excused = overlaps(&site.fault_times.all, *from, to, LIMIT_KNOWN_TIME);
+        assert!(
+            excused || count as f64 <= allowed,
+            "the limited server got {count} requests in 4 s, {allowed} allowed"
+        );
+    }
+}
+
 /// Runs one case: rounds of random faults, then a time without faults, then the checks.
 fn run_case(seed: u64, gateways: usize) {
     let mut rng = Pcg64::seed_from_u64(seed);
     let mut site = Site::start(gateways);
     let addrs: Vec<_> = site.gateways.iter().map(|gateway| gateway.process.address).collect();
     let clients = Clients::start(&addrs);
+    let started = Instant::now();
     for round in 0..ROUNDS {
         let count = rng.random_range(1..=3);
         let mut faults: Vec<Fault> = Vec::new();
@@ -376,6 +487,7 @@
                 Fault::StoreLink(_) | Fault::Store(_) => (2, 0),
                 Fault::Drain(at) => (3, *at),
                 Fault::Configure => (4, 0),
+                Fault::CrashingPrompts => (5, 0),
             };
             if faults.iter().all(|other| target(other) != target(&fault)) {
                 faults.push(fault);
@@ -395,9 +507,9 @@
         thread::sleep(Duration::from_millis(rng.random_range(100..1_500)));
     }
     site.wait_until_ready();
-    thread::sleep(RECOVERY_TIME + FAULT_FREE_TIME);
+    thread::sleep(LIMIT_KNOWN_TIME + LIMIT_WINDOW + FAULT_FREE_TIME);
     let exchanges = clients.stop();
-    check_guarantees(&site, &exchanges);
+    check_guarantees(&site, &exchanges, started);
     eprintln!("KNAPWEEDFORD_SEED={seed}: {} requests", exchanges.len());
 }
 
