End a quarantine that another gateway ended, and remove unread withdrawn notes

Callers would have seen requests with a part refused or sent by some gateways and not by others. Two errors found on reading the change, each with a test that fails without the mend: a quarantine whose note another gateway removed stayed half known and could not begin again; and a note that was withdrawn after it was written, but before it was read back, stayed in the store and would have counted as a crash when read. A request that waits for a limit now also wakes when another server has a free slot.

The parts of balance::quarantine that are no decisions are in crash_note and cleared_parts.

--- /dev/null
+++ b/src/balance/crash_note.rs
@@ -0,0 +1,54 @@
+//! What gateways tell each other about crashes of backend servers.
+
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+use crate::name;
+
+/// One incarnation of a backend server.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Incarnation<'a> {
+    /// Name of the server.
+    pub server: &'a name::Server,
+    /// Start of the incarnation, in Unix milliseconds; 0 if it is not known.
+    pub started_ms: u64,
+    /// Group that the server is a rank of.
+    pub group: Option<&'a str>,
+}
+
+/// One statement, which other gateways read from the store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Note {
+    /// A server crashed.
+    Crash {
+        /// Server that crashed.
+        server: name::Server,
+        /// Start of the incarnation that crashed, in Unix milliseconds.
+        started_ms: u64,
+        /// Group that the server is a rank of, which stalls with it.
+        group: Option<String>,
+        /// Gateway that saw the crash.
+        gateway: name::Host,
+        /// Shared parts of the prompts of that gateway that had just begun there.
+        parts: BTreeSet<name::PromptPart>,
+    },
+    /// Requests with a part are refused.
+    Quarantine {
+        /// Part of the prompt.
+        part: name::PromptPart,
+    },
+}
+
+impl Note {
+    /// Returns the key of the note in the store; a note replaces the one with the same key.
+    pub fn key(&self) -> String {
+        match self {
+            Self::Crash { server, started_ms, gateway, .. } => {
+                format!("crash/{server}/{started_ms}/{gateway}")
+            }
+            Self::Quarantine { part } => format!("part/{part}"),
+        }
+    }
+}
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -4,6 +4,8 @@
 
 pub mod budget;
 pub mod capacity;
+pub mod cleared_parts;
+pub mod crash_note;
 pub mod gateways;
 pub mod progress;
 pub mod quarantine;
@@ -12,6 +14,7 @@
 pub mod window;
 
 pub use budget::RetryBudget;
+pub use cleared_parts::ClearedParts;
 pub use gateways::GatewaySet;
 pub use progress::GroupProgress;
 pub use quarantine::Quarantine;
--- a/src/balance/quarantine.rs
+++ b/src/balance/quarantine.rs
@@ -12,8 +12,10 @@
     time,
 };
 
-use serde::{Deserialize, Serialize};
-
+use super::{
+    ClearedParts,
+    crash_note::{Incarnation, Note},
+};
 use crate::name;
 
 /// Events of a stream after which its prompt counts as answered: a prompt that crashes its server
@@ -32,52 +34,12 @@
 const MIN_RESTART_TIME: time::Duration = time::Duration::from_secs(2);
 /// Time for which a crash may be disproved before it counts.
 const SETTLE_TIME: time::Duration = time::Duration::from_secs(1);
-/// Time for which an answered prompt shows that its parts do no harm; it may be up to twice as long.
-const CLEARANCE_TIME: time::Duration = time::Duration::from_secs(60);
 /// Time for which a note counts. A quarantine begins anew with each refused request.
 const NOTE_LIFETIME: time::Duration = time::Duration::from_secs(3600);
 /// Number of notes kept; the oldest crashes are dropped first.
 const MAX_NOTES: usize = 128;
 /// Number of parts in the note of one crash.
 const MAX_PARTS_PER_NOTE: usize = 128;
-/// Number of harmless parts that are remembered for one [`CLEARANCE_TIME`].
-const MAX_CLEARED_PARTS: usize = 8192;
-
-/// What gateways tell each other about crashes.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Note {
-    /// A server crashed.
-    Crash {
-        /// Server that crashed.
-        server: name::Server,
-        /// Start of the incarnation that crashed, in Unix milliseconds.
-        started_ms: u64,
-        /// Group that the server is a rank of, which stalls with it.
-        group: Option<String>,
-        /// Gateway that saw the crash.
-        gateway: name::Host,
-        /// Shared parts of the prompts of that gateway that had just begun there.
-        parts: BTreeSet<name::PromptPart>,
-    },
-    /// Requests with a part are refused.
-    Quarantine {
-        /// Part of the prompt.
-        part: name::PromptPart,
-    },
-}
-
-impl Note {
-    /// Returns the key of the note in the store; a note replaces the one with the same key.
-    pub fn key(&self) -> String {
-        match self {
-            Self::Crash { server, started_ms, gateway, .. } => {
-                format!("crash/{server}/{started_ms}/{gateway}")
-            }
-            Self::Quarantine { part } => format!("part/{part}"),
-        }
-    }
-}
 
 /// A note, and what this gateway knows of its copy in the store.
 #[derive(Debug)]
@@ -87,54 +49,12 @@
     stored_version: Option<u64>,
     /// Whether the note is to be written to the store.
     is_pending: bool,
+    /// Whether the store may have a copy.
+    may_be_stored: bool,
     known_since: time::Duration,
     expires_at: time::Duration,
 }
 
-/// Parts of prompts that were answered recently, in two generations.
-#[derive(Debug, Default)]
-struct ClearedParts {
-    current: BTreeSet<name::PromptPart>,
-    previous: BTreeSet<name::PromptPart>,
-    current_since: time::Duration,
-}
-
-impl ClearedParts {
-    fn insert(&mut self, parts: &[name::PromptPart], now: time::Duration) {
-        self.remove_expired(now);
-        if self.current.len() + parts.len() > MAX_CLEARED_PARTS {
-            self.begin_generation(now);
-        }
-        for part in parts {
-            if !self.current.contains(part) {
-                self.current.insert(part.clone());
-            }
-        }
-    }
-
-    fn contains(&mut self, part: &name::PromptPart, now: time::Duration) -> bool {
-        self.remove_expired(now);
-        self.current.contains(part) || self.previous.contains(part)
-    }
-
-    fn remove_expired(&mut self, now: time::Duration) {
-        match now.saturating_sub(self.current_since) {
-            age if age >= 2 * CLEARANCE_TIME => {
-                self.previous.clear();
-                self.current.clear();
-                self.current_since = now;
-            }
-            age if age >= CLEARANCE_TIME => self.begin_generation(now),
-            _ => {}
-        }
-    }
-
-    fn begin_generation(&mut self, now: time::Duration) {
-        self.previous = std::mem::take(&mut self.current);
-        self.current_since = now;
-    }
-}
-
 /// Crashes that all gateways have seen, and the parts of prompts that they are put down to. Times
 /// are on the process's monotonic clock.
 #[derive(Debug)]
@@ -143,8 +63,8 @@
     notes: BTreeMap<String, KnownNote>,
     quarantined: BTreeSet<name::PromptPart>,
     cleared: ClearedParts,
-    /// Keys of expired notes that are still in the store.
-    expired_keys: BTreeSet<String>,
+    /// Keys of notes that no longer hold, and that the store may still have.
+    outdated_keys: BTreeSet<String>,
     /// Era of the store at the last read; `None` before the first one.
     era: Option<u64>,
 }
@@ -157,7 +77,7 @@
             notes: BTreeMap::new(),
             quarantined: BTreeSet::new(),
             cleared: ClearedParts::default(),
-            expired_keys: BTreeSet::new(),
+            outdated_keys: BTreeSet::new(),
             era: None,
         }
     }
@@ -244,18 +164,24 @@
                         known.add_parts(parts, false);
                     }
                 }
-                None if self.expired_keys.contains(&key) => {}
+                None if self.outdated_keys.contains(&key) => {}
                 None => self.insert(note, Some(version), false, now),
             }
         }
-        self.expired_keys.retain(|key| stored_keys.contains(key));
-        self.notes.retain(|key, known| {
-            let is_missing = known.stored_version.is_some() && !stored_keys.contains(key);
-            // A store that was restored from an older copy lacks notes that still hold.
-            known.is_pending |= is_missing && was_restored;
-            !is_missing || known.is_pending
+        let missing = self.notes.iter_mut().filter(|(key, known)| {
+            known.stored_version.is_some() && !known.is_pending && !stored_keys.contains(*key)
         });
+        let mut withdrawn_keys = Vec::new();
+        for (key, known) in missing {
+            match was_restored {
+                // A store that was restored from an older copy lacks notes that still hold.
+                true => known.is_pending = true,
+                false => withdrawn_keys.push(key.clone()),
+            }
+        }
+        withdrawn_keys.iter().for_each(|key| self.remove(key));
         self.remove_expired(now);
+        self.outdated_keys.retain(|key| stored_keys.contains(key));
     }
 
     /// Returns the time for which requests with `parts` will be refused; `None` if none of the parts
@@ -296,7 +222,7 @@
 
     /// Returns whether notes are to be written to the store, or removed from it.
     pub fn has_pending(&self) -> bool {
-        !self.expired_keys.is_empty() || self.notes.values().any(|known| known.is_pending)
+        !self.outdated_keys.is_empty() || self.notes.values().any(|known| known.is_pending)
     }
 
     /// Returns up to `limit` notes to write to the store, and keys of notes to remove from it. They
@@ -304,11 +230,11 @@
     pub fn take_pending(&mut self, limit: usize) -> (Vec<Note>, Vec<String>) {
         let pending = self.notes.values_mut().filter(|known| known.is_pending).take(limit);
         let notes = pending.map(|known| {
-            known.is_pending = false;
+            (known.is_pending, known.may_be_stored) = (false, true);
             known.note.clone()
         });
         let notes = notes.collect();
-        let keys = self.expired_keys.iter().take(limit).cloned().collect();
+        let keys = self.outdated_keys.iter().take(limit).cloned().collect();
         (notes, keys)
     }
 
@@ -321,10 +247,10 @@
         }
     }
 
-    /// Records that the expired notes with `keys` are no longer in the store.
-    pub fn forget_expired(&mut self, keys: &[String]) {
+    /// Records that the outdated notes with `keys` are no longer in the store.
+    pub fn forget_outdated(&mut self, keys: &[String]) {
         keys.iter().for_each(|key| {
-            self.expired_keys.remove(key);
+            self.outdated_keys.remove(key);
         });
     }
 
@@ -346,6 +272,7 @@
             note,
             stored_version,
             is_pending,
+            may_be_stored: stored_version.is_some(),
             known_since: now,
             expires_at: now + NOTE_LIFETIME,
         };
@@ -363,8 +290,8 @@
 
     fn remove(&mut self, key: &str) {
         let Some(known) = self.notes.remove(key) else { return };
-        if known.stored_version.is_some() {
-            self.expired_keys.insert(key.to_owned());
+        if known.may_be_stored {
+            self.outdated_keys.insert(key.to_owned());
         }
         if let Note::Quarantine { part } = known.note {
             log::info!(part:%; "quarantine of a prompt part ended");
@@ -429,17 +356,6 @@
     }
 }
 
-/// One incarnation of a backend server.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct Incarnation<'a> {
-    /// Name of the server.
-    pub server: &'a name::Server,
-    /// Start of the incarnation, in Unix milliseconds; 0 if it is not known.
-    pub started_ms: u64,
-    /// Group that the server is a rank of.
-    pub group: Option<&'a str>,
-}
-
 /// A crash as one gateway saw it.
 struct Crash<'a> {
     server: Incarnation<'a>,
--- a/src/gateway/crash_notes.rs
+++ b/src/gateway/crash_notes.rs
@@ -61,23 +61,23 @@
     }
 }
 
-/// Writes this gateway's notes to the store, and removes expired ones.
+/// Writes this gateway's notes to the store, and removes those that no longer hold.
 pub async fn write(store: Store, gateway: rc::Rc<Gateway>) {
     let mut backoff = Backoff::new("own notes of crashes");
     loop {
         gateway.notes_pending.notified().await;
         tokio::time::sleep(WRITE_DELAY).await;
         loop {
-            let (notes, expired_keys) = gateway.take_pending_notes(MAX_NOTES_PER_CALL);
-            if notes.is_empty() && expired_keys.is_empty() {
+            let (notes, outdated_keys) = gateway.take_pending_notes(MAX_NOTES_PER_CALL);
+            if notes.is_empty() && outdated_keys.is_empty() {
                 break;
             }
-            match store.write_crash_notes(&notes, &expired_keys).await {
+            match store.write_crash_notes(&notes, &outdated_keys).await {
                 Ok(()) => {
                     backoff.reset(&gateway);
-                    gateway.forget_expired_notes(&expired_keys);
+                    gateway.forget_outdated_notes(&outdated_keys);
                     log::info!(
-                        notes = notes.len(), expired = expired_keys.len();
+                        notes = notes.len(), removed = outdated_keys.len();
                         "notes of crashes written"
                     );
                 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -300,18 +300,18 @@
         let wait_until = Instant::now() + req.route.latency_target.mul_f64(SLOT_WAIT_FRACTION);
         loop {
             let slot_freed = self.gateway.slot_freed.notified();
-            match self.gateway.reserve(req) {
-                Err(ReserveError::Full) if req.arrivals == 0 => {}
-                Err(ReserveError::Limited(left))
-                    if req.arrivals == 0 && Instant::now() + left <= wait_until =>
-                {
-                    tokio::time::sleep(left).await;
-                    continue;
+            let reserved = self.gateway.reserve(req);
+            let next_try_at = match &reserved {
+                _ if req.arrivals > 0 => return reserved,
+                Err(ReserveError::Full) => wait_until,
+                Err(ReserveError::Limited(left)) if Instant::now() + *left < wait_until => {
+                    Instant::now() + *left
                 }
-                reserved => return reserved,
-            }
-            if tokio::time::timeout_at(wait_until, slot_freed).await.is_err() {
-                return Err(ReserveError::Full);
+                _ => return reserved,
+            };
+            let timed_out = tokio::time::timeout_at(next_try_at, slot_freed).await.is_err();
+            if timed_out && next_try_at >= wait_until {
+                return reserved;
             }
         }
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! One thread runs all sockets and holds all state. [`state`] holds the configuration, the registry
 //! and the load of the servers, and selects a server for each attempt; [`watch`] updates it from the
-//! store and from rank agents, and [`crash_notes`] shares what gateways know of crashes. [`forward`] sends a request and retries it where that is safe, and
-//! [`relay`] forwards a stream of events to the client.
+//! store and from rank agents, and [`crash_notes`] shares what gateways know of crashes. [`forward`]
+//! sends a request and retries it where that is safe, and [`relay`] forwards a stream of events to
+//! the client.
 
 use std::{net, path, rc, time};
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,8 +9,8 @@
 use super::forward::RoutedRequest;
 use crate::{
     balance::{
-        Choice, GatewaySet, GroupProgress, Quarantine, RetryBudget, ServerSelector, quarantine,
-        selector,
+        Choice, GatewaySet, GroupProgress, Quarantine, RetryBudget, ServerSelector, crash_note,
+        quarantine, selector,
     },
     daemon, http,
     http::client,
@@ -138,8 +138,8 @@
         }
     }
 
-    fn incarnation(&self) -> quarantine::Incarnation<'_> {
-        quarantine::Incarnation {
+    fn incarnation(&self) -> crash_note::Incarnation<'_> {
+        crash_note::Incarnation {
             server: &self.server,
             started_ms: self.started_ms,
             group: self.group.as_deref(),
@@ -350,7 +350,7 @@
     }
 
     /// Applies a complete read of the notes of crashes, made when the store was in `era`.
-    pub fn apply_crash_notes(&self, notes: Vec<(quarantine::Note, u64)>, era: u64) {
+    pub fn apply_crash_notes(&self, notes: Vec<(crash_note::Note, u64)>, era: u64) {
         let now = self.now();
         let quarantine = &mut self.state.borrow_mut().quarantine;
         quarantine.apply(notes, era, now);
@@ -360,18 +360,18 @@
     }
 
     /// Returns up to `limit` notes of crashes to write to the store, and keys of notes to remove.
-    pub fn take_pending_notes(&self, limit: usize) -> (Vec<quarantine::Note>, Vec<String>) {
+    pub fn take_pending_notes(&self, limit: usize) -> (Vec<crash_note::Note>, Vec<String>) {
         self.state.borrow_mut().quarantine.take_pending(limit)
     }
 
     /// Records that `notes` of crashes could not be written.
-    pub fn restore_pending_notes(&self, notes: &[quarantine::Note]) {
+    pub fn restore_pending_notes(&self, notes: &[crash_note::Note]) {
         self.state.borrow_mut().quarantine.restore_pending(notes);
     }
 
-    /// Records that the expired notes with `keys` are no longer in the store.
-    pub fn forget_expired_notes(&self, keys: &[String]) {
-        self.state.borrow_mut().quarantine.forget_expired(keys);
+    /// Records that the outdated notes with `keys` are no longer in the store.
+    pub fn forget_outdated_notes(&self, keys: &[String]) {
+        self.state.borrow_mut().quarantine.forget_outdated(keys);
     }
 
     /// Returns whether a request with these parts of a prompt may be sent again after it broke off.
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -5,7 +5,7 @@
 use knapweedford::{
     balance::{
         Quarantine,
-        quarantine::{Incarnation, Note},
+        crash_note::{Incarnation, Note},
     },
     name::{PromptPart, Server},
 };
@@ -204,6 +204,42 @@
     assert!(removed.contains(&"part/bad".to_owned()), "{removed:?}");
 }
 
+/// A quarantine that another gateway ended, ends here as well, and a part can be quarantined again.
+#[test]
+fn ended_elsewhere() {
+    let mut quarantine = loaded("a");
+    let mut stored = Vec::new();
+    for n in 0..3 {
+        quarantine.record_crash(
+            &rank(&format!("i-{n}").as_str().into(), 1),
+            &parts(&["bad"]),
+            at(n),
+        );
+    }
+    assert!(quarantine.refusal_time(&parts(&["bad"]), at(4)).is_some());
+    exchange(&mut [&mut quarantine], &mut stored, at(5));
+    quarantine.apply(Vec::new(), 0, at(6));
+    assert_eq!(quarantine.refusal_time(&parts(&["bad"]), at(7)), None);
+    for n in 3..6 {
+        quarantine.record_crash(
+            &rank(&format!("i-{n}").as_str().into(), 1),
+            &parts(&["bad"]),
+            at(10),
+        );
+    }
+    assert!(quarantine.refusal_time(&parts(&["bad"]), at(12)).is_some());
+}
+
+/// A note that was written but not read back yet is removed from the store when it is withdrawn.
+#[test]
+fn withdrawn_before_read() {
+    let mut quarantine = loaded("a");
+    quarantine.record_crash(&rank(&"i-1".into(), 1), &parts(&["x"]), at(10));
+    assert_eq!(quarantine.take_pending(100).0.len(), 1);
+    assert!(quarantine.record_activity(&rank(&"i-1".into(), 1), Duration::from_millis(10_500)));
+    assert_eq!(quarantine.take_pending(100).1.len(), 1);
+}
+
 /// Notes that a restored store lacks still hold, and are written again by those who know them.
 #[test]
 fn kept_after_restore() {
