--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -166,3 +166,18 @@
     site.stop_clients();
     assert!(busiest <= allowed(2.5), "{busiest} requests in 4 s");
 }
+
+/// A limit that is not a number of requests is none.
+#[test]
+fn bad_limits_ignored() {
+    let mut site = Site::start(1, 1);
+    for value in ["-1", "NaN", "inf", "soon", ""] {
+        site.servers[0].set_limit(Some(value));
+        for n in 0..5 {
+            let at = site.gateways[0].process.address;
+            let answer = gateways::send(at, "GET", "/read/a", &format!("id-{n}"));
+            assert_eq!(answer.status, 200, "{value:?}");
+        }
+    }
+    site.stop_clients();
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -29,10 +29,12 @@
 
 /// Seeds that failed before, each with the cause of the failure.
 const REGRESSION_SEEDS: [u64; 0] = [];
-const DEFAULT_CASES: u64 = 1;
+const DEFAULT_CASES: u64 = 3;
 const DEFAULT_GATEWAYS: usize = 2;
 const SERVERS: usize = 4;
 const CLIENTS_PER_PATH: usize = 3;
+/// Clients in runs with many gateways, where each gateway has one.
+const MAX_CLIENTS: usize = 60;
 /// Pause of a client between two requests; the machine also runs the servers and the store.
 const REQUEST_PAUSE: Duration = Duration::from_millis(5);
 const ROUNDS: usize = 4;
@@ -302,7 +304,8 @@
     fn start(gateways: &[net::SocketAddr]) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let paths = [("POST", "/once/a"), ("GET", "/read/a"), ("POST", "/stream/a")];
-        let clients = paths.into_iter().cycle().take(CLIENTS_PER_PATH * paths.len()).enumerate();
+        let count = (CLIENTS_PER_PATH * paths.len()).max(gateways.len().min(MAX_CLIENTS));
+        let clients = paths.into_iter().cycle().take(count).enumerate();
         let threads = clients.map(|(client, (method, path))| {
             let (stop, at) = (Arc::clone(&stop), gateways[client % gateways.len()]);
             thread::spawn(move || {
