Move reservations and backoff of the gateway into files of their own

No change of behavior. state.rs held two jobs, and the loop that records the result of a call to the store stood three times.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -4,10 +4,7 @@
 
 use hyper::http::response;
 
-use super::{
-    forward::RoutedRequest,
-    state::{Gateway, Reservation},
-};
+use super::{forward::RoutedRequest, reservation::Reservation, state::Gateway};
 use crate::{
     balance::selector,
     http::client::{BodyReader, Connection, Failure},
--- a/src/gateway/crash_notes.rs
+++ b/src/gateway/crash_notes.rs
@@ -3,7 +3,7 @@
 
 use std::{rc, time};
 
-use super::{state::Gateway, watch::Backoff};
+use super::{backoff::Backoff, state::Gateway};
 use crate::platform::{
     Store,
     store::{TableChange, WatchedTable},
@@ -48,16 +48,7 @@
                 }
             }
         };
-        match update.await {
-            Ok(newest) => {
-                backoff.reset(&gateway);
-                version = Some(newest);
-            }
-            Err(err) => {
-                backoff.wait(&gateway, &err).await;
-                version = None;
-            }
-        }
+        version = backoff.record(&gateway, update.await).await;
     }
 }
 
@@ -72,20 +63,18 @@
             if notes.is_empty() && outdated_keys.is_empty() {
                 break;
             }
-            match store.write_crash_notes(&notes, &outdated_keys).await {
+            let written = store.write_crash_notes(&notes, &outdated_keys).await;
+            match &written {
                 Ok(()) => {
-                    backoff.reset(&gateway);
                     gateway.forget_outdated_notes(&outdated_keys);
                     log::info!(
                         notes = notes.len(), removed = outdated_keys.len();
                         "notes of crashes written"
                     );
                 }
-                Err(err) => {
-                    gateway.restore_pending_notes(&notes);
-                    backoff.wait(&gateway, &err).await;
-                }
+                Err(_) => gateway.restore_pending_notes(&notes),
             }
+            backoff.record(&gateway, written).await;
         }
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -12,7 +12,8 @@
     refusal::Refusal,
     relay,
     request_log::RequestLog,
-    state::{Gateway, Reservation, ReserveError},
+    reservation::Reservation,
+    state::{Gateway, ReserveError},
 };
 use crate::{
     balance::selector,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,10 +1,10 @@
 //! The gateway: accepts requests of clients and sends each to a backend server that it selects.
 //!
 //! One thread runs all sockets and holds all state. [`state`] holds the configuration, the registry
-//! and the load of the servers, and selects a server for each attempt; [`watch`] updates it from the
-//! store and from rank agents, and [`crash_notes`] shares what gateways know of crashes. [`forward`]
-//! sends a request and retries it where that is safe, and [`relay`] forwards a stream of events to
-//! the client.
+//! and the load of the servers, and selects a server for each attempt; [`reservation`] records there
+//! what comes of the attempt. [`watch`] updates the state from the store and from rank agents, and
+//! [`crash_notes`] shares what gateways know of crashes. [`forward`] sends a request and retries it
+//! where that is safe, and [`relay`] forwards a stream of events to the client.
 
 use std::{net, path, rc, time};
 
@@ -13,12 +13,14 @@
 use crate::{Result, daemon, http, metrics, platform, settings::site};
 
 pub mod attempt;
+pub mod backoff;
 pub mod crash_notes;
 pub mod forward;
 pub mod handlers;
 pub mod refusal;
 pub mod relay;
 pub mod request_log;
+pub mod reservation;
 pub mod state;
 pub mod watch;
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,7 +9,8 @@
     attempt::{self, AttemptResult},
     forward::RoutedRequest,
     request_log::RequestLog,
-    state::{Gateway, Reservation},
+    reservation::Reservation,
+    state::Gateway,
 };
 use crate::{
     balance::selector,
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -2,7 +2,7 @@
 
 use std::{cell, collections::BTreeSet, net, rc, time};
 
-use super::state::Gateway;
+use super::{backoff::Backoff, state::Gateway};
 use crate::{
     balance::gateways,
     name, peer,
@@ -26,12 +26,6 @@
 /// Time between two reads of the operators' table while evacuations are kept that a restored store
 /// lacks.
 const KEPT_EVACUATIONS_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(500);
-/// Delay after the first failed call; doubled with each further failure up to
-/// [`MAX_RETRY_DELAY`].
-const FIRST_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
-/// Longest delay after a failed call; the return of the store must be noticed within a second.
-const MAX_RETRY_DELAY: time::Duration = time::Duration::from_millis(400);
-
 /// Time between two checks for groups of engines that are not watched yet.
 const GROUP_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(500);
 /// Time without a load report after which another agent of the group is asked; an agent sends one
@@ -40,40 +34,6 @@
 /// Delay before the agents of a group are asked again, after each of them was asked.
 const ASK_AGENTS_DELAY: time::Duration = time::Duration::from_millis(150);
 
-/// Backoff of one kind of call to the store; logs when the calls begin to fail and when they
-/// succeed again.
-pub(super) struct Backoff {
-    /// Data that the calls read, for logs.
-    data: &'static str,
-    failing_since: Option<time::Duration>,
-    delay: time::Duration,
-}
-
-impl Backoff {
-    pub(super) fn new(data: &'static str) -> Self {
-        Self { data, failing_since: None, delay: FIRST_RETRY_DELAY }
-    }
-
-    pub(super) fn reset(&mut self, gateway: &Gateway) {
-        if let Some(since) = self.failing_since.take() {
-            let unavailable_ms = gateway.now().saturating_sub(since).as_millis() as u64;
-            log::info!(what = self.data, unavailable_ms; "store available again");
-            gateway.store_recovered.notify_one();
-        }
-        self.delay = FIRST_RETRY_DELAY;
-    }
-
-    pub(super) async fn wait(&mut self, gateway: &Gateway, err: &crate::Error) {
-        if self.failing_since.is_none() {
-            self.failing_since = Some(gateway.now());
-            log::warn!(what = self.data; "store unavailable: {err}");
-        }
-        let jitter = gateway.random_between(0.5, 1.0);
-        tokio::time::sleep(self.delay.mul_f64(jitter)).await;
-        self.delay = (self.delay * 2).min(MAX_RETRY_DELAY);
-    }
-}
-
 /// Applies the operators' configuration and zone evacuations from the store whenever they change.
 pub async fn watch_operator_state(store: Store, gateway: rc::Rc<Gateway>) {
     let mut backoff = Backoff::new("orders");
@@ -107,16 +67,7 @@
                 }
             }
         };
-        match update.await {
-            Ok(newest) => {
-                backoff.reset(&gateway);
-                version = Some(newest);
-            }
-            Err(err) => {
-                backoff.wait(&gateway, &err).await;
-                version = None;
-            }
-        }
+        version = backoff.record(&gateway, update.await).await;
     }
 }
 
--- a/tests/notices.rs
+++ b/tests/notices.rs
@@ -11,7 +11,7 @@
     store::Mode,
 };
 
-/// A server that is leaving gets no requests after its own word, although the registry, which cannot
+/// A server that is leaving gets no requests after it has said so, although the registry, which cannot
 /// be read meanwhile, still lists it.
 #[test]
 fn leaving_at_once() {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -32,6 +32,14 @@
     quarantine
 }
 
+/// Lets `quarantine` see three crashes with the part `bad`.
+fn see_crashes(quarantine: &mut Quarantine) {
+    for n in 0..3 {
+        let server = Server::from(format!("i-{n}").as_str());
+        quarantine.record_crash(&rank(&server, 1), &parts(&["bad"]), at(n));
+    }
+}
+
 /// Writes the pending notes of `quarantines` to `stored`, and lets all of them read it.
 fn exchange(quarantines: &mut [&mut Quarantine], stored: &mut Vec<(Note, u64)>, now: Duration) {
     for quarantine in quarantines.iter_mut() {
@@ -186,13 +194,7 @@
 fn ends_when_unused() {
     let mut quarantine = loaded("a");
     let mut stored = Vec::new();
-    for n in 0..3 {
-        quarantine.record_crash(
-            &rank(&format!("i-{n}").as_str().into(), 1),
-            &parts(&["bad"]),
-            at(n),
-        );
-    }
+    see_crashes(&mut quarantine);
     exchange(&mut [&mut quarantine], &mut stored, at(4));
     assert!(quarantine.refusal_time(&parts(&["bad"]), at(3000)).is_some());
     exchange(&mut [&mut quarantine], &mut stored, at(3001));
@@ -209,13 +211,7 @@
 fn ended_elsewhere() {
     let mut quarantine = loaded("a");
     let mut stored = Vec::new();
-    for n in 0..3 {
-        quarantine.record_crash(
-            &rank(&format!("i-{n}").as_str().into(), 1),
-            &parts(&["bad"]),
-            at(n),
-        );
-    }
+    see_crashes(&mut quarantine);
     assert!(quarantine.refusal_time(&parts(&["bad"]), at(4)).is_some());
     exchange(&mut [&mut quarantine], &mut stored, at(5));
     quarantine.apply(Vec::new(), 0, at(6));
@@ -245,13 +241,7 @@
 fn kept_after_restore() {
     let mut quarantine = loaded("a");
     let mut stored = Vec::new();
-    for n in 0..3 {
-        quarantine.record_crash(
-            &rank(&format!("i-{n}").as_str().into(), 1),
-            &parts(&["bad"]),
-            at(n),
-        );
-    }
+    see_crashes(&mut quarantine);
     exchange(&mut [&mut quarantine], &mut stored, at(4));
     quarantine.apply(Vec::new(), 1, at(5));
     assert!(quarantine.refusal_time(&parts(&["bad"]), at(6)).is_some());
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -136,7 +136,7 @@
     assert_eq!(available(&registry), ["i-1"]);
 }
 
-/// A server's own word that it is leaving counts at once, and a row from before it does not undo it.
+/// A server's statement that it is leaving counts at once, and a row from before it does not undo it.
 #[test]
 fn leaving_by_answer() {
     let mut registry = Registry::default();
