--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -21,6 +21,7 @@
 mod crashing_prompts;
 mod days;
 mod deaths;
+mod departures;
 mod edits;
 mod endless;
 mod fairness;
