Drop servers that left during an outage when they are due, not at the next read

When it was back, the server was missing from the registry, and the gateway kept it for 2.2 s, as an outage of the store removes registrations of running servers, too. The end of that time was noticed only with the next regular read, 1.4 s apart (2.1 and 2.8 s where servers-ms is 3000 and 4000): missing at 73.43 s, gone at 76.26 s, the request at 76.08 s, 3 s after the path was back. Besides, a call that hung for 0.9 s and the delay after it added up, so the store's return was noticed up to 1.3 s late.

Now the registry is read at the time at which a missing server is due. The delay after a failed call counts from its start, calls time out after 0.7 s, and the time for registrations is 2.1 s: at most 2.8 s in all, of 3 s allowed.

--- a/src/gateway/backoff.rs
+++ b/src/gateway/backoff.rs
@@ -16,13 +16,15 @@
     /// Data that the calls read, for logs.
     data: &'static str,
     failing_since: Option<time::Duration>,
+    /// Start of the present call, if the previous one failed.
+    retried_at: Option<time::Duration>,
     delay: time::Duration,
 }
 
 impl Backoff {
     /// Creates the backoff of calls that read or write `data`.
     pub fn new(data: &'static str) -> Self {
-        Self { data, failing_since: None, delay: FIRST_RETRY_DELAY }
+        Self { data, failing_since: None, retried_at: None, delay: FIRST_RETRY_DELAY }
     }
 
     /// Records that a call succeeded.
@@ -32,17 +34,22 @@
             log::info!(what = self.data, unavailable_ms; "store available again");
             gateway.store_recovered.notify_one();
         }
+        self.retried_at = None;
         self.delay = FIRST_RETRY_DELAY;
     }
 
-    /// Records that a call failed because of `err`, and waits until the next one may be made.
+    /// Records that a call failed because of `err`, and waits until the next one may be made. The
+    /// delay counts from the start of the failed call if that was a retry: the time until a call
+    /// fails and the delay must not add up, or the return of the store is noticed late.
     pub async fn wait(&mut self, gateway: &Gateway, err: &crate::Error) {
         if self.failing_since.is_none() {
             self.failing_since = Some(gateway.now());
             log::warn!(what = self.data; "store unavailable: {err}");
         }
-        let jitter = gateway.random_between(0.5, 1.0);
-        tokio::time::sleep(self.delay.mul_f64(jitter)).await;
+        let delay = self.delay.mul_f64(gateway.random_between(0.5, 1.0));
+        let took = self.retried_at.map(|at| gateway.now().saturating_sub(at)).unwrap_or_default();
+        tokio::time::sleep(delay.saturating_sub(took)).await;
+        self.retried_at = Some(gateway.now());
         self.delay = (self.delay * 2).min(MAX_RETRY_DELAY);
     }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -185,6 +185,13 @@
         changes.joined.iter().for_each(|server| state.selector.clear_notices(server));
     }
 
+    /// Returns the time left until the registry must be read to tell whether a server that is missing
+    /// from it is gone; `None` if no server is missing.
+    pub fn time_to_registry_expiry(&self) -> Option<time::Duration> {
+        let expiry = self.state.borrow().registry.next_expiry();
+        expiry.map(|expiry| expiry.saturating_sub(self.now()))
+    }
+
     /// Records that a read of the registry failed.
     pub fn record_failed_registry_read(&self) {
         self.state.borrow_mut().registry.record_failed_read();
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -71,8 +71,8 @@
     }
 }
 
-/// Reads the registry of backend servers at regular intervals, and soon after a server was found
-/// replaced.
+/// Reads the registry of backend servers at regular intervals, soon after a server was found
+/// replaced, and when a server that is missing from it is due to count as gone.
 pub async fn watch_servers(store: Store, gateway: rc::Rc<Gateway>) {
     let mut backoff = Backoff::new("registry");
     loop {
@@ -80,10 +80,11 @@
             Ok(registrations) => {
                 backoff.reset(&gateway);
                 gateway.update_registry(registrations, store.era());
+                let interval = gateway.max_view_age().servers.mul_f64(REGISTRY_READ_FRACTION);
+                let delay =
+                    gateway.time_to_registry_expiry().map_or(interval, |left| left.min(interval));
                 tokio::select! {
-                    () = tokio::time::sleep(
-                        gateway.max_view_age().servers.mul_f64(REGISTRY_READ_FRACTION)
-                    ) => {}
+                    () = tokio::time::sleep(delay) => {}
                     () = gateway.server_replaced.notified() => {
                         tokio::time::sleep(REPLACED_READ_DELAY).await
                     }
--- a/src/site/registry.rs
+++ b/src/site/registry.rs
@@ -12,8 +12,9 @@
 /// platform drops a registration.
 const OUTAGE_THRESHOLD: time::Duration = time::Duration::from_millis(2_500);
 /// Time after an outage or a restore of the store within which a running server has registered
-/// again; the platform's operators state about two seconds.
-const REGISTRATION_TIME: time::Duration = time::Duration::from_millis(2_200);
+/// again; the platform's operators state about two seconds. Servers that left during the outage must
+/// get no requests three seconds after its end, which is noticed up to 0.7 s late.
+const REGISTRATION_TIME: time::Duration = time::Duration::from_millis(2_100);
 
 /// Time after a restore of the store within which the operator has written again what was lost.
 const OPERATOR_REWRITE_TIME: time::Duration = time::Duration::from_secs(10);
@@ -230,6 +231,12 @@
         self.read_at
     }
 
+    /// Returns the earliest time at which a server whose registration is missing counts as gone if it
+    /// has not registered again by then: the registry must be read at that time.
+    pub fn next_expiry(&self) -> Option<time::Duration> {
+        self.servers.values().filter_map(|known| known.gone_at).min()
+    }
+
     /// Returns the servers of `service` that may get new requests.
     pub fn available_servers<'a>(
         &'a self,
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -113,6 +113,22 @@
     );
 }
 
+/// Guards against a server that left during an outage of the store and is dropped only with the next
+/// regular read: the registry names the time at which it must be read again.
+#[test]
+fn expiry_of_missing() {
+    let mut registry = Registry::default();
+    registry.update(vec![registration("i-1", "ready", 5)], secs(1.0), 0);
+    assert_eq!(registry.next_expiry(), None);
+    registry.record_failed_read();
+    registry.update(Vec::new(), secs(6.0), 0);
+    let expiry = registry.next_expiry().expect("a server is missing");
+    assert!((secs(8.0)..secs(8.3)).contains(&expiry), "{expiry:?}");
+    let changes = registry.update(Vec::new(), expiry, 0);
+    assert_eq!(changes.gone.len(), 1);
+    assert_eq!(registry.next_expiry(), None);
+}
+
 /// A slow reader has nothing to do with an outage: a server that is gone is removed at once.
 #[test]
 fn rare_reads() {
