Give missing servers time to register after each outage of the store

Running servers whose registrations an outage had removed were dropped, and requests refused, if the store went away a second time before they could register again: the time granted counted from the first outage only.

--- a/src/site/registry.rs
+++ b/src/site/registry.rs
@@ -124,12 +124,11 @@
             if registered.contains(server) {
                 return true;
             }
-            let gone_at = *known.gone_at.get_or_insert_with(|| {
-                if registered_by.is_some() {
-                    changes.missing.push(server.clone());
-                }
-                registered_by.unwrap_or(now)
-            });
+            // A later outage gives running servers time to register once more.
+            let gone_at = registered_by.unwrap_or(now);
+            if known.gone_at.replace(gone_at).is_none() && gone_at > now {
+                changes.missing.push(server.clone());
+            }
             if gone_at <= now {
                 changes.gone.push(server.clone());
             }
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -129,6 +129,23 @@
     assert_eq!(registry.next_expiry(), None);
 }
 
+/// Guards against running servers that are dropped because the store is away again before they could
+/// register: the time for it begins anew.
+#[test]
+fn second_outage() {
+    let mut registry = Registry::default();
+    registry.update(vec![registration("i-1", "ready", 5)], secs(1.0), 0);
+    registry.record_failed_read();
+    registry.update(Vec::new(), secs(6.0), 0);
+    registry.record_failed_read();
+    registry.update(Vec::new(), secs(9.0), 0);
+    assert_eq!(available(&registry), ["i-1"]);
+    let expiry = registry.next_expiry().expect("the server is missing");
+    assert!((secs(11.0)..secs(11.3)).contains(&expiry), "{expiry:?}");
+    registry.update(Vec::new(), expiry, 0);
+    assert!(available(&registry).is_empty());
+}
+
 /// A slow reader has nothing to do with an outage: a server that is gone is removed at once.
 #[test]
 fn rare_reads() {
