--- a/tests/gateways.rs
+++ b/tests/gateways.rs
@@ -157,8 +157,9 @@
             let store = store.expect("a server that may crash has a store");
             store.remove("servers", &old_id);
             let registered = server.registered.lock().unwrap().clone();
-            let (addr, state) = registered.expect("a server that may crash is registered");
-            register(&store, &server, addr, &state);
+            if let Some((addr, state)) = registered {
+                register(&store, &server, addr, &state);
+            }
         });
         true
     }
@@ -446,6 +447,12 @@
     store.put("servers", &server.current_id(), &row);
 }
 
+/// Removes a server from the registry; it serves on.
+pub fn deregister(store: &Store, server: &Server) {
+    *server.registered.lock().unwrap() = None;
+    store.remove("servers", &server.current_id());
+}
+
 /// Returns a configuration whose routes lead to `service`.
 pub fn config(version: u64, service: &str) -> String {
     let route = |name: &str, kind: &str, more_fields: &str| {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -59,6 +59,8 @@
 /// Crashes after which at most this many requests with the part may reach servers.
 const MAX_CRASHES: usize = 5;
 const MAX_LATER_CRASHING_REQUESTS: usize = 3;
+/// Probability that a server that leaves stays away for one more round, in which other faults end.
+const LONG_LEAVE_PROBABILITY: f64 = 0.7;
 /// Time by which a busy machine may delay what a test observes.
 const SLACK: Duration = Duration::from_secs(2);
 
@@ -74,6 +76,8 @@
     StoreLink(LinkMode),
     Store(Mode),
     Drain(usize),
+    /// A server's registration is removed, and it serves on.
+    Deregister(usize),
     Configure,
     /// Requests with a part in their prompts that crashes servers arrive at all gateways.
     CrashingPrompts,
@@ -135,8 +139,9 @@
     links: Vec<Span>,
     /// Times in which the store did not work or could not be reached.
     store_outages: Vec<Span>,
-    /// Servers that were draining, with the beginning and end of that state in the store.
-    draining: Vec<(usize, Instant, Instant)>,
+    /// Servers that were draining or not registered, with the beginning and end of that state in the
+    /// store.
+    leaving: Vec<(usize, Instant, Instant)>,
 }
 
 struct Site {
@@ -213,6 +218,9 @@
                     "draining",
                 );
             }
+            Fault::Deregister(at) => {
+                gateways::deregister(&self.store, &self.servers[at]);
+            }
             Fault::Configure => {
                 self.version += 1;
                 self.store.put("op", "config", &gateways::config(self.version, "llm"));
@@ -241,8 +249,8 @@
             Fault::ServerLink(at, _) => self.server_links[at].set_mode(LinkMode::Open),
             Fault::StoreLink(_) => self.store_link.set_mode(LinkMode::Open),
             Fault::Store(_) => self.store.set_mode(Mode::Normal),
-            Fault::Drain(at) => {
-                self.fault_times.draining.push((at, began_at, Instant::now()));
+            Fault::Drain(at) | Fault::Deregister(at) => {
+                self.fault_times.leaving.push((at, began_at, Instant::now()));
                 gateways::register(
                     &self.store,
                     &self.servers[at],
@@ -396,7 +404,7 @@
         let frozen = is_during(&fault_times.frozen);
         assert!(frozen || took < DEADLINE + SLACK, "{id} was answered after {took:?}");
     }
-    for (server, from, to) in &fault_times.draining {
+    for (server, from, to) in &fault_times.leaving {
         for received in site.servers[*server].requests() {
             let late = received.received_at > *from + MAX_CHANGE_LAG && received.received_at < *to;
             let excusing = [
@@ -405,12 +413,11 @@
                 &fault_times.killed,
                 &fault_times.stopped,
             ];
-            let excused = excusing
-                .iter()
-                .any(|spans| overlaps(spans, *from, received.received_at, RECOVERY_TIME));
+            let at = received.received_at;
+            let excused = excusing.iter().any(|spans| overlaps(spans, at, at, RECOVERY_TIME));
             assert!(
                 !late || excused,
-                "server {server} got a request {:?} after it began to drain",
+                "server {server} got a request {:?} after it began to leave",
                 received.received_at - *from
             );
         }
@@ -473,26 +480,34 @@
 /// Runs one case: rounds of random faults, then a time without faults, then the checks.
 fn run_case(seed: u64, gateways: usize) {
     let mut rng = Pcg64::seed_from_u64(seed);
+    // Decides how servers leave; the draws of all other faults are those of earlier versions.
+    let mut leave_rng = Pcg64::seed_from_u64(!seed);
     let mut site = Site::start(gateways);
     let addrs: Vec<_> = site.gateways.iter().map(|gateway| gateway.process.address).collect();
     let clients = Clients::start(&addrs);
     let started = Instant::now();
+    // Servers that leave for more than one round, each with the beginning.
+    let mut leaving: Vec<(Fault, Instant)> = Vec::new();
     for round in 0..ROUNDS {
         let count = rng.random_range(1..=3);
         let mut faults: Vec<Fault> = Vec::new();
         while faults.len() < count {
-            let fault = Fault::random(&mut rng, gateways);
+            let fault = match Fault::random(&mut rng, gateways) {
+                Fault::Drain(at) if leave_rng.random_bool(0.5) => Fault::Deregister(at),
+                fault => fault,
+            };
             let target = |fault: &Fault| match fault {
                 Fault::Terminate(at) | Fault::Kill(at) | Fault::Freeze(at) | Fault::Reload(at) => {
                     (0, *at)
                 }
                 Fault::Server(at, _) | Fault::ServerLink(at, _) => (1, *at),
                 Fault::StoreLink(_) | Fault::Store(_) => (2, 0),
-                Fault::Drain(at) => (3, *at),
+                Fault::Drain(at) | Fault::Deregister(at) => (3, *at),
                 Fault::Configure => (4, 0),
                 Fault::CrashingPrompts => (5, 0),
             };
-            if faults.iter().all(|other| target(other) != target(&fault)) {
+            let active = leaving.iter().map(|(fault, _)| fault).chain(&faults);
+            if active.into_iter().all(|other| target(other) != target(&fault)) {
                 faults.push(fault);
             }
         }
@@ -504,8 +519,15 @@
             thread::sleep(Duration::from_millis(rng.random_range(0..600)));
         }
         thread::sleep(Duration::from_millis(rng.random_range(200..2_500)));
-        for (fault, began_at) in faults.iter().zip(began) {
-            site.end_fault(*fault, began_at);
+        let ended = std::mem::take(&mut leaving);
+        for (fault, began_at) in ended.into_iter().chain(faults.into_iter().zip(began)) {
+            let goes_on = matches!(fault, Fault::Drain(_) | Fault::Deregister(_))
+                && round + 1 < ROUNDS
+                && leave_rng.random_bool(LONG_LEAVE_PROBABILITY);
+            match goes_on {
+                true => leaving.push((fault, began_at)),
+                false => site.end_fault(fault, began_at),
+            }
         }
         thread::sleep(Duration::from_millis(rng.random_range(100..1_500)));
     }
