Accept the registration of a server whose clock was set back

A server that restarts under its name after its clock was set back registers with an earlier start than before. That was taken for a late write of an earlier incarnation for as long as it stood: the server got no requests, or, if the earlier incarnation had not left, its declaration that it is leaving did not count. A late write is overwritten by the next heartbeat, after 1.2 s, so a registration that stays for 2.5 s counts. registry::clock_set_back failed before and passes.

--- a/src/site/registry.rs
+++ b/src/site/registry.rs
@@ -16,6 +16,10 @@
 /// get no requests three seconds after its end, which is noticed up to 0.7 s late.
 const REGISTRATION_TIME: time::Duration = time::Duration::from_millis(2_100);
 
+/// Time for which a registration of an earlier start must stay before it counts: a late write of an
+/// earlier incarnation is overwritten by the next heartbeat of the running one, within 1.2 seconds.
+const LATE_WRITE_TIME: time::Duration = time::Duration::from_millis(2_500);
+
 /// Time after a restore of the store within which the operator has written again what was lost.
 const OPERATOR_REWRITE_TIME: time::Duration = time::Duration::from_secs(10);
 
@@ -66,6 +70,20 @@
     /// Whether a later incarnation uses the same address: after a crash, the registration of the
     /// earlier one remains until it expires.
     superseded: bool,
+    /// Time since which each read has shown the registration of an earlier start.
+    earlier_start_since: Option<time::Duration>,
+}
+
+impl RegisteredServer {
+    /// Returns whether `registration`, read at `now`, is that of an earlier incarnation which was
+    /// written late. If it stays, the server's clock was set back before it started again.
+    fn is_late_write(&mut self, registration: &Registration, now: time::Duration) -> bool {
+        if registration.started_ms >= self.registration.started_ms {
+            return false;
+        }
+        let since = *self.earlier_start_since.get_or_insert(now);
+        now.saturating_sub(since) < LATE_WRITE_TIME
+    }
 }
 
 /// Known servers, and the zones that operators evacuate. Times are on the process's monotonic clock.
@@ -166,13 +184,14 @@
             cold_until: now + registration.cold_remaining,
             gone_at: None,
             superseded: false,
+            earlier_start_since: None,
             registration,
         };
+        let known = self.servers.get_mut(&server);
+        let is_late_write =
+            known.is_some_and(|known| known.is_late_write(&latest.registration, now));
         match self.servers.get_mut(&server) {
-            // The registration of an earlier incarnation was written late and is ignored.
-            Some(known) if known.registration.started_ms > latest.registration.started_ms => {
-                known.gone_at = None
-            }
+            Some(known) if is_late_write => known.gone_at = None,
             Some(known) if known.registration.started_ms == latest.registration.started_ms => {
                 if latest.registration.leaving && !known.registration.leaving {
                     changes.leaving.push(server);
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -202,6 +202,23 @@
     assert_eq!(available(&registry), ["i-1"], "an evacuation that nobody wrote again did not end");
 }
 
+/// Guards against a server that restarts under its name after its clock was set back: its
+/// registration must not be taken for a late write of an earlier incarnation for good, or nothing
+/// that it says counts.
+#[test]
+fn clock_set_back() {
+    let mut registry = Registry::default();
+    registry.update(vec![registration("i-1", "ready", 9)], secs(1.0), 0);
+    registry.update(vec![registration("i-1", "draining", 9)], secs(2.0), 0);
+    registry.update(vec![registration("i-1", "ready", 5)], secs(3.0), 0);
+    assert!(available(&registry).is_empty(), "a late write undid that the server is leaving");
+    registry.update(vec![registration("i-1", "ready", 5)], secs(4.4), 0);
+    registry.update(vec![registration("i-1", "ready", 5)], secs(5.8), 0);
+    assert_eq!(available(&registry), ["i-1"], "a running server is ignored");
+    registry.update(vec![registration("i-1", "draining", 5)], secs(7.2), 0);
+    assert!(available(&registry).is_empty(), "a server that is leaving is in use");
+}
+
 #[test]
 fn zone_evacuated() {
     let mut registry = Registry::default();
