Remember servers that declared that they leave, also after a restore of the store

A store restored from an older copy lists a server as ready that had declared that it is leaving and was removed: it got requests again until the restored registration lapsed.

--- a/src/site/registry.rs
+++ b/src/site/registry.rs
@@ -20,6 +20,10 @@
 /// earlier incarnation is overwritten by the next heartbeat of the running one, within 1.2 seconds.
 const LATE_WRITE_TIME: time::Duration = time::Duration::from_millis(2_500);
 
+/// Time for which a server that left is remembered, so that a store restored from an older copy, which
+/// still lists it as ready, does not put it into use again.
+const DEPARTED_MEMORY: time::Duration = time::Duration::from_secs(60);
+
 /// Time after a restore of the store within which the operator has written again what was lost.
 const OPERATOR_REWRITE_TIME: time::Duration = time::Duration::from_secs(10);
 
@@ -90,6 +94,9 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     servers: BTreeMap<name::Server, RegisteredServer>,
+    /// Servers that declared that they were leaving and are gone, each with the start of its
+    /// incarnation and the time at which it was removed.
+    departed: BTreeMap<name::Server, (u64, time::Duration)>,
     evacuated_zones: BTreeSet<name::Zone>,
     /// Era of the store when the evacuations were last read.
     operators_era: u64,
@@ -149,10 +156,18 @@
             }
             if gone_at <= now {
                 changes.gone.push(server.clone());
+                if known.registration.leaving {
+                    let departure = (known.registration.started_ms, now);
+                    self.departed.insert(server.clone(), departure);
+                }
             }
             gone_at > now
         });
-        for registration in registrations {
+        self.departed.retain(|_, (_, at)| now.saturating_sub(*at) < DEPARTED_MEMORY);
+        for mut registration in registrations {
+            let departure = self.departed.get(&registration.server);
+            registration.leaving |=
+                departure.is_some_and(|(started_ms, _)| *started_ms == registration.started_ms);
             self.insert_or_update(registration, now, &mut changes);
         }
         self.mark_superseded();
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -219,6 +219,20 @@
     assert!(available(&registry).is_empty(), "a server that is leaving is in use");
 }
 
+/// Guards against a server that is in use again because a store restored from an older copy still
+/// lists it as ready, although it had declared that it is leaving.
+#[test]
+fn departed_stays_out() {
+    let mut registry = Registry::default();
+    registry.update(vec![registration("i-1", "ready", 5)], secs(1.0), 0);
+    registry.update(vec![registration("i-1", "draining", 5)], secs(2.0), 0);
+    registry.update(Vec::new(), secs(3.0), 0);
+    registry.update(vec![registration("i-1", "ready", 5)], secs(4.0), 1);
+    assert!(available(&registry).is_empty(), "a server that had left is in use");
+    registry.update(vec![registration("i-1", "ready", 6)], secs(5.0), 1);
+    assert_eq!(available(&registry), ["i-1"], "a new incarnation has not left");
+}
+
 #[test]
 fn zone_evacuated() {
     let mut registry = Registry::default();
