--- a/tests/crashing_prompts.rs
+++ b/tests/crashing_prompts.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    gateways::{self, Answer, Behavior, Gateway, Server},
+    gateways::{self, Answer, Behavior, CrashCause, Gateway, Server},
     processes::wait_until,
     store::Store,
 };
@@ -36,7 +36,7 @@
         let servers: Vec<Server> = (0..servers).map(|n| Server::start(&format!("i-{n}"))).collect();
         for server in &servers {
             server.set_behavior(Behavior::Paced(10));
-            server.crash_on(CRASHING, &store);
+            server.crash_on(CrashCause::PromptPart(CRASHING), &store);
             gateways::register(&store, server, server.addr, "ready");
         }
         store.put("op", "config", &gateways::config(1, "llm"));
--- a/tests/gateways.rs
+++ b/tests/gateways.rs
@@ -74,10 +74,19 @@
     registered: Arc<Mutex<Option<(net::SocketAddr, String)>>>,
 }
 
-/// The part of a prompt that crashes a server, and the crashes so far.
+/// What crashes a server that begins to answer a request with it.
+#[derive(Clone, Copy, Debug)]
+pub enum CrashCause {
+    /// A part of the prompt.
+    PromptPart(&'static str),
+    /// The path.
+    Path(&'static str),
+}
+
+/// What crashes a server, and the crashes so far.
 #[derive(Default)]
 struct Crashes {
-    part: Option<String>,
+    cause: Option<CrashCause>,
     /// Store in which the server registers again.
     store: Option<Store>,
     times: Vec<Instant>,
@@ -121,11 +130,11 @@
         *self.limit.lock().unwrap() = per_s;
     }
 
-    /// Lets the server crash whenever it begins to answer a request whose prompt has `part`. It
-    /// starts again with another id, which it registers in `store`.
-    pub fn crash_on(&self, part: &str, store: &Store) {
+    /// Lets the server crash whenever it begins to answer a request with `cause`. It starts again
+    /// with another id, which it registers in `store`.
+    pub fn crash_on(&self, cause: CrashCause, store: &Store) {
         let mut crashes = self.crashes.lock().unwrap();
-        (crashes.part, crashes.store) = (Some(part.into()), Some(store.clone()));
+        (crashes.cause, crashes.store) = (Some(cause), Some(store.clone()));
     }
 
     /// Returns the times of the crashes so far.
@@ -141,13 +150,18 @@
         }
     }
 
-    /// Records a crash if `prompt` has the part that causes one, and registers again.
-    fn crash_if_caused_by(&self, prompt: &str) -> bool {
+    /// Records a crash if a request to `url` with `prompt` causes one, and registers again.
+    fn crash_if_caused_by(&self, url: &str, prompt: &str) -> bool {
         let old_id = self.current_id();
         let mut crashes = self.crashes.lock().unwrap();
-        let causes =
-            |part: &str| prompt.split(',').any(|entry| entry.split(':').next() == Some(part));
-        if !crashes.part.as_deref().is_some_and(causes) {
+        let causes_crash = match crashes.cause {
+            Some(CrashCause::PromptPart(part)) => {
+                prompt.split(',').any(|entry| entry.split(':').next() == Some(part))
+            }
+            Some(CrashCause::Path(path)) => url == path,
+            None => false,
+        };
+        if !causes_crash {
             return false;
         }
         crashes.times.push(Instant::now());
@@ -199,9 +213,15 @@
             received_at,
             ran,
         });
-        if self.crash_if_caused_by(&prompt) {
+        if self.crash_if_caused_by(&url, &prompt) {
             return abort(req);
         }
+        if let (Behavior::Paced(gap_ms), false) = (behavior, url.starts_with("/stream/")) {
+            thread::sleep(Duration::from_millis(gap_ms));
+            if self.crash_times().len() > crash_times.len() {
+                return abort(req);
+            }
+        }
         let seal = format!("seal-{}", self.id);
         let answer_headers =
             [("X-Knapweedford-Request-Id", id.as_str()), ("X-Knapweedford-Response-Seal", &seal)];
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -19,6 +19,7 @@
 mod collecting;
 mod configuration;
 mod crashing_prompts;
+mod crashing_requests;
 mod days;
 mod deaths;
 mod departures;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     fuzz,
-    gateways::{self, Answer, Behavior, Gateway, Server},
+    gateways::{self, Answer, Behavior, CrashCause, Gateway, Server},
     link::{Link, LinkMode},
     processes,
     store::{Mode, Store},
@@ -172,7 +172,7 @@
             servers.iter().map(|server| Link::open(server.addr)).collect();
         servers[LIMITED_SERVER].set_limit(Some(LIMIT_PER_S.0));
         for (server, link) in servers.iter().zip(&server_links) {
-            server.crash_on(CRASHING_PART, &store);
+            server.crash_on(CrashCause::PromptPart(CRASHING_PART), &store);
             gateways::register(&store, server, link.addr, "ready");
         }
         store.put("op", "config", &gateways::config(1, "llm"));
