--- a/src/balance/crash_note.rs
+++ b/src/balance/crash_note.rs
@@ -31,13 +31,15 @@
         group: Option<String>,
         /// Gateway that saw the crash.
         gateway: name::Host,
-        /// Shared parts of the prompts of that gateway that had just begun there.
-        parts: BTreeSet<name::PromptPart>,
+        /// Fingerprints of the requests of that gateway that had just begun there.
+        #[serde(rename = "parts")]
+        fingerprints: BTreeSet<name::Fingerprint>,
     },
-    /// Requests with a part are refused.
+    /// Requests with a fingerprint are refused.
     Quarantine {
-        /// Part of the prompt.
-        part: name::PromptPart,
+        /// Fingerprint of the requests.
+        #[serde(rename = "part")]
+        fingerprint: name::Fingerprint,
     },
 }
 
@@ -48,7 +50,7 @@
             Self::Crash { server, started_ms, gateway, .. } => {
                 format!("crash/{server}/{started_ms}/{gateway}")
             }
-            Self::Quarantine { part } => format!("part/{part}"),
+            Self::Quarantine { fingerprint } => format!("part/{fingerprint}"),
         }
     }
 }
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -4,7 +4,7 @@
 
 pub mod budget;
 pub mod capacity;
-pub mod cleared_parts;
+pub mod cleared_fingerprints;
 pub mod crash_note;
 pub mod gateways;
 pub mod progress;
@@ -14,7 +14,7 @@
 pub mod window;
 
 pub use budget::RetryBudget;
-pub use cleared_parts::ClearedParts;
+pub use cleared_fingerprints::ClearedFingerprints;
 pub use gateways::GatewaySet;
 pub use progress::GroupProgress;
 pub use quarantine::Quarantine;
--- a/src/balance/quarantine.rs
+++ b/src/balance/quarantine.rs
@@ -1,11 +1,12 @@
-//! Quarantine of prompt parts that crash backend servers.
+//! Quarantine of requests that crash backend servers.
 //!
-//! A server that crashes ends all of its requests, and at most one of them is the cause. A single
-//! gateway sees few of the crashes. So each gateway notes, for each crash that it sees, the parts of
-//! the prompts that had just begun there; the notes are shared through the store. A gateway that
-//! hears from the server afterwards withdraws the note: only a connection was lost. A part that keeps
-//! turning up in crashes, and with which no prompt is answered, is quarantined: requests with it are
-//! refused by all gateways.
+//! Requests that may have a crash in common are told by fingerprints: the parts of a prompt, and the
+//! request as a whole. A server that crashes ends all of its requests, and at most one of them is the
+//! cause. A single gateway sees few of the crashes. So each gateway notes, for each crash that it
+//! sees, the fingerprints of the requests that had just begun there; the notes are shared through the
+//! store. A gateway that hears from the server afterwards withdraws the note: only a connection was
+//! lost. A fingerprint that keeps turning up in crashes, and with which no request is answered, is
+//! quarantined: requests with it are refused by all gateways.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -13,7 +14,7 @@
 };
 
 use super::{
-    ClearedParts,
+    ClearedFingerprints,
     crash_note::{Incarnation, Note},
 };
 use crate::name;
@@ -21,9 +22,10 @@
 /// Events of a stream after which its prompt counts as answered: a prompt that crashes its server
 /// does so as the answer begins.
 pub const ANSWERED_EVENTS: u64 = 8;
-/// Crashes with the same part after which it is quarantined.
+/// Crashes with the same fingerprint after which it is quarantined.
 const QUARANTINE_CRASHES: usize = 3;
-/// Crashes with the same part after which a request with it is not sent again when it breaks off.
+/// Crashes with the same fingerprint after which a request with it is not sent again when it breaks
+/// off.
 const RESEND_CRASHES: usize = 2;
 /// Time from a break until what the server and its group send shows that it did not crash: events
 /// from before the break may be read a little later.
@@ -38,8 +40,8 @@
 const NOTE_LIFETIME: time::Duration = time::Duration::from_secs(3600);
 /// Number of notes kept; the oldest crashes are dropped first.
 const MAX_NOTES: usize = 128;
-/// Number of parts in the note of one crash.
-const MAX_PARTS_PER_NOTE: usize = 128;
+/// Number of fingerprints in the note of one crash.
+const MAX_FINGERPRINTS_PER_NOTE: usize = 128;
 
 /// A note, and what this gateway knows of its copy in the store.
 #[derive(Debug)]
@@ -55,14 +57,14 @@
     expires_at: time::Duration,
 }
 
-/// Crashes that all gateways have seen, and the parts of prompts that they are put down to. Times
-/// are on the process's monotonic clock.
+/// Crashes that all gateways have seen, and the fingerprints of requests that they are put down to.
+/// Times are on the process's monotonic clock.
 #[derive(Debug)]
 pub struct Quarantine {
     host: name::Host,
     notes: BTreeMap<String, KnownNote>,
-    quarantined: BTreeSet<name::PromptPart>,
-    cleared: ClearedParts,
+    quarantined: BTreeSet<name::Fingerprint>,
+    cleared: ClearedFingerprints,
     /// Keys of notes that no longer hold, and that the store may still have.
     outdated_keys: BTreeSet<String>,
     /// Era of the store at the last read; `None` before the first one.
@@ -76,7 +78,7 @@
             host: host.clone(),
             notes: BTreeMap::new(),
             quarantined: BTreeSet::new(),
-            cleared: ClearedParts::default(),
+            cleared: ClearedFingerprints::default(),
             outdated_keys: BTreeSet::new(),
             era: None,
         }
@@ -87,27 +89,28 @@
         self.era.is_some()
     }
 
-    /// Returns the quarantined parts.
-    pub fn parts(&self) -> impl Iterator<Item = &name::PromptPart> {
+    /// Returns the quarantined fingerprints.
+    pub fn fingerprints(&self) -> impl Iterator<Item = &name::Fingerprint> {
         self.quarantined.iter()
     }
 
-    /// Records that a prompt with `parts` was answered, at least for the most part.
-    pub fn record_answer(&mut self, parts: &[name::PromptPart], now: time::Duration) {
-        self.cleared.insert(parts, now);
+    /// Records that a request with `fingerprints` was answered, at least for the most part.
+    pub fn record_answer(&mut self, fingerprints: &[name::Fingerprint], now: time::Duration) {
+        self.cleared.insert(fingerprints, now);
     }
 
-    /// Records that `server` seems to have crashed while it began to answer a prompt with `parts`.
-    /// Returns whether there is a note to write.
+    /// Records that `server` seems to have crashed while it began to answer a request with
+    /// `fingerprints`. Returns whether there is a note to write.
     pub fn record_crash(
         &mut self,
         server: &Incarnation<'_>,
-        parts: &[name::PromptPart],
+        fingerprints: &[name::Fingerprint],
         now: time::Duration,
     ) -> bool {
-        let uncleared = parts.iter().filter(|part| !self.cleared.contains(part, now));
-        let suspects: BTreeSet<name::PromptPart> =
-            uncleared.take(MAX_PARTS_PER_NOTE).cloned().collect();
+        let uncleared =
+            fingerprints.iter().filter(|fingerprint| !self.cleared.contains(fingerprint, now));
+        let suspects: BTreeSet<name::Fingerprint> =
+            uncleared.take(MAX_FINGERPRINTS_PER_NOTE).cloned().collect();
         if suspects.is_empty() {
             return false;
         }
@@ -116,10 +119,12 @@
             started_ms: server.started_ms,
             group: server.group.map(str::to_owned),
             gateway: self.host.clone(),
-            parts: suspects,
+            fingerprints: suspects,
         };
         match (self.notes.get_mut(&note.key()), &note) {
-            (Some(known), Note::Crash { parts, .. }) => known.add_parts(parts, true),
+            (Some(known), Note::Crash { fingerprints, .. }) => {
+                known.add_fingerprints(fingerprints, true)
+            }
             _ => self.insert(note, None, true, now),
         }
         true
@@ -160,8 +165,8 @@
                 Some(known) => {
                     known.stored_version = Some(version);
                     known.expires_at = now + NOTE_LIFETIME;
-                    if let Note::Crash { parts, .. } = &note {
-                        known.add_parts(parts, false);
+                    if let Note::Crash { fingerprints, .. } = &note {
+                        known.add_fingerprints(fingerprints, false);
                     }
                 }
                 None if self.outdated_keys.contains(&key) => {}
@@ -184,22 +189,27 @@
         self.outdated_keys.retain(|key| stored_keys.contains(key));
     }
 
-    /// Returns the time for which requests with `parts` will be refused; `None` if none of the parts
+    /// Returns the time for which requests with `fingerprints` will be refused; `None` if none of them
     /// is quarantined, or about to be. A refusal prolongs the quarantine.
     pub fn refusal_time(
         &mut self,
-        parts: &[name::PromptPart],
+        fingerprints: &[name::Fingerprint],
         now: time::Duration,
     ) -> Option<time::Duration> {
-        let suspects = parts.iter().filter(|part| !self.cleared.contains(part, now));
-        let suspects: Vec<&name::PromptPart> = suspects.collect();
-        for part in &suspects {
-            if !self.quarantined.contains(*part) && self.explains_crashes(part, SETTLE_TIME, now) {
-                self.quarantine(part, now);
+        let suspects =
+            fingerprints.iter().filter(|fingerprint| !self.cleared.contains(fingerprint, now));
+        let suspects: Vec<&name::Fingerprint> = suspects.collect();
+        for fingerprint in &suspects {
+            if !self.quarantined.contains(*fingerprint)
+                && self.explains_crashes(fingerprint, SETTLE_TIME, now)
+            {
+                self.quarantine(fingerprint, now);
             }
         }
-        if let Some(part) = suspects.iter().find(|part| self.quarantined.contains(**part)) {
-            let key = Note::Quarantine { part: (*part).clone() }.key();
+        if let Some(fingerprint) =
+            suspects.iter().find(|fingerprint| self.quarantined.contains(**fingerprint))
+        {
+            let key = Note::Quarantine { fingerprint: (*fingerprint).clone() }.key();
             let known = self.notes.get_mut(&key)?;
             if known.expires_at < now + NOTE_LIFETIME / 2 {
                 known.expires_at = now + NOTE_LIFETIME;
@@ -207,16 +217,17 @@
             }
             return Some(known.expires_at.saturating_sub(now));
         }
-        let is_suspect =
-            |part: &&name::PromptPart| self.explains_crashes(part, time::Duration::ZERO, now);
-        suspects.into_iter().any(|part| is_suspect(&part)).then_some(SETTLE_TIME)
+        let is_suspect = |fingerprint: &&name::Fingerprint| {
+            self.explains_crashes(fingerprint, time::Duration::ZERO, now)
+        };
+        suspects.into_iter().any(|fingerprint| is_suspect(&fingerprint)).then_some(SETTLE_TIME)
     }
 
-    /// Returns whether a request with `parts` that broke off may be sent again.
-    pub fn may_resend(&mut self, parts: &[name::PromptPart], now: time::Duration) -> bool {
-        parts.iter().all(|part| {
-            self.cleared.contains(part, now)
-                || self.crashes_with(part, time::Duration::ZERO, now).len() < RESEND_CRASHES
+    /// Returns whether a request with `fingerprints` that broke off may be sent again.
+    pub fn may_resend(&mut self, fingerprints: &[name::Fingerprint], now: time::Duration) -> bool {
+        fingerprints.iter().all(|fingerprint| {
+            self.cleared.contains(fingerprint, now)
+                || self.crashes_with(fingerprint, time::Duration::ZERO, now).len() < RESEND_CRASHES
         })
     }
 
@@ -261,12 +272,12 @@
         is_pending: bool,
         now: time::Duration,
     ) {
-        if let Note::Quarantine { part } = &note {
+        if let Note::Quarantine { fingerprint } = &note {
             log::warn!(
-                part:%, from_store = stored_version.is_some();
-                "prompt part is quarantined: servers keep crashing on it"
+                fingerprint:%, from_store = stored_version.is_some();
+                "requests are quarantined: servers keep crashing on them"
             );
-            self.quarantined.insert(part.clone());
+            self.quarantined.insert(fingerprint.clone());
         }
         let known = KnownNote {
             note,
@@ -293,9 +304,9 @@
         if known.may_be_stored {
             self.outdated_keys.insert(key.to_owned());
         }
-        if let Note::Quarantine { part } = known.note {
-            log::info!(part:%; "quarantine of a prompt part ended");
-            self.quarantined.remove(&part);
+        if let Note::Quarantine { fingerprint } = known.note {
+            log::info!(fingerprint:%; "quarantine ended");
+            self.quarantined.remove(&fingerprint);
         }
     }
 
@@ -305,54 +316,56 @@
         keys.iter().for_each(|key| self.remove(key));
     }
 
-    /// Returns the crashes with `part` that are at least `min_age` old, each once also if several
-    /// gateways saw it.
+    /// Returns the crashes with `fingerprint` that are at least `min_age` old, each once also if
+    /// several gateways saw it.
     fn crashes_with(
         &self,
-        part: &name::PromptPart,
+        fingerprint: &name::Fingerprint,
         min_age: time::Duration,
         now: time::Duration,
     ) -> BTreeSet<Incarnation<'_>> {
         let crashes = self.notes.values().filter_map(KnownNote::crash);
         let settled = crashes.filter(|crash| crash.known_since + min_age <= now);
-        let with_part = settled.filter(|crash| crash.parts.contains(part));
-        with_part.map(|crash| crash.server).collect()
+        let with_fingerprint = settled.filter(|crash| crash.fingerprints.contains(fingerprint));
+        with_fingerprint.map(|crash| crash.server).collect()
     }
 
-    /// Quarantines `part`. All gateways come to this conclusion; those that saw a crash write it.
-    fn quarantine(&mut self, part: &name::PromptPart, now: time::Duration) {
+    /// Quarantines `fingerprint`. All gateways come to this conclusion; those that saw a crash write
+    /// it.
+    fn quarantine(&mut self, fingerprint: &name::Fingerprint, now: time::Duration) {
         let crashes = self.notes.values().filter_map(KnownNote::crash);
         let is_witness = crashes
-            .filter(|crash| crash.parts.contains(part))
+            .filter(|crash| crash.fingerprints.contains(fingerprint))
             .any(|crash| *crash.gateway == self.host);
-        self.insert(Note::Quarantine { part: part.clone() }, None, is_witness, now);
+        self.insert(Note::Quarantine { fingerprint: fingerprint.clone() }, None, is_witness, now);
     }
 
-    /// Whether `part` is in enough crashes that are at least `min_age` old, and in at least half of
-    /// those since the first of them that no quarantined part explains.
+    /// Whether `fingerprint` is in enough crashes that are at least `min_age` old, and in at least half
+    /// of those since the first of them that no quarantined fingerprint explains.
     fn explains_crashes(
         &self,
-        part: &name::PromptPart,
+        fingerprint: &name::Fingerprint,
         min_age: time::Duration,
         now: time::Duration,
     ) -> bool {
-        let with_part = self.crashes_with(part, min_age, now);
-        if with_part.len() < QUARANTINE_CRASHES {
+        let with_fingerprint = self.crashes_with(fingerprint, min_age, now);
+        if with_fingerprint.len() < QUARANTINE_CRASHES {
             return false;
         }
         let crashes = || self.notes.values().filter_map(KnownNote::crash);
-        let with_part_since =
-            crashes().filter(|crash| crash.parts.contains(part)).map(|crash| crash.known_since);
-        let first = with_part_since.min().unwrap_or_default();
+        let with_fingerprint_since = crashes()
+            .filter(|crash| crash.fingerprints.contains(fingerprint))
+            .map(|crash| crash.known_since);
+        let first = with_fingerprint_since.min().unwrap_or_default();
         let explained: BTreeSet<Incarnation<'_>> = crashes()
-            .filter(|crash| !crash.parts.is_disjoint(&self.quarantined))
+            .filter(|crash| !crash.fingerprints.is_disjoint(&self.quarantined))
             .map(|crash| crash.server)
             .collect();
         let unexplained: BTreeSet<Incarnation<'_>> = crashes()
             .filter(|crash| crash.known_since >= first && !explained.contains(&crash.server))
             .map(|crash| crash.server)
             .collect();
-        2 * with_part.len() >= unexplained.len()
+        2 * with_fingerprint.len() >= unexplained.len()
     }
 }
 
@@ -360,26 +373,26 @@
 struct Crash<'a> {
     server: Incarnation<'a>,
     gateway: &'a name::Host,
-    parts: &'a BTreeSet<name::PromptPart>,
+    fingerprints: &'a BTreeSet<name::Fingerprint>,
     known_since: time::Duration,
 }
 
 impl KnownNote {
-    /// Adds parts to the note of a crash; `is_new` if the store may lack them.
-    fn add_parts(&mut self, added: &BTreeSet<name::PromptPart>, is_new: bool) {
-        let Note::Crash { parts, .. } = &mut self.note else { return };
-        let room = MAX_PARTS_PER_NOTE.saturating_sub(parts.len());
-        let missing: Vec<_> = added.difference(parts).take(room).cloned().collect();
+    /// Adds fingerprints to the note of a crash; `is_new` if the store may lack them.
+    fn add_fingerprints(&mut self, added: &BTreeSet<name::Fingerprint>, is_new: bool) {
+        let Note::Crash { fingerprints, .. } = &mut self.note else { return };
+        let room = MAX_FINGERPRINTS_PER_NOTE.saturating_sub(fingerprints.len());
+        let missing: Vec<_> = added.difference(fingerprints).take(room).cloned().collect();
         self.is_pending |= is_new && !missing.is_empty();
-        parts.extend(missing);
+        fingerprints.extend(missing);
     }
 
     fn crash(&self) -> Option<Crash<'_>> {
         match &self.note {
-            Note::Crash { server, started_ms, group, gateway, parts } => Some(Crash {
+            Note::Crash { server, started_ms, group, gateway, fingerprints } => Some(Crash {
                 server: Incarnation { server, started_ms: *started_ms, group: group.as_deref() },
                 gateway,
-                parts,
+                fingerprints,
                 known_since: self.known_since,
             }),
             Note::Quarantine { .. } => None,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -76,8 +76,8 @@
     pub body: Bytes,
     /// Identity of this attempt of the client.
     pub id: String,
-    /// Parts of the prompt that other requests may share.
-    pub shared_prompt: rc::Rc<[name::PromptPart]>,
+    /// Fingerprints by which requests that crash servers are recognized.
+    pub fingerprints: rc::Rc<[name::Fingerprint]>,
     /// Configuration that the route is from.
     pub catalog: rc::Rc<Catalog>,
     /// Route that matched.
@@ -132,7 +132,7 @@
     /// Returns whether the request may be sent again after an attempt that broke off, and takes the
     /// retry from the budget.
     pub fn take_retry_after_break(&self, gateway: &Gateway) -> bool {
-        self.is_repeatable() && gateway.may_resend(&self.shared_prompt) && self.take_retry(gateway)
+        self.is_repeatable() && gateway.may_resend(&self.fingerprints) && self.take_retry(gateway)
     }
 
     /// Returns whether the remaining time, the route and the retry budget allow one more attempt,
@@ -176,7 +176,7 @@
             head,
             body,
             id: info.id,
-            shared_prompt: info.shared_prompt.into(),
+            fingerprints: info.shared_prompt.into(),
             catalog,
             route,
             service,
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -33,7 +33,7 @@
     Paused,
     /// The limits that servers name allow no further request now.
     Limited,
-    /// Servers keep crashing on a part of the prompt.
+    /// Servers keep crashing on requests like this one.
     Quarantined,
     /// No server accepted the request; it has not run.
     NotRun,
@@ -123,7 +123,7 @@
                 "All backend servers limit their requests; it did not run; send it again later."
             }
             Self::Quarantined => {
-                "Backend servers crash on a part of the prompt; it did not run; change the prompt."
+                "Backend servers crash on requests like this one; it did not run; change it."
             }
             Self::NotRun => "No backend server took it; it did not run; send it again later.",
             Self::NoAnswer => "A backend server gave no whole answer; it may have run.",
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -23,8 +23,8 @@
     outcome: selector::Outcome,
     /// Start of the server's incarnation, in Unix milliseconds.
     started_ms: u64,
-    /// Parts of the request's prompt that other requests may share.
-    shared_prompt: rc::Rc<[name::PromptPart]>,
+    /// Fingerprints of the request.
+    fingerprints: rc::Rc<[name::Fingerprint]>,
     /// Group that the server is a rank of.
     group: Option<String>,
     /// Events of a stream that the server has sent.
@@ -54,7 +54,7 @@
             in_flight,
             outcome: selector::Outcome::Neutral,
             started_ms: registration.map_or(0, |registration| registration.started_ms),
-            shared_prompt: rc::Rc::clone(&req.shared_prompt),
+            fingerprints: rc::Rc::clone(&req.fingerprints),
             group: member.map(|member| member.group.clone()),
             events: 0,
             reserved_at: now,
@@ -75,7 +75,7 @@
         self.record_activity();
         let state = &mut *self.gateway.state.borrow_mut();
         if previous < quarantine::ANSWERED_EVENTS && events >= quarantine::ANSWERED_EVENTS {
-            state.quarantine.record_answer(&self.shared_prompt, now);
+            state.quarantine.record_answer(&self.fingerprints, now);
         }
         match &self.group {
             Some(group) if previous == 0 => state.progress.begin_stream(group, now),
@@ -126,7 +126,7 @@
     pub fn record_complete_answer(&mut self) {
         self.set_outcome(selector::Outcome::Success);
         let now = self.gateway.now();
-        self.gateway.state.borrow_mut().quarantine.record_answer(&self.shared_prompt, now);
+        self.gateway.state.borrow_mut().quarantine.record_answer(&self.fingerprints, now);
     }
 
     /// Records that the server's answer to `req` broke off, or did not come, because of `failure`.
@@ -134,20 +134,21 @@
         let now = self.gateway.now();
         let silent_for = now.saturating_sub(self.active_at);
         let has_crashed = silent_for <= self.gateway.max_crash_silence;
-        let parts: Vec<&str> = req.shared_prompt.iter().map(name::PromptPart::as_str).collect();
+        let fingerprints: Vec<&str> =
+            req.fingerprints.iter().map(name::Fingerprint::as_str).collect();
         log::info!(
             req:% = req.id,
             server:% = self.server,
             events = self.events,
             silent_ms = silent_for.as_millis() as u64,
             has_crashed,
-            prompt:% = parts.join(","),
+            fingerprints:% = fingerprints.join(","),
             problem = failure.problem();
             "answer broke off"
         );
         if has_crashed && self.events < quarantine::ANSWERED_EVENTS {
             let quarantine = &mut self.gateway.state.borrow_mut().quarantine;
-            if quarantine.record_crash(&self.incarnation(), &self.shared_prompt, now) {
+            if quarantine.record_crash(&self.incarnation(), &self.fingerprints, now) {
                 self.gateway.notes_pending.notify_one();
             }
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -80,7 +80,7 @@
     Paused(time::Duration),
     /// The limits that servers name allow no request for this time.
     Limited(time::Duration),
-    /// Servers keep crashing on a part of the prompt; requests with it are refused for this time.
+    /// Servers keep crashing on requests like this one, which are refused for this time.
     Quarantined(time::Duration),
 }
 
@@ -248,10 +248,10 @@
         self.state.borrow_mut().quarantine.forget_outdated(keys);
     }
 
-    /// Returns whether a request with these parts of a prompt may be sent again after it broke off.
-    pub fn may_resend(&self, shared_prompt: &[name::PromptPart]) -> bool {
+    /// Returns whether a request with these fingerprints may be sent again after it broke off.
+    pub fn may_resend(&self, fingerprints: &[name::Fingerprint]) -> bool {
         let now = self.now();
-        self.state.borrow_mut().quarantine.may_resend(shared_prompt, now)
+        self.state.borrow_mut().quarantine.may_resend(fingerprints, now)
     }
 
     /// Records the versions of the latest heartbeats of all gateways.
@@ -329,7 +329,7 @@
         let fallback = catalog::Service::default();
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
-        if let Some(left) = state.quarantine.refusal_time(&req.shared_prompt, now) {
+        if let Some(left) = state.quarantine.refusal_time(&req.fingerprints, now) {
             if state.quarantine.has_pending() {
                 self.notes_pending.notify_one();
             }
@@ -440,8 +440,8 @@
             "gateways": state.gateways.count(),
             "quarantined": state
                 .quarantine
-                .parts()
-                .map(name::PromptPart::as_str)
+                .fingerprints()
+                .map(name::Fingerprint::as_str)
                 .collect::<Vec<_>>(),
             "servers": servers,
         })
--- a/src/name.rs
+++ b/src/name.rs
@@ -54,6 +54,6 @@
     Server;
     /// Name of a host of the platform, on which one process of the system runs.
     Host;
-    /// Content of a part of a prompt, named by its hash.
-    PromptPart;
+    /// Hash of what requests may have in common: a part of their prompts, or all of them.
+    Fingerprint;
 }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -7,13 +7,13 @@
         Quarantine,
         crash_note::{Incarnation, Note},
     },
-    name::{PromptPart, Server},
+    name::{Fingerprint, Server},
 };
 
 const HOUR: Duration = Duration::from_secs(3600);
 
-fn parts(hashes: &[&str]) -> Vec<PromptPart> {
-    hashes.iter().copied().map(PromptPart::from).collect()
+fn parts(hashes: &[&str]) -> Vec<Fingerprint> {
+    hashes.iter().copied().map(Fingerprint::from).collect()
 }
 
 fn at(secs: u64) -> Duration {
@@ -253,11 +253,11 @@
 fn bounded_memory() {
     let mut quarantine = loaded("a");
     for n in 0..2_000u64 {
-        let many: Vec<PromptPart> =
-            (0..32).map(|part| PromptPart::new(format!("{n}-{part}"))).collect();
+        let many: Vec<Fingerprint> =
+            (0..32).map(|part| Fingerprint::new(format!("{n}-{part}"))).collect();
         quarantine.record_answer(&many, at(n / 100));
-        let other: Vec<PromptPart> =
-            (0..200).map(|part| PromptPart::new(format!("c{n}-{part}"))).collect();
+        let other: Vec<Fingerprint> =
+            (0..200).map(|part| Fingerprint::new(format!("c{n}-{part}"))).collect();
         quarantine.record_crash(&rank(&"i-1".into(), n), &other, at(n / 100));
     }
     let (notes, _) = quarantine.take_pending(10_000);
