Quarantine whole requests that crash backend servers

Cause: the quarantine recognized requests by the parts of their prompts only; this one has none, so each break was logged with has_crashed=true and no fingerprint, and no note of it was written. The other hypotheses, that breaks of plain servers are not counted or not shared, did not hold.

Each request now has a fingerprint of method, host, path, workspace and body besides those of its prompt, and the quarantine decides on both in one way. What was answered clears whole requests in a memory of their own, since each request has another fingerprint. A server without a group may break off at any time when it crashes; only in groups do stalled ranks break off later.

--- a/src/balance/cleared_fingerprints.rs
+++ b/src/balance/cleared_fingerprints.rs
@@ -19,17 +19,16 @@
 }
 
 impl ClearedFingerprints {
-    /// Adds the fingerprints of a request that was answered at `now`.
-    pub fn insert(&mut self, fingerprints: &[name::Fingerprint], now: time::Duration) {
+    /// Adds a fingerprint of a request that was answered at `now`.
+    pub fn insert(&mut self, fingerprint: &name::Fingerprint, now: time::Duration) {
         self.remove_expired(now);
-        if self.current.len() + fingerprints.len() > MAX_CLEARED_FINGERPRINTS {
-            self.begin_generation(now);
+        if self.current.contains(fingerprint) {
+            return;
         }
-        for fingerprint in fingerprints {
-            if !self.current.contains(fingerprint) {
-                self.current.insert(fingerprint.clone());
-            }
+        if self.current.len() >= MAX_CLEARED_FINGERPRINTS {
+            self.begin_generation(now);
         }
+        self.current.insert(fingerprint.clone());
     }
 
     /// Whether a request with `fingerprint` was answered recently.
--- a/src/balance/quarantine.rs
+++ b/src/balance/quarantine.rs
@@ -64,7 +64,10 @@
     host: name::Host,
     notes: BTreeMap<String, KnownNote>,
     quarantined: BTreeSet<name::Fingerprint>,
-    cleared: ClearedFingerprints,
+    /// Parts of prompts that were answered recently.
+    cleared_parts: ClearedFingerprints,
+    /// Whole requests that were answered recently: kept apart, since each request has its own.
+    cleared_requests: ClearedFingerprints,
     /// Keys of notes that no longer hold, and that the store may still have.
     outdated_keys: BTreeSet<String>,
     /// Era of the store at the last read; `None` before the first one.
@@ -78,7 +81,8 @@
             host: host.clone(),
             notes: BTreeMap::new(),
             quarantined: BTreeSet::new(),
-            cleared: ClearedFingerprints::default(),
+            cleared_parts: ClearedFingerprints::default(),
+            cleared_requests: ClearedFingerprints::default(),
             outdated_keys: BTreeSet::new(),
             era: None,
         }
@@ -96,7 +100,20 @@
 
     /// Records that a request with `fingerprints` was answered, at least for the most part.
     pub fn record_answer(&mut self, fingerprints: &[name::Fingerprint], now: time::Duration) {
-        self.cleared.insert(fingerprints, now);
+        for fingerprint in fingerprints {
+            match fingerprint.is_of_request() {
+                true => self.cleared_requests.insert(fingerprint, now),
+                false => self.cleared_parts.insert(fingerprint, now),
+            }
+        }
+    }
+
+    /// Returns whether a request with `fingerprint` was answered recently.
+    fn is_cleared(&mut self, fingerprint: &name::Fingerprint, now: time::Duration) -> bool {
+        match fingerprint.is_of_request() {
+            true => self.cleared_requests.contains(fingerprint, now),
+            false => self.cleared_parts.contains(fingerprint, now),
+        }
     }
 
     /// Records that `server` seems to have crashed while it began to answer a request with
@@ -108,7 +125,7 @@
         now: time::Duration,
     ) -> bool {
         let uncleared =
-            fingerprints.iter().filter(|fingerprint| !self.cleared.contains(fingerprint, now));
+            fingerprints.iter().filter(|fingerprint| !self.is_cleared(fingerprint, now));
         let suspects: BTreeSet<name::Fingerprint> =
             uncleared.take(MAX_FINGERPRINTS_PER_NOTE).cloned().collect();
         if suspects.is_empty() {
@@ -196,8 +213,7 @@
         fingerprints: &[name::Fingerprint],
         now: time::Duration,
     ) -> Option<time::Duration> {
-        let suspects =
-            fingerprints.iter().filter(|fingerprint| !self.cleared.contains(fingerprint, now));
+        let suspects = fingerprints.iter().filter(|fingerprint| !self.is_cleared(fingerprint, now));
         let suspects: Vec<&name::Fingerprint> = suspects.collect();
         for fingerprint in &suspects {
             if !self.quarantined.contains(*fingerprint)
@@ -226,7 +242,7 @@
     /// Returns whether a request with `fingerprints` that broke off may be sent again.
     pub fn may_resend(&mut self, fingerprints: &[name::Fingerprint], now: time::Duration) -> bool {
         fingerprints.iter().all(|fingerprint| {
-            self.cleared.contains(fingerprint, now)
+            self.is_cleared(fingerprint, now)
                 || self.crashes_with(fingerprint, time::Duration::ZERO, now).len() < RESEND_CRASHES
         })
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -9,6 +9,7 @@
 
 use super::{
     attempt::{self, AttemptResult},
+    fingerprint,
     refusal::Refusal,
     relay,
     request_log::RequestLog,
@@ -172,11 +173,15 @@
             Err(refusal) => return self.refuse(refusal, None, &mut request_log),
         };
         let service = self.gateway.pick_service(&route).clone();
+        // The whole request comes first, since the notes of crashes are limited in size.
+        let mut fingerprints =
+            vec![fingerprint::of_request(&head, &info.host, workspace.as_ref(), &body)];
+        fingerprints.extend(info.shared_prompt);
         let req = RoutedRequest {
             head,
             body,
             id: info.id,
-            fingerprints: info.shared_prompt.into(),
+            fingerprints: fingerprints.into(),
             catalog,
             route,
             service,
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -133,7 +133,9 @@
     pub fn record_break(&self, req: &RoutedRequest, failure: &client::Failure) {
         let now = self.gateway.now();
         let silent_for = now.saturating_sub(self.active_at);
-        let has_crashed = silent_for <= self.gateway.max_crash_silence;
+        // The ranks of a group that stall with a crashed one break off later. A server without a group
+        // may have crashed at any time.
+        let has_crashed = self.group.is_none() || silent_for <= self.gateway.max_crash_silence;
         let fingerprints: Vec<&str> =
             req.fingerprints.iter().map(name::Fingerprint::as_str).collect();
         log::info!(
--- a/src/name.rs
+++ b/src/name.rs
@@ -57,3 +57,18 @@
     /// Hash of what requests may have in common: a part of their prompts, or all of them.
     Fingerprint;
 }
+
+/// Begins the fingerprints of whole requests; hashes of parts of prompts contain no colon.
+const REQUEST_PREFIX: &str = "request:";
+
+impl Fingerprint {
+    /// Creates the fingerprint of a whole request from its hash.
+    pub fn of_request(hash: u128) -> Self {
+        Self(format!("{REQUEST_PREFIX}{hash:032x}"))
+    }
+
+    /// Returns whether this is the fingerprint of a whole request.
+    pub fn is_of_request(&self) -> bool {
+        self.0.starts_with(REQUEST_PREFIX)
+    }
+}
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -1,4 +1,4 @@
-//! The decision which part of a prompt is quarantined, from the crashes that gateways note.
+//! The decision which requests are quarantined, from the crashes that gateways note.
 
 use std::time::Duration;
 
@@ -7,12 +7,13 @@
         Quarantine,
         crash_note::{Incarnation, Note},
     },
-    name::{Fingerprint, Server},
+    gateway::fingerprint,
+    name::{Fingerprint, Server, Workspace},
 };
 
 const HOUR: Duration = Duration::from_secs(3600);
 
-fn parts(hashes: &[&str]) -> Vec<Fingerprint> {
+fn fingerprints(hashes: &[&str]) -> Vec<Fingerprint> {
     hashes.iter().copied().map(Fingerprint::from).collect()
 }
 
@@ -36,7 +37,7 @@
 fn see_crashes(quarantine: &mut Quarantine) {
     for n in 0..3 {
         let server = Server::from(format!("i-{n}").as_str());
-        quarantine.record_crash(&rank(&server, 1), &parts(&["bad"]), at(n));
+        quarantine.record_crash(&rank(&server, 1), &fingerprints(&["bad"]), at(n));
     }
 }
 
@@ -59,21 +60,21 @@
 fn spread_over_gateways() {
     let (mut a, mut b, mut c) = (loaded("a"), loaded("b"), loaded("c"));
     let mut stored = Vec::new();
-    a.record_crash(&rank(&"i-1".into(), 1), &parts(&["x", "bad"]), at(10));
+    a.record_crash(&rank(&"i-1".into(), 1), &fingerprints(&["x", "bad"]), at(10));
     exchange(&mut [&mut a, &mut b, &mut c], &mut stored, at(11));
-    b.record_crash(&rank(&"i-2".into(), 1), &parts(&["y", "bad"]), at(12));
+    b.record_crash(&rank(&"i-2".into(), 1), &fingerprints(&["y", "bad"]), at(12));
     exchange(&mut [&mut a, &mut b, &mut c], &mut stored, at(13));
-    assert_eq!(c.refusal_time(&parts(&["bad"]), at(14)), None);
-    a.record_crash(&rank(&"i-3".into(), 1), &parts(&["z", "bad"]), at(14));
+    assert_eq!(c.refusal_time(&fingerprints(&["bad"]), at(14)), None);
+    a.record_crash(&rank(&"i-3".into(), 1), &fingerprints(&["z", "bad"]), at(14));
     exchange(&mut [&mut a, &mut b, &mut c], &mut stored, at(15));
     for quarantine in [&mut a, &mut b, &mut c] {
-        assert!(quarantine.refusal_time(&parts(&["w", "bad"]), at(16)).is_some());
-        assert_eq!(quarantine.refusal_time(&parts(&["x", "y", "z"]), at(16)), None);
+        assert!(quarantine.refusal_time(&fingerprints(&["w", "bad"]), at(16)).is_some());
+        assert_eq!(quarantine.refusal_time(&fingerprints(&["x", "y", "z"]), at(16)), None);
     }
     // A gateway that starts later knows it, too.
     let mut d = loaded("d");
     exchange(&mut [&mut a, &mut d], &mut stored, at(20));
-    assert!(d.refusal_time(&parts(&["bad"]), at(21)).is_some());
+    assert!(d.refusal_time(&fingerprints(&["bad"]), at(21)).is_some());
 }
 
 /// Guards against one crash that counts several times because several gateways, or several requests
@@ -83,15 +84,15 @@
     let (mut a, mut b) = (loaded("a"), loaded("b"));
     let mut stored = Vec::new();
     for _ in 0..3 {
-        a.record_crash(&rank(&"i-1".into(), 1), &parts(&["x"]), at(10));
-        b.record_crash(&rank(&"i-1".into(), 1), &parts(&["x"]), at(10));
+        a.record_crash(&rank(&"i-1".into(), 1), &fingerprints(&["x"]), at(10));
+        b.record_crash(&rank(&"i-1".into(), 1), &fingerprints(&["x"]), at(10));
     }
     exchange(&mut [&mut a, &mut b], &mut stored, at(11));
-    assert_eq!(a.refusal_time(&parts(&["x"]), at(12)), None);
+    assert_eq!(a.refusal_time(&fingerprints(&["x"]), at(12)), None);
     // Another incarnation with the same name is another crash.
-    a.record_crash(&rank(&"i-1".into(), 2), &parts(&["x"]), at(13));
-    a.record_crash(&rank(&"i-1".into(), 3), &parts(&["x"]), at(15));
-    assert!(a.refusal_time(&parts(&["x"]), at(16)).is_some());
+    a.record_crash(&rank(&"i-1".into(), 2), &fingerprints(&["x"]), at(13));
+    a.record_crash(&rank(&"i-1".into(), 3), &fingerprints(&["x"]), at(15));
+    assert!(a.refusal_time(&fingerprints(&["x"]), at(16)).is_some());
 }
 
 /// Guards against lost connections that are taken for crashes: the server, or its group, goes on.
@@ -102,18 +103,22 @@
         let mut stored = Vec::new();
         for n in 0..6 {
             let now = Duration::from_millis(10_000 + n * 100);
-            a.record_crash(&rank(&format!("i-{n}").as_str().into(), 1), &parts(&["hot"]), now);
+            a.record_crash(
+                &rank(&format!("i-{n}").as_str().into(), 1),
+                &fingerprints(&["hot"]),
+                now,
+            );
         }
         exchange(&mut [&mut a, &mut b], &mut stored, Duration::from_millis(10_600));
         // The other gateway hears from one of the servers, or from another rank.
         let heard_at = Duration::from_millis(11_200);
         assert!(b.record_activity(&rank(&witness.into(), 1), heard_at));
-        assert_eq!(b.refusal_time(&parts(&["hot"]), at(13)), None);
+        assert_eq!(b.refusal_time(&fingerprints(&["hot"]), at(13)), None);
         let (_, withdrawn) = b.take_pending(100);
         assert_eq!(withdrawn.len(), 6, "{withdrawn:?}");
         stored.retain(|(note, _)| !withdrawn.contains(&note.key()));
         exchange(&mut [&mut a], &mut stored, at(12));
-        assert_eq!(a.refusal_time(&parts(&["hot"]), at(13)), None);
+        assert_eq!(a.refusal_time(&fingerprints(&["hot"]), at(13)), None);
     }
 }
 
@@ -124,13 +129,13 @@
     let mut quarantine = loaded("a");
     for n in 0..3 {
         let crashed_at = at(10 + 10 * n);
-        quarantine.record_crash(&rank(&"i-1".into(), n), &parts(&["bad"]), crashed_at);
+        quarantine.record_crash(&rank(&"i-1".into(), n), &fingerprints(&["bad"]), crashed_at);
         let late = crashed_at + Duration::from_millis(100);
         assert!(!quarantine.record_activity(&rank(&"i-1".into(), n), late));
         assert!(!quarantine.record_activity(&rank(&"i-1".into(), n + 1), crashed_at + at(3)));
         assert!(!quarantine.record_activity(&rank(&"i-2".into(), 0), crashed_at + at(3)));
     }
-    assert!(quarantine.refusal_time(&parts(&["bad"]), at(40)).is_some());
+    assert!(quarantine.refusal_time(&fingerprints(&["bad"]), at(40)).is_some());
 }
 
 /// Guards against the quarantine of a part that many sound prompts share: it is in all crashes, but
@@ -138,18 +143,18 @@
 #[test]
 fn shared_part_cleared() {
     let mut quarantine = loaded("a");
-    quarantine.record_answer(&parts(&["shared", "topic"]), at(5));
+    quarantine.record_answer(&fingerprints(&["shared", "topic"]), at(5));
     for n in 0..10 {
         let server = format!("i-{n}");
         quarantine.record_crash(
             &rank(&server.as_str().into(), 1),
-            &parts(&["shared", "bad"]),
+            &fingerprints(&["shared", "bad"]),
             at(10 + n),
         );
     }
-    assert_eq!(quarantine.refusal_time(&parts(&["shared", "topic"]), at(20)), None);
-    assert!(quarantine.refusal_time(&parts(&["shared", "bad"]), at(20)).is_some());
-    assert!(quarantine.may_resend(&parts(&["shared", "topic"]), at(20)));
+    assert_eq!(quarantine.refusal_time(&fingerprints(&["shared", "topic"]), at(20)), None);
+    assert!(quarantine.refusal_time(&fingerprints(&["shared", "bad"]), at(20)).is_some());
+    assert!(quarantine.may_resend(&fingerprints(&["shared", "topic"]), at(20)));
 }
 
 /// Guards against the quarantine of a part that happens to be in a few of many crashes, as when a
@@ -160,9 +165,9 @@
     for n in 0..12 {
         let part = if n % 4 == 0 { "often".to_owned() } else { format!("own-{n}") };
         let server = format!("i-{n}");
-        quarantine.record_crash(&rank(&server.as_str().into(), 1), &parts(&[&part]), at(10));
+        quarantine.record_crash(&rank(&server.as_str().into(), 1), &fingerprints(&[&part]), at(10));
     }
-    assert_eq!(quarantine.refusal_time(&parts(&["often"]), at(11)), None);
+    assert_eq!(quarantine.refusal_time(&fingerprints(&["often"]), at(11)), None);
 }
 
 /// A second bad part is found although the first one is in the same crashes.
@@ -172,21 +177,25 @@
     for n in 0..6 {
         let bad = if n % 2 == 0 { "bad-1" } else { "bad-2" };
         let server = format!("i-{n}");
-        quarantine.record_crash(&rank(&server.as_str().into(), 1), &parts(&[bad]), at(10 + n));
+        quarantine.record_crash(
+            &rank(&server.as_str().into(), 1),
+            &fingerprints(&[bad]),
+            at(10 + n),
+        );
     }
-    assert!(quarantine.refusal_time(&parts(&["bad-1"]), at(20)).is_some());
-    assert!(quarantine.refusal_time(&parts(&["bad-2"]), at(20)).is_some());
+    assert!(quarantine.refusal_time(&fingerprints(&["bad-1"]), at(20)).is_some());
+    assert!(quarantine.refusal_time(&fingerprints(&["bad-2"]), at(20)).is_some());
 }
 
 /// A request is sent again after the first crash with its parts, but not after the second.
 #[test]
 fn resent_once() {
     let mut quarantine = loaded("a");
-    quarantine.record_crash(&rank(&"i-1".into(), 1), &parts(&["bad"]), at(10));
-    assert!(quarantine.may_resend(&parts(&["bad"]), at(10)));
-    quarantine.record_crash(&rank(&"i-2".into(), 1), &parts(&["bad"]), at(11));
-    assert!(!quarantine.may_resend(&parts(&["bad"]), at(11)));
-    assert!(quarantine.may_resend(&parts(&["other"]), at(11)));
+    quarantine.record_crash(&rank(&"i-1".into(), 1), &fingerprints(&["bad"]), at(10));
+    assert!(quarantine.may_resend(&fingerprints(&["bad"]), at(10)));
+    quarantine.record_crash(&rank(&"i-2".into(), 1), &fingerprints(&["bad"]), at(11));
+    assert!(!quarantine.may_resend(&fingerprints(&["bad"]), at(11)));
+    assert!(quarantine.may_resend(&fingerprints(&["other"]), at(11)));
 }
 
 /// A quarantine ends an hour after the last request that it refused, here and in the store.
@@ -196,12 +205,12 @@
     let mut stored = Vec::new();
     see_crashes(&mut quarantine);
     exchange(&mut [&mut quarantine], &mut stored, at(4));
-    assert!(quarantine.refusal_time(&parts(&["bad"]), at(3000)).is_some());
+    assert!(quarantine.refusal_time(&fingerprints(&["bad"]), at(3000)).is_some());
     exchange(&mut [&mut quarantine], &mut stored, at(3001));
     exchange(&mut [&mut quarantine], &mut stored, HOUR + at(100));
-    assert!(quarantine.refusal_time(&parts(&["bad"]), HOUR + at(101)).is_some());
+    assert!(quarantine.refusal_time(&fingerprints(&["bad"]), HOUR + at(101)).is_some());
     exchange(&mut [&mut quarantine], &mut stored, 3 * HOUR);
-    assert_eq!(quarantine.refusal_time(&parts(&["bad"]), 3 * HOUR), None);
+    assert_eq!(quarantine.refusal_time(&fingerprints(&["bad"]), 3 * HOUR), None);
     let (_, removed) = quarantine.take_pending(100);
     assert!(removed.contains(&"part/bad".to_owned()), "{removed:?}");
 }
@@ -212,25 +221,25 @@
     let mut quarantine = loaded("a");
     let mut stored = Vec::new();
     see_crashes(&mut quarantine);
-    assert!(quarantine.refusal_time(&parts(&["bad"]), at(4)).is_some());
+    assert!(quarantine.refusal_time(&fingerprints(&["bad"]), at(4)).is_some());
     exchange(&mut [&mut quarantine], &mut stored, at(5));
     quarantine.apply(Vec::new(), 0, at(6));
-    assert_eq!(quarantine.refusal_time(&parts(&["bad"]), at(7)), None);
+    assert_eq!(quarantine.refusal_time(&fingerprints(&["bad"]), at(7)), None);
     for n in 3..6 {
         quarantine.record_crash(
             &rank(&format!("i-{n}").as_str().into(), 1),
-            &parts(&["bad"]),
+            &fingerprints(&["bad"]),
             at(10),
         );
     }
-    assert!(quarantine.refusal_time(&parts(&["bad"]), at(12)).is_some());
+    assert!(quarantine.refusal_time(&fingerprints(&["bad"]), at(12)).is_some());
 }
 
 /// A note that was written but not read back yet is removed from the store when it is withdrawn.
 #[test]
 fn withdrawn_before_read() {
     let mut quarantine = loaded("a");
-    quarantine.record_crash(&rank(&"i-1".into(), 1), &parts(&["x"]), at(10));
+    quarantine.record_crash(&rank(&"i-1".into(), 1), &fingerprints(&["x"]), at(10));
     assert_eq!(quarantine.take_pending(100).0.len(), 1);
     assert!(quarantine.record_activity(&rank(&"i-1".into(), 1), Duration::from_millis(10_500)));
     assert_eq!(quarantine.take_pending(100).1.len(), 1);
@@ -244,7 +253,7 @@
     see_crashes(&mut quarantine);
     exchange(&mut [&mut quarantine], &mut stored, at(4));
     quarantine.apply(Vec::new(), 1, at(5));
-    assert!(quarantine.refusal_time(&parts(&["bad"]), at(6)).is_some());
+    assert!(quarantine.refusal_time(&fingerprints(&["bad"]), at(6)).is_some());
     assert_eq!(quarantine.take_pending(100).0.len(), 4, "three crashes and the quarantine");
 }
 
@@ -265,3 +274,38 @@
     let bytes = serde_json::to_vec(&notes[0]).expect("a note serializes").len();
     assert!(bytes < 16_000, "a note of {bytes} bytes");
 }
+
+/// Guards against answers to many different requests that push out the memory of answered parts of
+/// prompts, so that sound parts are quarantined.
+#[test]
+fn many_requests_answered() {
+    let mut quarantine = loaded("a");
+    quarantine.record_answer(&fingerprints(&["bad"]), at(0));
+    for n in 0..40_000 {
+        quarantine.record_answer(&[Fingerprint::of_request(n)], at(1));
+    }
+    see_crashes(&mut quarantine);
+    assert_eq!(quarantine.refusal_time(&fingerprints(&["bad"]), at(10)), None);
+}
+
+/// Guards against sound requests that are refused because they look like one that crashes servers.
+#[test]
+fn requests_told_apart() {
+    let of = |method: &str, target: &str, host: &str, workspace: &str, body: &str| {
+        let req =
+            hyper::Request::builder().method(method).uri(target).body(()).expect("it is valid");
+        let workspace = Workspace::from(workspace);
+        fingerprint::of_request(&req.into_parts().0, host, Some(&workspace), body.as_bytes())
+    };
+    let first = of("POST", "/a/b?c=1", "h", "w", "body");
+    assert_eq!(first, of("POST", "/a/b?c=1", "h", "w", "body"));
+    let others = [
+        of("PUT", "/a/b?c=1", "h", "w", "body"),
+        of("POST", "/a/b?c=2", "h", "w", "body"),
+        of("POST", "/a/b?c=1", "i", "w", "body"),
+        of("POST", "/a/b?c=1", "h", "x", "body"),
+        of("POST", "/a/b?c=1", "h", "w", "bodx"),
+        of("POST", "/a/b?c=1", "h", "wb", "ody"),
+    ];
+    assert!(!others.contains(&first));
+}
