Judge crashes of one service apart from those of a group

A request that crashes a plain service was not quarantined if engines of a group crashed meanwhile, for example for want of power: it has to be in half of the crashes since its first, and those of all groups counted. Only crashes of the groups that it crashed count now.

--- a/src/balance/quarantine.rs
+++ b/src/balance/quarantine.rs
@@ -357,7 +357,7 @@
     }
 
     /// Whether `fingerprint` is in enough crashes that are at least `min_age` old, and in at least half
-    /// of those since the first of them that no quarantined fingerprint explains.
+    /// of those since the first of them, of the same groups, that no quarantined fingerprint explains.
     fn explains_crashes(
         &self,
         fingerprint: &name::Fingerprint,
@@ -377,8 +377,10 @@
             .filter(|crash| !crash.fingerprints.is_disjoint(&self.quarantined))
             .map(|crash| crash.server)
             .collect();
+        let groups: BTreeSet<Option<&str>> = with_fingerprint.iter().map(|c| c.group).collect();
         let unexplained: BTreeSet<Incarnation<'_>> = crashes()
             .filter(|crash| crash.known_since >= first && !explained.contains(&crash.server))
+            .filter(|crash| groups.contains(&crash.server.group))
             .map(|crash| crash.server)
             .collect();
         2 * with_fingerprint.len() >= unexplained.len()
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -275,6 +275,24 @@
     assert!(bytes < 16_000, "a note of {bytes} bytes");
 }
 
+/// Guards against a request that crashes a plain service and goes on doing so because a group of
+/// engines loses its power meanwhile.
+#[test]
+fn told_from_other_groups() {
+    let mut quarantine = loaded("a");
+    let bad = [Fingerprint::of_request(7)];
+    for n in 0..3 {
+        let server = Server::from(format!("plain-{n}").as_str());
+        let crashed = Incarnation { server: &server, started_ms: 1, group: None };
+        quarantine.record_crash(&crashed, &bad, at(n));
+    }
+    for n in 0..12 {
+        let server = Server::from(format!("i-{n}").as_str());
+        quarantine.record_crash(&rank(&server, 1), &fingerprints(&["x"]), at(3));
+    }
+    assert!(quarantine.refusal_time(&bad, at(5)).is_some());
+}
+
 /// Guards against answers to many different requests that push out the memory of answered parts of
 /// prompts, so that sound parts are quarantined.
 #[test]
