--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -53,11 +53,14 @@
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 /// Time after the start of the clients, or the last fault, from which the limit is checked.
 const LIMIT_KNOWN_TIME: Duration = Duration::from_secs(4);
-/// Part of prompts that crashes servers, and the time between two requests with it.
+/// Part of prompts or path that crashes servers, and the time between two requests with it.
 const CRASHING_PART: &str = "bad";
+const CRASHING_PATH: &str = "/read/bad";
 const CRASHING_REQUEST_PAUSE: Duration = Duration::from_millis(150);
-/// Crashes after which at most this many requests with the part may reach servers.
-const MAX_CRASHES: usize = 5;
+/// Crashes after which at most [`MAX_LATER_CRASHING_REQUESTS`] may reach servers, by a part of prompts
+/// and by a request that comes again.
+const MAX_PROMPT_CRASHES: usize = 5;
+const MAX_REQUEST_CRASHES: usize = 3;
 const MAX_LATER_CRASHING_REQUESTS: usize = 3;
 /// Probability that a server that leaves stays away for one more round, in which other faults end.
 const LONG_LEAVE_PROBABILITY: f64 = 0.7;
@@ -79,8 +82,8 @@
     /// A server's registration is removed, and it serves on.
     Deregister(usize),
     Configure,
-    /// Requests with a part in their prompts that crashes servers arrive at all gateways.
-    CrashingPrompts,
+    /// Requests that crash servers arrive at all gateways.
+    CrashingRequests,
 }
 
 impl Fault {
@@ -115,7 +118,7 @@
                 [Mode::Silent, Mode::Refusing(503), Mode::Refusing(429)][rng.random_range(0..3)],
             ),
             8 => Self::Drain(server),
-            9 => Self::CrashingPrompts,
+            9 => Self::CrashingRequests,
             _ => Self::Configure,
         }
     }
@@ -152,6 +155,7 @@
     gateways: Vec<Gateway>,
     version: u64,
     fault_times: FaultTimes,
+    crash_cause: CrashCause,
     crashing_clients: Option<CrashingClients>,
 }
 
@@ -165,14 +169,14 @@
 }
 
 impl Site {
-    fn start(gateways: usize) -> Self {
+    fn start(gateways: usize, crash_cause: CrashCause) -> Self {
         let store = Store::start();
         let servers: Vec<Server> = (0..SERVERS).map(|n| Server::start(&format!("i-{n}"))).collect();
         let server_links: Vec<Link> =
             servers.iter().map(|server| Link::open(server.addr)).collect();
         servers[LIMITED_SERVER].set_limit(Some(LIMIT_PER_S.0));
         for (server, link) in servers.iter().zip(&server_links) {
-            server.crash_on(CrashCause::PromptPart(CRASHING_PART), &store);
+            server.crash_on(crash_cause, &store);
             gateways::register(&store, server, link.addr, "ready");
         }
         store.put("op", "config", &gateways::config(1, "llm"));
@@ -187,6 +191,7 @@
             gateways,
             version: 1,
             fault_times: FaultTimes::default(),
+            crash_cause,
             crashing_clients: None,
         };
         site.wait_until_ready();
@@ -225,9 +230,9 @@
                 self.version += 1;
                 self.store.put("op", "config", &gateways::config(self.version, "llm"));
             }
-            Fault::CrashingPrompts => {
+            Fault::CrashingRequests => {
                 let addrs = self.gateways.iter().map(|gateway| gateway.process.address).collect();
-                self.crashing_clients = Some(CrashingClients::start(addrs));
+                self.crashing_clients = Some(CrashingClients::start(addrs, self.crash_cause));
             }
         }
     }
@@ -242,7 +247,7 @@
             Fault::Kill(at) => self.gateways[at].restart(),
             Fault::Freeze(at) => self.gateways[at].process.signal("CONT"),
             Fault::Reload(_) | Fault::Configure => {}
-            Fault::CrashingPrompts => {
+            Fault::CrashingRequests => {
                 self.crashing_clients.take().expect("the clients were started").stop();
             }
             Fault::Server(at, _) => self.servers[at].set_behavior(Behavior::Answer),
@@ -272,14 +277,14 @@
     }
 }
 
-/// A client that sends requests with the crashing part to all gateways until it is stopped.
+/// A client that sends requests that crash servers to all gateways until it is stopped.
 struct CrashingClients {
     stop: Arc<AtomicBool>,
     thread: thread::JoinHandle<()>,
 }
 
 impl CrashingClients {
-    fn start(gateways: Vec<net::SocketAddr>) -> Self {
+    fn start(gateways: Vec<net::SocketAddr>, cause: CrashCause) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let stopping = Arc::clone(&stop);
         let thread = thread::spawn(move || {
@@ -288,8 +293,14 @@
                     return;
                 }
                 let at = gateways[n % gateways.len()];
-                let prompt = format!("f{}:40,{CRASHING_PART}:200,own{n}:30", n % 5);
-                thread::spawn(move || gateways::send_prompt(at, &prompt, &format!("bad-{n}")));
+                let id = format!("bad-{n}");
+                thread::spawn(move || match cause {
+                    CrashCause::PromptPart(part) => {
+                        let prompt = format!("f{}:40,{part}:200,own{n}:30", n % 5);
+                        gateways::send_prompt(at, &prompt, &id)
+                    }
+                    CrashCause::Path(path) => gateways::send(at, "GET", path, &id),
+                });
                 thread::sleep(CRASHING_REQUEST_PAUSE);
             }
         });
@@ -432,12 +443,16 @@
     }
 }
 
-/// Panics if requests with the crashing part reached servers too often after the fifth crash. Those
+/// Panics if requests that crash servers reached servers too often after they were known to. Those
 /// that arrived during another fault, or soon after one, are excused.
 fn check_crashes(site: &Site) {
+    let max_crashes = match site.crash_cause {
+        CrashCause::PromptPart(_) => MAX_PROMPT_CRASHES,
+        CrashCause::Path(_) => MAX_REQUEST_CRASHES,
+    };
     let mut crashes: Vec<Instant> = site.servers.iter().flat_map(Server::crash_times).collect();
     crashes.sort();
-    let Some(fifth) = crashes.get(MAX_CRASHES - 1) else { return };
+    let Some(last_allowed) = crashes.get(max_crashes - 1) else { return };
     let fault_times = &site.fault_times;
     let excusing = [
         &fault_times.store_outages,
@@ -448,15 +463,14 @@
     ];
     let later = site.servers.iter().flat_map(Server::requests).filter(|received| {
         let at = received.received_at;
-        let prompt = received.headers.get("x-knapweedford-prefix-hash");
-        prompt.is_some_and(|prompt| prompt.contains(CRASHING_PART))
-            && at > *fifth + RECOVERY_TIME
+        received.headers["x-knapweedford-request-id"].starts_with("bad-")
+            && at > *last_allowed + RECOVERY_TIME
             && !excusing.iter().any(|spans| overlaps(spans, at, at, RECOVERY_TIME))
     });
     let later = later.count();
     assert!(
         later <= MAX_LATER_CRASHING_REQUESTS,
-        "{later} requests with the crashing part after the fifth of {} crashes",
+        "{later} requests that crash servers after {max_crashes} of {} crashes",
         crashes.len()
     );
 }
@@ -480,9 +494,11 @@
 /// Runs one case: rounds of random faults, then a time without faults, then the checks.
 fn run_case(seed: u64, gateways: usize) {
     let mut rng = Pcg64::seed_from_u64(seed);
-    // Decides how servers leave; the draws of all other faults are those of earlier versions.
-    let mut leave_rng = Pcg64::seed_from_u64(!seed);
-    let mut site = Site::start(gateways);
+    // Decides how servers leave and crash; the draws of all other faults are those of earlier
+    // versions.
+    let mut cause_rng = Pcg64::seed_from_u64(!seed);
+    let crash_causes = [CrashCause::PromptPart(CRASHING_PART), CrashCause::Path(CRASHING_PATH)];
+    let mut site = Site::start(gateways, crash_causes[cause_rng.random_range(0..2)]);
     let addrs: Vec<_> = site.gateways.iter().map(|gateway| gateway.process.address).collect();
     let clients = Clients::start(&addrs);
     let started = Instant::now();
@@ -493,7 +509,7 @@
         let mut faults: Vec<Fault> = Vec::new();
         while faults.len() < count {
             let fault = match Fault::random(&mut rng, gateways) {
-                Fault::Drain(at) if leave_rng.random_bool(0.5) => Fault::Deregister(at),
+                Fault::Drain(at) if cause_rng.random_bool(0.5) => Fault::Deregister(at),
                 fault => fault,
             };
             let target = |fault: &Fault| match fault {
@@ -504,7 +520,7 @@
                 Fault::StoreLink(_) | Fault::Store(_) => (2, 0),
                 Fault::Drain(at) | Fault::Deregister(at) => (3, *at),
                 Fault::Configure => (4, 0),
-                Fault::CrashingPrompts => (5, 0),
+                Fault::CrashingRequests => (5, 0),
             };
             let active = leaving.iter().map(|(fault, _)| fault).chain(&faults);
             if active.into_iter().all(|other| target(other) != target(&fault)) {
@@ -523,7 +539,7 @@
         for (fault, began_at) in ended.into_iter().chain(faults.into_iter().zip(began)) {
             let goes_on = matches!(fault, Fault::Drain(_) | Fault::Deregister(_))
                 && round + 1 < ROUNDS
-                && leave_rng.random_bool(LONG_LEAVE_PROBABILITY);
+                && cause_rng.random_bool(LONG_LEAVE_PROBABILITY);
             match goes_on {
                 true => leaving.push((fault, began_at)),
                 false => site.end_fault(fault, began_at),
