Do not refuse requests whose client repeats them after resets

Crashes now count against whole requests after 0.5 s; a server that is alive has usually sent something by then.

--- a/src/balance/quarantine.rs
+++ b/src/balance/quarantine.rs
@@ -34,6 +34,9 @@
 const MIN_STALL_TIME: time::Duration = time::Duration::from_millis(800);
 /// Time from a crash until which the server cannot have started again.
 const MIN_RESTART_TIME: time::Duration = time::Duration::from_secs(2);
+/// Age from which a crash counts against whole requests: a client that sends its request again after
+/// each lost connection repeats it, and most servers that are alive have sent something by then.
+const MIN_REQUEST_CRASH_AGE: time::Duration = time::Duration::from_millis(500);
 /// Time for which a crash may be disproved before it counts.
 const SETTLE_TIME: time::Duration = time::Duration::from_secs(1);
 /// Time for which a note counts. A quarantine begins anew with each refused request.
@@ -234,7 +237,11 @@
             return Some(known.expires_at.saturating_sub(now));
         }
         let is_suspect = |fingerprint: &&name::Fingerprint| {
-            self.explains_crashes(fingerprint, time::Duration::ZERO, now)
+            let min_age = match fingerprint.is_of_request() {
+                true => MIN_REQUEST_CRASH_AGE,
+                false => time::Duration::ZERO,
+            };
+            self.explains_crashes(fingerprint, min_age, now)
         };
         suspects.into_iter().any(|fingerprint| is_suspect(&fingerprint)).then_some(SETTLE_TIME)
     }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -327,3 +327,23 @@
     ];
     assert!(!others.contains(&first));
 }
+
+/// Guards against a sound request that is refused because its client sends it again at once whenever
+/// a server resets its connection.
+#[test]
+fn resets_survived() {
+    let mut quarantine = loaded("a");
+    let request = [Fingerprint::of_request(7)];
+    let servers: Vec<Server> =
+        (0..3).map(|n| Server::from(format!("plain-{n}").as_str())).collect();
+    let incarnation = |n: usize| Incarnation { server: &servers[n], started_ms: 1, group: None };
+    let millis = Duration::from_millis;
+    for n in 0..3 {
+        quarantine.record_crash(&incarnation(n), &request, at(1) + millis(n as u64 * 10));
+    }
+    assert_eq!(quarantine.refusal_time(&request, at(1) + millis(100)), None);
+    assert!(quarantine.refusal_time(&request, at(1) + millis(600)).is_some());
+    assert!(quarantine.record_activity(&incarnation(1), at(1) + millis(650)));
+    assert_eq!(quarantine.refusal_time(&request, at(1) + millis(700)), None);
+    assert_eq!(quarantine.refusal_time(&request, at(10)), None);
+}
