Answer requests that are in flight when the grace period ends

The attempts in flight are now ended and answered 502, which promises nothing, and 0.15 s are left to send the answers. Streams that have begun still break off. gateway::late_request_answered failed before (connection closed) and passes.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -61,6 +61,31 @@
     }
 }
 
+/// Reason why an attempt is ended before its server has answered.
+enum Cutoff {
+    /// The time allowed is over.
+    Timeout,
+    /// The process is about to end.
+    Shutdown,
+}
+
+impl Cutoff {
+    /// Returns the result of the attempt, as logged.
+    fn label(&self) -> &'static str {
+        match self {
+            Self::Timeout => "timeout",
+            Self::Shutdown => "shutdown",
+        }
+    }
+
+    fn refusal(&self) -> Refusal {
+        match self {
+            Self::Timeout => Refusal::Timeout,
+            Self::Shutdown => Refusal::NoAnswer,
+        }
+    }
+}
+
 /// Parts of the configuration that apply to a request.
 struct RouteMatch {
     catalog: rc::Rc<Catalog>,
@@ -252,11 +277,10 @@
             request_log.add_attempt(&reservation.server, reservation.in_flight);
             req.tried.push(reservation.server.clone());
             let sending = attempt::send(&self.gateway, &mut reservation, &req, None);
-            let result = tokio::time::timeout_at(req.timeout_at, sending).await;
-            match result {
-                Err(_) => {
-                    request_log.add_result("timeout");
-                    return self.refuse(Refusal::Timeout, Some(&req), &mut request_log);
+            match self.within_time(&req, sending).await {
+                Err(cutoff) => {
+                    request_log.add_result(cutoff.label());
+                    return self.refuse(cutoff.refusal(), Some(&req), &mut request_log);
                 }
                 Ok(AttemptResult::NotRun { reason, arrived }) => {
                     request_log.add_result(reason);
@@ -322,6 +346,21 @@
         }
     }
 
+    /// Runs a step of an attempt, unless the request's time ends first or the process is about to
+    /// end.
+    async fn within_time<T>(
+        &self,
+        req: &RoutedRequest,
+        step: impl Future<Output = T>,
+    ) -> Result<T, Cutoff> {
+        tokio::select! {
+            result = tokio::time::timeout_at(req.timeout_at, step) => {
+                result.map_err(|_| Cutoff::Timeout)
+            }
+            () = self.gateway.aborted() => Err(Cutoff::Shutdown),
+        }
+    }
+
     /// Reads an answer to its end and returns it for the client; returns `None` if the request is
     /// to be sent again.
     async fn finish_answer(
@@ -333,10 +372,10 @@
         request_log: &mut RequestLog,
     ) -> Option<http::Response> {
         let reading = body.read_to_end(&self.gateway.pool, MAX_ANSWER_BYTES);
-        let data = match tokio::time::timeout_at(req.timeout_at, reading).await {
-            Err(_) => {
-                request_log.add_result("timeout");
-                return Some(self.refuse(Refusal::Timeout, Some(req), request_log));
+        let data = match self.within_time(req, reading).await {
+            Err(cutoff) => {
+                request_log.add_result(cutoff.label());
+                return Some(self.refuse(cutoff.refusal(), Some(req), request_log));
             }
             Ok(Err(failure)) => {
                 reservation.set_outcome(selector::Outcome::Failure);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -31,6 +31,8 @@
 /// Time before SIGKILL at which requests still in flight are aborted, so that the process ends by
 /// itself.
 const ABORT_MARGIN: time::Duration = time::Duration::from_millis(300);
+/// Time for sending the answers to aborted requests.
+const ABORT_ANSWER_TIME: time::Duration = time::Duration::from_millis(150);
 /// Concurrent connections of clients; leaves file descriptors for backend servers within the
 /// platform's limit of about 4,000.
 const MAX_CLIENT_CONNECTIONS: usize = 2_500;
@@ -103,6 +105,10 @@
                 in_flight = gateway.in_flight();
                 "grace period ending; aborting the requests in flight"
             );
+            gateway.abort_requests();
+            if tokio::time::timeout(ABORT_ANSWER_TIME, serving.as_mut()).await.is_err() {
+                log::warn!("answers were still being sent when the process ended");
+            }
         }
     }
     log::info!(took_ms = since.elapsed().as_millis() as u64; "stopped");
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -4,7 +4,10 @@
 
 use rand::RngExt;
 use rand_pcg::Pcg64;
-use tokio::{sync::Notify, time::Instant};
+use tokio::{
+    sync::{Notify, watch},
+    time::Instant,
+};
 
 use super::{forward::RoutedRequest, reservation::Reservation};
 use crate::{
@@ -50,6 +53,8 @@
     pub slot_freed: Notify,
     /// Notified when a server was found replaced by another one at its address.
     pub server_replaced: Notify,
+    /// Whether requests in flight are to be answered at once, because the process ends.
+    aborting: watch::Sender<bool>,
     /// Never borrowed across an `await`.
     pub(super) state: cell::RefCell<State>,
 }
@@ -116,6 +121,7 @@
             store_recovered: Notify::new(),
             slot_freed: Notify::new(),
             server_replaced: Notify::new(),
+            aborting: watch::Sender::new(false),
             state: cell::RefCell::new(state),
         })
     }
@@ -298,6 +304,17 @@
         self.state.borrow().stopping
     }
 
+    /// Ends the attempts of all requests, so that clients get an answer before the process ends.
+    pub fn abort_requests(&self) {
+        self.aborting.send_replace(true);
+    }
+
+    /// Waits until requests in flight are to be answered at once.
+    pub async fn aborted(&self) {
+        // Waiting fails only if the sender, which `self` holds, was dropped.
+        let _ = self.aborting.subscribe().wait_for(|aborting| *aborting).await;
+    }
+
     /// Returns the number of requests at backend servers.
     pub fn in_flight(&self) -> u32 {
         self.state.borrow().selector.total_in_flight()
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    gateways::{API_KEY, Behavior, HOST, Site, call, config, register},
+    gateways::{API_KEY, Behavior, HOST, Site, call, config, register, send_by},
     processes::{build_request, http_client, wait_until},
     store::Mode,
 };
@@ -241,6 +241,22 @@
     assert!(site.gateway.logs().contains("msg=stopped"));
 }
 
+/// Guards against a request that arrives late in the grace period, on a connection that is still
+/// open, and gets no answer because the process ends first.
+#[test]
+fn late_request_answered() {
+    let mut site = Site::start(1, false);
+    let (at, client) = (site.gateway.process.address, http_client());
+    assert_eq!(send_by(&client, at, "GET", "/read/a", "id-1").status, 200);
+    site.servers[0].set_behavior(Behavior::Hang);
+    site.gateway.process.signal("TERM");
+    thread::sleep(Duration::from_millis(1900));
+    let answer = send_by(&client, at, "POST", "/once/a", "id-2");
+    assert_eq!(answer.status, 502, "{answer:?}");
+    assert_eq!(site.request_count(), 2, "the request did not reach the server");
+    wait_until("the process ends", || (!site.gateway.process.is_running()).then_some(()));
+}
+
 #[test]
 fn settings_reloaded() {
     let mut site = Site::start(1, false);
