--- a/src/balance/quarantine.rs
+++ b/src/balance/quarantine.rs
@@ -1,12 +1,13 @@
 //! Quarantine of requests that crash backend servers.
 //!
-//! Requests that may have a crash in common are told by fingerprints: the parts of a prompt, and the
-//! request as a whole. A server that crashes ends all of its requests, and at most one of them is the
-//! cause. A single gateway sees few of the crashes. So each gateway notes, for each crash that it
-//! sees, the fingerprints of the requests that had just begun there; the notes are shared through the
-//! store. A gateway that hears from the server afterwards withdraws the note: only a connection was
-//! lost. A fingerprint that keeps turning up in crashes, and with which no request is answered, is
-//! quarantined: requests with it are refused by all gateways.
+//! Requests are recognized by fingerprints: one of each part of the prompt that other requests may
+//! share, and one of the whole request, which is the same when it comes again. A server that
+//! crashes ends all of its requests, and at most one of them is the cause. A single gateway sees
+//! few of the crashes. So each gateway notes, for each crash that it sees, the fingerprints of the
+//! requests that had just begun there; the notes are shared through the store. A gateway that hears
+//! from the server afterwards withdraws the note: only a connection was lost. A fingerprint that
+//! keeps turning up in crashes, and with which no request is answered, is quarantined: requests
+//! with it are refused by all gateways.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -69,7 +70,7 @@
     quarantined: BTreeSet<name::Fingerprint>,
     /// Parts of prompts that were answered recently.
     cleared_parts: ClearedFingerprints,
-    /// Whole requests that were answered recently: kept apart, since each request has its own.
+    /// Whole requests that were answered recently: kept apart, since there are far more of them.
     cleared_requests: ClearedFingerprints,
     /// Keys of notes that no longer hold, and that the store may still have.
     outdated_keys: BTreeSet<String>,
@@ -384,7 +385,8 @@
             .filter(|crash| !crash.fingerprints.is_disjoint(&self.quarantined))
             .map(|crash| crash.server)
             .collect();
-        let groups: BTreeSet<Option<&str>> = with_fingerprint.iter().map(|c| c.group).collect();
+        let groups: BTreeSet<Option<&str>> =
+            with_fingerprint.iter().map(|crashed| crashed.group).collect();
         let unexplained: BTreeSet<Incarnation<'_>> = crashes()
             .filter(|crash| crash.known_since >= first && !explained.contains(&crash.server))
             .filter(|crash| groups.contains(&crash.server.group))
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,7 +16,7 @@
 pub mod backoff;
 pub mod crash_notes;
 pub mod fingerprint;
-mod forward;
+pub mod forward;
 pub mod handlers;
 pub mod refusal;
 pub mod relay;
