--- a/src/balance/selector.rs
+++ b/src/balance/selector.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 
-use super::{GatewaySet, RateLimit, SlidingWindow, capacity, gateways};
+use super::{GatewaySet, GroupReports, RateLimit, SlidingWindow, capacity, gateways};
 use crate::{
     name,
     rank::relay,
@@ -74,6 +74,8 @@
     received_at: time::Duration,
     /// Requests that the server has from other gateways.
     others: u32,
+    /// Whether the server is a slow engine, which is to get no requests.
+    is_slow: bool,
 }
 
 impl ServerLoad {
@@ -94,10 +96,14 @@
 }
 
 impl ServerLoad {
+    /// Returns the last load report; `None` if it is outdated.
+    fn recent_report(&self, now: time::Duration) -> Option<LoadReport> {
+        self.report.filter(|report| report.received_at + MAX_REPORT_AGE >= now)
+    }
+
     /// Returns the requests of other gateways; `None` without a recent report.
     fn others(&self, now: time::Duration) -> Option<u32> {
-        let report = self.report.filter(|report| report.received_at + MAX_REPORT_AGE >= now);
-        report.map(|report| report.others)
+        self.recent_report(now).map(|report| report.others)
     }
 
     /// Returns the requests that the server is expected to have, with those that other gateways
@@ -147,11 +153,32 @@
     }
 }
 
-/// Returns how many requests one server may run at once.
-fn max_in_flight(criteria: &Criteria<'_>) -> u32 {
-    match &criteria.service.engine {
-        Some(engine) => capacity::max_requests(engine, criteria.max_event_gap),
-        None => PLAIN_SERVER_SLOTS,
+/// Limits on the requests of one server, by its group.
+struct GroupLimits<'a> {
+    reports: &'a mut GroupReports,
+    /// Limits of the groups asked for so far.
+    known: BTreeMap<&'a str, capacity::Limit>,
+}
+
+impl<'a> GroupLimits<'a> {
+    /// Returns how many requests `server` may run at once, and from what that follows.
+    fn of(&mut self, server: &'a RegisteredServer, criteria: &Criteria<'_>) -> capacity::Limit {
+        let Some(engine) = &criteria.service.engine else {
+            return capacity::Limit {
+                requests: PLAIN_SERVER_SLOTS,
+                basis: capacity::Basis::Configured,
+            };
+        };
+        if criteria.is_admitted {
+            let basis = capacity::Basis::Configured;
+            return capacity::Limit { requests: engine.slots, basis };
+        }
+        let group = server.registration.member.as_ref().map_or("", |member| &member.group);
+        let reports = &mut self.reports;
+        *self
+            .known
+            .entry(group)
+            .or_insert_with(|| reports.limit(group, engine, &criteria.demand, criteria.now))
     }
 }
 
@@ -207,6 +234,8 @@
     },
     /// Every server has reached its limit of requests.
     Full,
+    /// The same, but some limits are lower than configured since passes take long.
+    Slow,
     /// No registered server may get new work.
     NoServer,
     /// All servers that may get the request have asked for a pause.
@@ -228,10 +257,13 @@
     pub service: &'a catalog::Service,
     /// Zone of this gateway.
     pub zone: &'a name::Zone,
-    /// Longest pause between two events of an answer that is still on time.
-    pub max_event_gap: Option<time::Duration>,
+    /// What the route demands of answers.
+    pub demand: capacity::Demand,
     /// Gateways that share the servers, with this one.
     pub gateways: &'a GatewaySet,
+    /// Whether the request was admitted before, and only moves to another server: it may use any
+    /// slot of an engine.
+    pub is_admitted: bool,
     /// Servers at which the request was already attempted.
     pub tried: &'a [name::Server],
     /// Current time.
@@ -246,34 +278,44 @@
 
 impl ServerSelector {
     /// Selects one of `candidates`, the servers that may get new work, and counts the request
-    /// there.
+    /// there. `reports` has what is known of the passes of their groups.
     pub fn select<'a>(
         &mut self,
         candidates: impl Iterator<Item = &'a RegisteredServer>,
         criteria: Criteria<'_>,
+        reports: &'a mut GroupReports,
         rng: &mut impl rand::Rng,
     ) -> Choice {
         let candidates: Vec<&RegisteredServer> = candidates.collect();
         if candidates.is_empty() {
             return Choice::NoServer;
         }
-        let max_in_flight = max_in_flight(&criteria);
+        let mut limits = GroupLimits { reports, known: BTreeMap::new() };
         let ejected =
             candidates.iter().filter(|server| self.is_ejected(server, criteria.now)).count();
         let honor_ejections = ejected * SERVERS_PER_EJECTED <= candidates.len();
         let sharing = sharing_of(&criteria, candidates.len());
         let mut best: Option<(f64, &RegisteredServer)> = None;
-        // Whether a server is full or left to other gateways, the end of the first pause, and the
-        // time at which the first limit allows a request.
-        let mut is_full = false;
+        let is_untried =
+            |server: &RegisteredServer| !criteria.tried.contains(&server.registration.server);
+        let avoid_slow = candidates.iter().any(|server| {
+            is_untried(server) && !self.is_slow(&server.registration.server, criteria.now)
+        });
+        // Whether a server is full or left to other gateways, whether one is full at a limit that
+        // is lower than configured, the end of the first pause, and the time at which the first
+        // limit allows a request.
+        let (mut is_full, mut is_limit_low) = (false, false);
         let (mut paused_until, mut limited_until) = (None, None);
         let earlier = |first: Option<time::Duration>, until: time::Duration| {
             Some(first.map_or(until, |first| first.min(until)))
         };
         for server in &candidates {
-            let untried = !criteria.tried.contains(&server.registration.server);
             let healthy = !honor_ejections || !self.is_ejected(server, criteria.now);
-            if !untried || !healthy {
+            if !is_untried(server) || !healthy {
+                continue;
+            }
+            if avoid_slow && self.is_slow(&server.registration.server, criteria.now) {
+                is_full = true;
                 continue;
             }
             let load = self
@@ -293,10 +335,12 @@
                 limited_until = earlier(limited_until, next_send_at);
                 continue;
             }
+            let limit = limits.of(server, &criteria);
             if position >= sharing.gateways
-                || !load.has_capacity(&criteria, &sharing, position, max_in_flight)
+                || !load.has_capacity(&criteria, &sharing, position, limit.requests)
             {
                 is_full = true;
+                is_limit_low |= limit.basis != capacity::Basis::Configured;
                 continue;
             }
             let requests = load.expected_requests(criteria.now, &sharing);
@@ -314,6 +358,7 @@
             (Some((_, selected)), ..) => selected,
             (None, Some(until), _) if !is_full => return Choice::Limited { until },
             (None, None, Some(until)) if !is_full => return Choice::Paused { until },
+            (None, ..) if is_limit_low => return Choice::Slow,
             (None, ..) => return Choice::Full,
         };
         let load =
@@ -333,6 +378,12 @@
         self.loads.get(&server.registration.server).is_some_and(|load| load.ejected_until > now)
     }
 
+    /// Whether `server` was last reported as a slow engine.
+    pub fn is_slow(&self, server: &name::Server, now: time::Duration) -> bool {
+        let load = self.loads.get(server);
+        load.and_then(|load| load.recent_report(now)).is_some_and(|report| report.is_slow)
+    }
+
     /// Records the end of an attempt at `server` and its outcome.
     pub fn release(&mut self, server: &name::Server, outcome: Outcome, now: time::Duration) {
         let Some(load) = self.loads.get_mut(server) else { return };
@@ -388,11 +439,18 @@
         }
     }
 
-    /// Records the server's report that it has `requests`, including those of this gateway.
-    pub fn record_load(&mut self, server: &name::Server, requests: u32, now: time::Duration) {
+    /// Records the server's report that it has `requests`, including those of this gateway, and
+    /// whether it is a slow engine.
+    pub fn record_load(
+        &mut self,
+        server: &name::Server,
+        requests: u32,
+        is_slow: bool,
+        now: time::Duration,
+    ) {
         let load = self.loads.entry(server.clone()).or_insert_with(ServerLoad::new);
         let others = requests.saturating_sub(load.in_flight);
-        load.report = Some(LoadReport { received_at: now, others });
+        load.report = Some(LoadReport { received_at: now, others, is_slow });
     }
 
     /// Removes the state of a server that is no longer registered, unless requests of this gateway
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -268,6 +268,7 @@
                         }
                         _ if req.arrivals > 0 => Refusal::NotRun,
                         ReserveError::Full => Refusal::Full,
+                        ReserveError::Slow => Refusal::SlowGroup,
                         ReserveError::NoServer => Refusal::NoServer,
                         ReserveError::Stalled => Refusal::Stalled,
                     };
@@ -333,7 +334,7 @@
             let reserved = self.gateway.reserve(req);
             let next_try_at = match &reserved {
                 _ if req.arrivals > 0 => return reserved,
-                Err(ReserveError::Full) => wait_until,
+                Err(ReserveError::Full | ReserveError::Slow) => wait_until,
                 Err(ReserveError::Limited(left)) if Instant::now() + *left < wait_until => {
                     Instant::now() + *left
                 }
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -25,6 +25,8 @@
     BodyIncomplete,
     /// Every server has reached its limit of requests.
     Full,
+    /// Every server has reached its limit of requests, which is lower than configured.
+    SlowGroup,
     /// No registered server may get the request.
     NoServer,
     /// The groups of all servers make no progress.
@@ -50,6 +52,7 @@
         match self {
             Self::NoConfiguration
             | Self::Full
+            | Self::SlowGroup
             | Self::NoServer
             | Self::Stalled
             | Self::Paused
@@ -77,6 +80,7 @@
             Self::BodyTimeout => "body-late",
             Self::BodyIncomplete => "body-broken",
             Self::Full => "full",
+            Self::SlowGroup => "slow-group",
             Self::NoServer => "no-server",
             Self::Stalled => "stalled",
             Self::Paused => "paused",
@@ -112,6 +116,7 @@
             Self::BodyTimeout => "The body did not arrive in time; send it again.",
             Self::BodyIncomplete => "The body broke off; send it again.",
             Self::Full => "All backend servers are busy; it did not run; send it again later.",
+            Self::SlowGroup => "The backend servers are slow; it did not run; send it again later.",
             Self::NoServer => "No backend server is there; it did not run; send it again later.",
             Self::Stalled => {
                 "The backend servers make no progress; it did not run; send it again later."
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -51,6 +51,8 @@
     Timeout,
     /// The server's stream broke off or was malformed.
     Server(Failure),
+    /// The stream is to move to the server of this reservation.
+    Move(Box<Reservation>),
 }
 
 /// Starts a task that forwards `stream`; returns the response that the events go into.
@@ -68,6 +70,8 @@
     let status = head.status.as_u16();
     let mut last_id: Option<String> = None;
     loop {
+        let (server, group) = (reservation.server.clone(), reservation.group().map(str::to_owned));
+        let moving = gateway.reserve_move(&req, &server, group.as_deref());
         let forwarding = forward_events(
             &gateway,
             &mut body,
@@ -80,7 +84,9 @@
             forwarded = forwarding => forwarded,
             () = tx.closed() => Err(Interruption::ClientLeft),
             () = tokio::time::sleep_until(req.timeout_at) => Err(Interruption::Timeout),
+            target = moving => Err(Interruption::Move(Box::new(target))),
         };
+        let mut target = None;
         match forwarded {
             Ok(()) => {
                 reservation.record_complete_answer();
@@ -99,12 +105,17 @@
                 request_log.add_failure(&failure);
                 reservation.record_break(&req, &failure);
             }
+            Err(Interruption::Move(reserved)) => {
+                request_log.add_result("moved");
+                target = Some(*reserved);
+            }
         }
         // Closes the connection and releases the slot before another one is reserved.
         drop((body, reservation));
         let timeout_at = req.timeout_at;
+        let resuming = resume(&gateway, &mut req, last_id.as_deref(), target, &mut request_log);
         let resumed = tokio::select! {
-            resumed = resume(&gateway, &mut req, last_id.as_deref(), &mut request_log) => resumed,
+            resumed = resuming => resumed,
             () = tx.closed() => return,
             () = tokio::time::sleep_until(timeout_at) => None,
         };
@@ -147,18 +158,23 @@
 }
 
 /// Resumes the stream at another server, after the event `last_id`; returns `None` if that is
-/// not possible.
+/// not possible. The first attempt is that of `target`, if there is one.
 async fn resume(
     gateway: &rc::Rc<Gateway>,
     req: &mut RoutedRequest,
     last_id: Option<&str>,
+    mut target: Option<Reservation>,
     request_log: &mut RequestLog,
 ) -> Option<(BodyReader, Reservation)> {
     if req.route.repeatability != catalog::Repeatability::Resumable {
         return None;
     }
-    while req.take_retry_after_break(gateway) {
-        let mut reservation = gateway.reserve(req).ok()?;
+    loop {
+        let mut reservation = match target.take() {
+            Some(reservation) => reservation,
+            None if req.take_retry_after_break(gateway) => gateway.reserve(req).ok()?,
+            None => return None,
+        };
         request_log.add_attempt(&reservation.server, reservation.in_flight);
         req.tried.push(reservation.server.clone());
         match attempt::send(gateway, &mut reservation, req, last_id).await {
@@ -181,5 +197,4 @@
             }
         }
     }
-    None
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,12 +12,13 @@
 use super::{forward::RoutedRequest, reservation::Reservation};
 use crate::{
     balance::{
-        Choice, GatewaySet, GroupProgress, Quarantine, RetryBudget, ServerSelector, crash_note,
-        selector,
+        Choice, GatewaySet, GroupProgress, GroupReports, Quarantine, RetryBudget, ServerSelector,
+        capacity, crash_note, selector,
     },
     daemon, http,
     http::client,
     metrics, name, platform,
+    rank::message,
     settings::site,
     site::{Catalog, Registry, catalog},
 };
@@ -28,6 +29,8 @@
 /// Part of the time for which a group stalls after a crash within which an answer breaks off at the
 /// server that crashed; at the other servers of its group it breaks off after all of that time.
 const CRASH_SILENCE_FRACTION: f64 = 0.8;
+/// Streams move away from slow engines only if at most one in this many engines of a group is slow.
+const MIN_ENGINES_PER_SLOW: usize = 8;
 /// Shortest silence after which a group counts as stalled.
 const MIN_SILENCE: time::Duration = time::Duration::from_millis(500);
 /// Time that clients' connections may stay idle while no configuration is known.
@@ -51,6 +54,8 @@
     pub store_recovered: Notify,
     /// Notified when a slot at a server may have become free.
     pub slot_freed: Notify,
+    /// Notified when a load report lists slow engines.
+    slow_engines_reported: Notify,
     /// Notified when a server was found replaced by another one at its address.
     pub server_replaced: Notify,
     /// Whether requests in flight are to be answered at once, because the process ends.
@@ -65,6 +70,7 @@
     pub(super) registry: Registry,
     pub(super) selector: ServerSelector,
     pub(super) progress: GroupProgress,
+    reports: GroupReports,
     pub(super) quarantine: Quarantine,
     budgets: BTreeMap<name::Service, RetryBudget>,
     gateways: GatewaySet,
@@ -77,6 +83,8 @@
 pub enum ReserveError {
     /// Every server has reached its limit of requests.
     Full,
+    /// The same, but some limits are lower than configured since passes take long.
+    Slow,
     /// No registered server may get the request.
     NoServer,
     /// The groups of all servers are stalled.
@@ -103,6 +111,7 @@
             registry: Registry::default(),
             selector: ServerSelector::default(),
             progress: GroupProgress::default(),
+            reports: GroupReports::default(),
             quarantine: Quarantine::new(&cfg.host),
             budgets: BTreeMap::new(),
             gateways: GatewaySet::new(&cfg.host),
@@ -120,6 +129,7 @@
             notes_pending: Notify::new(),
             store_recovered: Notify::new(),
             slot_freed: Notify::new(),
+            slow_engines_reported: Notify::new(),
             server_replaced: Notify::new(),
             aborting: watch::Sender::new(false),
             state: cell::RefCell::new(state),
@@ -216,17 +226,63 @@
         groups.into_iter().map(|(name, ranks)| (name, ranks.into_values().collect())).collect()
     }
 
-    /// Records the reported number of requests of each engine, given by its address.
-    pub fn record_loads(&self, engines: &[(net::SocketAddr, u32)]) {
+    /// Records what the owner of `group` reported.
+    pub fn record_loads(&self, group: &str, loads: &message::Loads) {
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
-        let engines: BTreeMap<_, _> = engines.iter().copied().collect();
+        let engines: BTreeMap<_, _> = loads.engines.iter().copied().collect();
         for server in state.registry.servers() {
-            if let Some(requests) = engines.get(&server.registration.address) {
-                state.selector.record_load(&server.registration.server, *requests, now);
+            let registration = &server.registration;
+            if let Some(requests) = engines.get(&registration.address) {
+                let is_slow = loads.slow.contains(&registration.address);
+                state.selector.record_load(&registration.server, *requests, is_slow, now);
             }
         }
+        state.reports.record(group, loads.passes, now);
+        self.metrics.set_group(group, loads);
         self.slot_freed.notify_waiters();
+        // With many slow engines, the rest could not take their streams.
+        let slow = loads.slow.len();
+        if slow > 0 && slow * MIN_ENGINES_PER_SLOW <= loads.engines.len() {
+            self.slow_engines_reported.notify_waiters();
+        }
+    }
+
+    /// Waits until the stream of `req` should move away from `server`, a slow engine whose requests
+    /// make all answers of `group` late, and reserves a slot elsewhere. Never returns for a stream
+    /// that cannot be resumed.
+    pub async fn reserve_move(
+        self: &rc::Rc<Self>,
+        req: &RoutedRequest,
+        server: &name::Server,
+        group: Option<&str>,
+    ) -> Reservation {
+        let may_move = req.route.repeatability == catalog::Repeatability::Resumable
+            && req.arrivals < req.route.max_attempts;
+        let engine = req.catalog.services.get(&req.service).and_then(|s| s.engine.as_ref());
+        let (Some(group), Some(engine), true) = (group, engine, may_move) else {
+            return std::future::pending().await;
+        };
+        loop {
+            self.slow_engines_reported.notified().await;
+            let now = self.now();
+            let must_move = {
+                let state = self.state.borrow();
+                let passes = state.reports.passes(group, now);
+                state.selector.is_slow(server, now)
+                    && passes.is_some_and(|passes| {
+                        capacity::must_vacate_slow_ranks(engine, req.route.max_event_gap, passes)
+                    })
+            };
+            if must_move
+                && let Ok(reservation) = self.reserve_slot(req, true)
+                && self.take_retry(&req.service)
+            {
+                log::info!(req:% = req.id, from:% = server, to:% = reservation.server, group;
+                    "moving a stream away from a slow engine");
+                return reservation;
+            }
+        }
     }
 
     /// Applies a complete read of the notes of crashes, made when the store was in `era`.
@@ -343,6 +399,16 @@
 
     /// Reserves a slot for `req` at a server where it was not attempted yet.
     pub fn reserve(self: &rc::Rc<Self>, req: &RoutedRequest) -> Result<Reservation, ReserveError> {
+        self.reserve_slot(req, false)
+    }
+
+    /// Like [`reserve`](Self::reserve); `is_admitted` says that the request only moves from another
+    /// server.
+    fn reserve_slot(
+        self: &rc::Rc<Self>,
+        req: &RoutedRequest,
+        is_admitted: bool,
+    ) -> Result<Reservation, ReserveError> {
         let fallback = catalog::Service::default();
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
@@ -353,27 +419,33 @@
             return Err(ReserveError::Quarantined(left));
         }
         let (service, max_event_gap) = (&req.service, req.route.max_event_gap);
+        let demand = capacity::Demand { max_event_gap, timeout: req.route.timeout };
         let criteria = selector::Criteria {
             service: req.catalog.services.get(service).unwrap_or(&fallback),
             zone: &self.zone,
-            max_event_gap,
+            demand,
             gateways: &state.gateways,
+            is_admitted,
             tried: &req.tried,
             now,
         };
-        let (progress, mut has_stalled) = (&mut state.progress, false);
+        let (progress, reports, mut has_stalled) = (&mut state.progress, &mut state.reports, false);
         let max_silence = max_event_gap.map(max_silence);
-        let candidates = state.registry.available_servers(service).filter(|server| {
-            let stalled = server
-                .registration
-                .member
-                .as_ref()
-                .zip(max_silence)
-                .is_some_and(|(member, max)| progress.is_stalled(&member.group, now, max));
-            has_stalled |= stalled;
-            !stalled
-        });
-        let choice = state.selector.select(candidates, criteria, &mut state.rng);
+        let candidates: Vec<_> = state
+            .registry
+            .available_servers(service)
+            .filter(|server| {
+                let member = server.registration.member.as_ref();
+                let stalled = member.zip(max_silence).is_some_and(|(member, base)| {
+                    let max_silence = reports.max_silence(&member.group, base, now);
+                    progress.is_stalled(&member.group, now, max_silence)
+                });
+                has_stalled |= stalled;
+                !stalled
+            })
+            .collect();
+        let choice =
+            state.selector.select(candidates.into_iter(), criteria, reports, &mut state.rng);
         match choice {
             Choice::Server { server, addr, in_flight } => {
                 let registration = state.registry.get(&server).map(|known| &known.registration);
@@ -391,6 +463,7 @@
             }
             Choice::NoServer if has_stalled => Err(ReserveError::Stalled),
             Choice::Full => Err(ReserveError::Full),
+            Choice::Slow => Err(ReserveError::Slow),
             Choice::NoServer => Err(ReserveError::NoServer),
             Choice::Paused { until } => Err(ReserveError::Paused(until.saturating_sub(now))),
             Choice::Limited { until } => Err(ReserveError::Limited(until.saturating_sub(now))),
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -154,7 +154,7 @@
         for rank in relay::load_sources(engines.len(), source_choice) {
             let engine = engines[rank];
             let agent = net::SocketAddr::new(engine.ip(), peer_port);
-            let reports = receive_loads(gateway, peers, agent).await;
+            let reports = receive_loads(gateway, peers, group, agent).await;
             if reports > 0 {
                 log::info!(
                     group, agent:%, reports;
@@ -172,7 +172,12 @@
 
 /// Receives load reports from one agent as long as it has those of the group's owner; returns their
 /// number.
-async fn receive_loads(gateway: &Gateway, peers: &peer::Pool, agent: net::SocketAddr) -> u64 {
+async fn receive_loads(
+    gateway: &Gateway,
+    peers: &peer::Pool,
+    group: &str,
+    agent: net::SocketAddr,
+) -> u64 {
     let starting = peers.exchange(agent, message::LOADS_PATH, &());
     let mut reports = 0;
     let Ok(Ok(mut source)) = tokio::time::timeout(LOADS_TIMEOUT, starting).await else {
@@ -188,7 +193,7 @@
             log::info!(agent:%, engines = loads.engines.len(); "receiving load reports of a group");
         }
         reports += 1;
-        gateway.record_loads(&loads.engines);
+        gateway.record_loads(group, &loads);
     }
     peers.remove(agent);
     reports
--- a/src/group/loads.rs
+++ b/src/group/loads.rs
@@ -14,6 +14,8 @@
     Swap(usize, usize),
     /// Replace the expert of the cell by a further copy of this expert.
     Replace(usize, u16),
+    /// Free the cell, whose expert other ranks hold too.
+    Free(usize),
 }
 
 impl Edit {
@@ -22,6 +24,7 @@
         match self {
             Self::Swap(..) => 2,
             Self::Replace(..) => 1,
+            Self::Free(_) => 0,
         }
     }
 
@@ -29,7 +32,7 @@
     pub fn cells(self) -> impl Iterator<Item = usize> {
         let (first, second) = match self {
             Self::Swap(a, b) => (a, Some(b)),
-            Self::Replace(a, _) => (a, None),
+            Self::Replace(a, _) | Self::Free(a) => (a, None),
         };
         iter::once(first).chain(second)
     }
@@ -38,9 +41,14 @@
 /// Rank loads of one layer, relative to the mean. Copies of an expert share its tokens evenly.
 #[derive(Clone, Debug)]
 pub struct LayerLoads {
-    /// Load of each expert.
+    /// Load of each expert. Those from `experts` on are placeholders without load, one for each slot
+    /// of a rank, which free cells hold.
     weights: Vec<f64>,
+    /// Number of experts.
+    experts: usize,
     slots: usize,
+    /// Time that each rank needs for a unit of load over that of a healthy rank.
+    slowness: Vec<f64>,
     /// Expert of each cell.
     cells: Vec<u16>,
     /// Ranks that hold each expert.
@@ -49,7 +57,7 @@
     held: Vec<bool>,
     /// Load of each copy of an expert.
     copy_load: Vec<f64>,
-    /// Load of each rank.
+    /// Load of each rank, multiplied by its slowness.
     rank_load: Vec<f64>,
     /// Potential of each rank.
     potentials: Vec<f64>,
@@ -58,21 +66,35 @@
 impl LayerLoads {
     /// Computes the loads of `cells`, given rank by rank, for the weight of each expert.
     pub fn new(weights: &[f64], slots: usize, cells: &[u16]) -> Self {
+        Self::with_slowness(weights, slots, cells, &[])
+    }
+
+    /// Like [`new`](Self::new), for ranks that need `slowness` times as long for a unit of load as a
+    /// healthy rank; 1 for ranks that it does not list. A free cell has the number of experts plus
+    /// the index of its slot in place of an expert.
+    pub fn with_slowness(weights: &[f64], slots: usize, cells: &[u16], slowness: &[f64]) -> Self {
         let (ranks, experts) = (cells.len() / slots, weights.len());
         let mean = weights.iter().sum::<f64>() / ranks as f64;
-        let mut holders = vec![Vec::new(); experts];
-        let mut held = vec![false; ranks * experts];
+        let mut weights: Vec<f64> =
+            weights.iter().map(|w| w / mean.max(f64::MIN_POSITIVE)).collect();
+        weights.resize(experts + slots, 0.0);
+        let mut holders = vec![Vec::new(); weights.len()];
+        let mut held = vec![false; ranks * weights.len()];
         for (i, &expert) in cells.iter().enumerate() {
             holders[usize::from(expert)].push((i / slots) as u16);
-            held[i / slots * experts + usize::from(expert)] = true;
+            held[i / slots * weights.len() + usize::from(expert)] = true;
         }
+        let mut slowness = slowness.to_vec();
+        slowness.resize(ranks, 1.0);
         let mut loads = Self {
-            weights: weights.iter().map(|w| w / mean.max(f64::MIN_POSITIVE)).collect(),
+            copy_load: vec![0.0; weights.len()],
+            weights,
+            experts,
             slots,
+            slowness,
             cells: cells.to_vec(),
             holders,
             held,
-            copy_load: vec![0.0; experts],
             rank_load: vec![0.0; ranks],
             potentials: vec![0.0; ranks],
         };
@@ -85,12 +107,12 @@
         &self.cells
     }
 
-    /// Returns the load of each rank over the mean.
+    /// Returns the load of each rank over the mean, multiplied by the rank's slowness.
     pub fn rank_loads(&self) -> &[f64] {
         &self.rank_load
     }
 
-    /// Returns the largest rank load over the mean, or 1 if there is no load.
+    /// Returns the largest of [`rank_loads`](Self::rank_loads), or 1 if there is no load.
     pub fn skew(&self) -> f64 {
         match self.rank_load.iter().copied().fold(0.0, f64::max) {
             0.0 => 1.0,
@@ -130,7 +152,9 @@
         let cells_of = |rank: usize| rank * self.slots..(rank + 1) * self.slots;
         let hot_cells = || cells_of(hot);
         let partner_cells = || partners.iter().flat_map(|rank| cells_of(*rank));
-        let replicated = |cell: &usize| self.holders[usize::from(self.cells[*cell])].len() > 1;
+        let replicated = |cell: &usize| {
+            self.is_free(*cell) || self.holders[usize::from(self.cells[*cell])].len() > 1
+        };
         let removal_gain = |cell: usize| self.gain_of_removal(usize::from(self.cells[cell]));
         let cooler =
             partner_cells().filter(|b| self.rank_load[b / self.slots] < self.rank_load[hot]);
@@ -156,9 +180,16 @@
                 (Edit::Replace(a, e), self.gain_of_replace(hot, a, e, base, spread))
             })
         });
+        // A slow rank gives up experts that other ranks hold too.
+        let is_slow = self.slowness[hot] > 1.0;
+        let spare = |cell: &usize| is_slow && !self.is_free(*cell) && replicated(cell);
+        let freed = hot_cells().filter(spare).map(|a| {
+            let gain = self.gain_of_replace(hot, a, self.placeholder(a), removal_gain(a), spread);
+            (Edit::Free(a), gain)
+        });
         let mut best: Option<(Edit, f64)> = None;
-        for (edit, gain) in swaps.chain(copies).chain(lighter) {
-            let gain = gain.unwrap_or_default() / edit.moves() as f64;
+        for (edit, gain) in swaps.chain(copies).chain(lighter).chain(freed) {
+            let gain = gain.unwrap_or_default() / edit.moves().max(1) as f64;
             // Most edits gain less than the best so far, so the costlier check comes last.
             if gain > best.map_or(MIN_GAIN, |(_, max)| max) && allowed(edit) {
                 best = Some((edit, gain));
@@ -176,10 +207,20 @@
                 self.replace(b, f, e);
             }
             Edit::Replace(a, e) => self.replace(a, self.cells[a], e),
+            Edit::Free(a) => self.replace(a, self.cells[a], self.placeholder(a)),
         }
         self.recompute();
     }
 
+    /// Returns what a cell holds when it is free.
+    fn placeholder(&self, cell: usize) -> u16 {
+        (self.experts + cell % self.slots) as u16
+    }
+
+    fn is_free(&self, cell: usize) -> bool {
+        usize::from(self.cells[cell]) >= self.experts
+    }
+
     fn replace(&mut self, cell: usize, old: u16, new: u16) {
         let rank = cell / self.slots;
         self.holders[usize::from(old)].retain(|holder| usize::from(*holder) != rank);
@@ -191,10 +232,12 @@
 
     fn recompute(&mut self) {
         for expert in 0..self.weights.len() {
-            self.copy_load[expert] = self.weights[expert] / self.holders[expert].len() as f64;
+            let holders = self.holders[expert].len().max(1);
+            self.copy_load[expert] = self.weights[expert] / holders as f64;
         }
         for (rank, cells) in self.cells.chunks(self.slots).enumerate() {
-            self.rank_load[rank] = cells.iter().map(|&e| self.copy_load[usize::from(e)]).sum();
+            let load: f64 = cells.iter().map(|&e| self.copy_load[usize::from(e)]).sum();
+            self.rank_load[rank] = load * self.slowness[rank];
             self.potentials[rank] = potential(self.rank_load[rank]);
         }
     }
@@ -235,7 +278,7 @@
         let (hot, cool) = (a / self.slots, b / self.slots);
         let shift = self.copy_load[usize::from(e)] - self.copy_load[usize::from(f)];
         match () {
-            () if shift <= 0.0 || self.rank_load[cool] + shift >= self.rank_load[hot] => {
+            () if shift <= 0.0 || self.load_after(cool, shift) >= self.rank_load[hot] => {
                 return None;
             }
             () if self.holds(cool, usize::from(e)) || self.holds(hot, usize::from(f)) => {
@@ -267,7 +310,7 @@
     ) -> Option<f64> {
         let (rank, new, old) = (cell / self.slots, usize::from(e), usize::from(self.cells[cell]));
         let shift = self.copy_load[new] - self.copy_relief(new) - self.copy_load[old];
-        if self.rank_load[rank] + shift >= self.rank_load[hot] || self.holds(rank, new) {
+        if self.load_after(rank, shift) >= self.rank_load[hot] || self.holds(rank, new) {
             return None;
         }
         let (relief, added) = (self.copy_relief(new), self.removal_load(old));
@@ -292,9 +335,14 @@
         Some(gain - lost)
     }
 
+    /// Load of `rank`, multiplied by its slowness, when its load changes by `change`.
+    fn load_after(&self, rank: usize, change: f64) -> f64 {
+        self.rank_load[rank] + change * self.slowness[rank]
+    }
+
     /// Decrease of the potential when the load of `rank` changes by `change`.
     fn gain_of_change(&self, rank: usize, change: f64) -> f64 {
-        self.potentials[rank] - potential(self.rank_load[rank] + change)
+        self.potentials[rank] - potential(self.load_after(rank, change))
     }
 }
 
--- a/src/group/rebalance.rs
+++ b/src/group/rebalance.rs
@@ -5,7 +5,7 @@
 //! loaded rank. Copying slows passes while it lasts, so the worth of an edit is what it saves
 //! until popularity is expected to jump again.
 
-use std::{sync, time};
+use std::{iter, sync, time};
 
 use crate::group::{layout, loads};
 
@@ -33,7 +33,7 @@
 pub type SharedMap = sync::Arc<Vec<LayerMap>>;
 
 /// Limits and costs of an edit.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Parameters {
     /// Experts of each layer that one rank can hold.
     pub slots: usize,
@@ -51,6 +51,9 @@
     pub copy_cost: time::Duration,
     /// Utilization of the group, from 0 to 1: an idle group gains nothing from shorter passes.
     pub utilization: f64,
+    /// Time that each rank needs for a unit of load over that of a healthy rank; 1 for ranks that
+    /// are not listed.
+    pub slowness: Vec<f64>,
 }
 
 impl Parameters {
@@ -74,17 +77,21 @@
 }
 
 /// Returns the mean over layers of the skew: the load of the most loaded rank over the mean load.
-pub fn mean_skew(map: &[LayerMap], weights: &[Vec<f64>]) -> f64 {
-    let skews = map.iter().zip(weights).map(|(layer, weights)| layer_skew(layer, weights));
+/// The load of each rank is multiplied by its `slowness`; ranks that are not listed have 1.
+pub fn mean_skew(map: &[LayerMap], weights: &[Vec<f64>], slowness: &[f64]) -> f64 {
+    let skews =
+        map.iter().zip(weights).map(|(layer, weights)| layer_skew(layer, weights, slowness));
     skews.sum::<f64>() / map.len().max(1) as f64
 }
 
-fn layer_skew(layer: &LayerMap, weights: &[f64]) -> f64 {
+fn layer_skew(layer: &LayerMap, weights: &[f64], slowness: &[f64]) -> f64 {
     let mut copies = vec![0.0; weights.len()];
     layer.iter().flatten().for_each(|expert| copies[usize::from(*expert)] += 1.0);
     let copy_load = |expert: &u16| weights[usize::from(*expert)] / copies[usize::from(*expert)];
-    let max =
-        layer.iter().map(|experts| experts.iter().map(copy_load).sum::<f64>()).fold(0.0, f64::max);
+    let slowness = slowness.iter().copied().chain(iter::repeat(1.0));
+    let loads = layer.iter().zip(slowness);
+    let loads = loads.map(|(held, slowness)| held.iter().map(copy_load).sum::<f64>() * slowness);
+    let max = loads.fold(0.0, f64::max);
     let mean = weights.iter().sum::<f64>() / layer.len().max(1) as f64;
     if mean > 0.0 { max / mean } else { 1.0 }
 }
@@ -105,9 +112,10 @@
     present: &[LayerMap],
     expected_skew: f64,
     weights: &[Vec<f64>],
+    slowness: &[f64],
 ) -> bool {
-    let planned_skew = mean_skew(planned, weights);
-    let present_excess = mean_skew(present, weights) - 1.0;
+    let planned_skew = mean_skew(planned, weights, slowness);
+    let present_excess = mean_skew(present, weights, slowness) - 1.0;
     planned_skew > expected_skew + OUTDATED_SKEW_RISE
         && planned_skew - 1.0 > (1.0 - WORTHWHILE_EXCESS_REMOVED) * present_excess
 }
@@ -116,14 +124,15 @@
 ///
 /// `weights` gives the load of each expert, by layer.
 pub fn best_edit(map: &[LayerMap], weights: &[Vec<f64>], params: &Parameters) -> Option<Edit> {
-    let before = mean_skew(map, weights);
+    let slowness = &params.slowness;
+    let before = mean_skew(map, weights, slowness);
     // Group time that is saved per unit by which the skew of one layer decreases.
     let time_per_skew = params.utilization * params.horizon.as_secs_f64() * params.expert_part
         / params.relative_pass_time(before)
         / map.len().max(1) as f64;
     let layers = map.iter().zip(weights).enumerate();
     let mut drafts: Vec<LayerDraft> = layers
-        .map(|(index, (layer, weights))| LayerDraft::new(index, layer, weights, params.slots))
+        .map(|(index, (layer, weights))| LayerDraft::new(index, layer, weights, params))
         .collect();
     drafts.sort_by(|a, b| b.initial_skew.total_cmp(&a.initial_skew));
     let candidates = COPIES_PER_RANK.iter().map(|max_copies| {
@@ -132,7 +141,7 @@
         for draft in &drafts {
             edited[draft.index] = draft.layer_map();
         }
-        let after = mean_skew(&edited, weights);
+        let after = mean_skew(&edited, weights, slowness);
         (edited, after)
     });
     let edits = candidates.map(|(edited, after)| {
@@ -205,10 +214,8 @@
 }
 
 impl LayerDraft {
-    fn new(index: usize, layer: &LayerMap, weights: &[f64], slots: usize) -> Self {
-        let experts = weights.len();
-        // A free slot holds a placeholder expert without load, a different one in each slot of
-        // a rank.
+    fn new(index: usize, layer: &LayerMap, weights: &[f64], params: &Parameters) -> Self {
+        let (experts, slots) = (weights.len(), params.slots);
         let cells: Vec<u16> = layer
             .iter()
             .flat_map(|held| {
@@ -216,10 +223,8 @@
                 held.iter().copied().chain(placeholders)
             })
             .collect();
-        let mut padded = weights.to_vec();
-        padded.resize(experts + slots, 0.0);
-        let loads = loads::LayerLoads::new(&padded, slots, &cells);
-        let initial_skew = layer_skew(layer, weights);
+        let loads = loads::LayerLoads::with_slowness(weights, slots, &cells, &params.slowness);
+        let initial_skew = layer_skew(layer, weights, &params.slowness);
         let initial_cells = cells.clone();
         Self {
             index,
@@ -246,7 +251,9 @@
     fn count_new(&self, cells: &[u16], rank: usize) -> usize {
         let range = rank * self.slots..(rank + 1) * self.slots;
         let initial = &self.initial_cells[range.clone()];
-        cells[range].iter().filter(|expert| !initial.contains(expert)).count()
+        let is_new =
+            |expert: &&u16| usize::from(**expert) < self.experts && !initial.contains(expert);
+        cells[range].iter().filter(is_new).count()
     }
 
     /// Lowers the load of the most loaded ranks as far as it pays off. Each rank gets at most its
@@ -262,11 +269,11 @@
             let hot =
                 (0..rank_loads.len()).max_by(|a, b| rank_loads[*a].total_cmp(&rank_loads[*b]));
             let allowed = |edit: loads::Edit| {
-                is_within_quota(edit, &self.loads, &self.initial_cells, self.slots, quota)
+                self.is_within_quota(edit, quota)
                     && has_no_placeholder(edit, &self.loads, self.experts)
             };
             let best = hot.and_then(|hot| {
-                let partners = self.partners(hot, quota, &new_experts);
+                let partners = self.partners(hot, quota, &new_experts, &params.slowness);
                 self.loads.best_edit_among(hot, &partners, &spread, allowed)
             });
             let Some((edit, _)) = best else { return };
@@ -283,13 +290,21 @@
         }
     }
 
-    /// Returns the least loaded ranks that may still copy an expert. `new_experts` is the number of
-    /// experts that each rank copies in the draft.
-    fn partners(&self, hot: usize, quota: &[usize], new_experts: &[usize]) -> Vec<usize> {
+    /// Returns the least loaded ranks that are not slow and may still copy an expert. `new_experts`
+    /// is the number of experts that each rank copies in the draft.
+    fn partners(
+        &self,
+        hot: usize,
+        quota: &[usize],
+        new_experts: &[usize],
+        slowness: &[f64],
+    ) -> Vec<usize> {
         let rank_loads = self.loads.rank_loads();
         let has_quota = |rank: &usize| *rank != hot && new_experts[*rank] < quota[*rank];
+        let is_healthy = |rank: &usize| slowness.get(*rank).is_none_or(|slowness| *slowness <= 1.0);
         let by_load = |a: &usize, b: &usize| rank_loads[*a].total_cmp(&rank_loads[*b]);
-        let mut partners: Vec<usize> = (0..rank_loads.len()).filter(has_quota).collect();
+        let mut partners: Vec<usize> =
+            (0..rank_loads.len()).filter(has_quota).filter(is_healthy).collect();
         if partners.len() > MAX_PARTNERS {
             partners.select_nth_unstable_by(MAX_PARTNERS, by_load);
             partners.truncate(MAX_PARTNERS);
@@ -298,6 +313,27 @@
         partners
     }
 
+    /// Whether, after `edit`, each rank holds at most its `quota` of experts that it did not hold
+    /// before the first edit.
+    fn is_within_quota(&self, edit: loads::Edit, quota: &[usize]) -> bool {
+        let cells = self.loads.cells();
+        let is_new = |rank: usize, expert: u16| {
+            usize::from(expert) < self.experts
+                && !self.initial_cells[rank * self.slots..(rank + 1) * self.slots].contains(&expert)
+        };
+        let fits = |cell: usize, expert: u16| {
+            let rank = cell / self.slots;
+            let kept = (rank * self.slots..(rank + 1) * self.slots).filter(|other| *other != cell);
+            let kept_new = kept.filter(|other| is_new(rank, cells[*other])).count();
+            kept_new + usize::from(is_new(rank, expert)) <= quota[rank]
+        };
+        match edit {
+            loads::Edit::Swap(a, b) => fits(a, cells[b]) && fits(b, cells[a]),
+            loads::Edit::Replace(cell, expert) => fits(cell, expert),
+            loads::Edit::Free(_) => true,
+        }
+    }
+
     /// Returns the layer with the best cells, without placeholders.
     fn layer_map(&self) -> LayerMap {
         let without_placeholders = |held: &[u16]| {
@@ -307,34 +343,12 @@
     }
 }
 
-/// Whether, after `edit`, each rank holds at most its `quota` of experts that it does not hold in
-/// `initial_cells`.
-fn is_within_quota(
-    edit: loads::Edit,
-    loads: &loads::LayerLoads,
-    initial_cells: &[u16],
-    slots: usize,
-    quota: &[usize],
-) -> bool {
-    let fits = |cell: usize, expert: u16| {
-        let rank = cell / slots;
-        let initial = &initial_cells[rank * slots..(rank + 1) * slots];
-        let current = &loads.cells()[rank * slots..(rank + 1) * slots];
-        let kept = current.iter().enumerate().filter(|(i, _)| rank * slots + i != cell);
-        let kept_new = kept.filter(|(_, expert)| !initial.contains(expert)).count();
-        kept_new + usize::from(!initial.contains(&expert)) <= quota[rank]
-    };
-    match edit {
-        loads::Edit::Swap(a, b) => fits(a, loads.cells()[b]) && fits(b, loads.cells()[a]),
-        loads::Edit::Replace(cell, expert) => fits(cell, expert),
-    }
-}
-
 /// Whether `edit` moves no placeholder of a free slot to another slot.
 fn has_no_placeholder(edit: loads::Edit, loads: &loads::LayerLoads, experts: usize) -> bool {
     let is_expert = |expert: u16| usize::from(expert) < experts;
     match edit {
         loads::Edit::Swap(a, b) => is_expert(loads.cells()[a]) && is_expert(loads.cells()[b]),
         loads::Edit::Replace(_, expert) => is_expert(expert),
+        loads::Edit::Free(_) => true,
     }
 }
--- a/src/group/straggler.rs
+++ b/src/group/straggler.rs
@@ -20,7 +20,7 @@
     pub busy_s: f64,
 }
 
-/// A slow rank; moving experts cannot fix it.
+/// A slow rank.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Straggler {
     /// Index of the slow rank in its group.
@@ -38,7 +38,7 @@
 }
 
 impl Detector {
-    /// Adds the samples of all ranks in one period and returns the ranks to report and drain.
+    /// Adds the samples of all ranks in one period and returns the stragglers.
     pub fn add_period(&mut self, samples: &[Sample]) -> Vec<Straggler> {
         if self.time_per_token.len() != samples.len() {
             self.time_per_token = vec![0.0; samples.len()];
--- a/src/metrics/entry.rs
+++ b/src/metrics/entry.rs
@@ -2,9 +2,10 @@
 
 use std::time;
 
-use prometheus::{HistogramVec, IntCounterVec, IntGauge};
+use prometheus::{GaugeVec, HistogramVec, IntCounterVec, IntGauge};
 
 use super::{InFlightRequest, Page};
+use crate::rank::message;
 
 /// The metrics of an entry. Clones share the values.
 #[derive(Clone, Debug)]
@@ -19,6 +20,8 @@
     attempts: IntCounterVec,
     queued: IntGauge,
     placements: IntCounterVec,
+    pass_seconds: GaugeVec,
+    slow_engines: GaugeVec,
 }
 
 impl Entry {
@@ -58,6 +61,16 @@
                 "Requests sent to a backend server, by why to that one.",
                 &["why"],
             ),
+            pass_seconds: page.gauge_by(
+                "group_pass_seconds",
+                "Duration of a pass as the group's owner last measured it.",
+                &["group"],
+            ),
+            slow_engines: page.gauge_by(
+                "group_slow_engines",
+                "Engines of the group that are slow and get no requests.",
+                &["group"],
+            ),
             page,
         }
     }
@@ -83,6 +96,13 @@
         self.placements.with_label_values(&[why]).inc();
     }
 
+    /// Sets what the owner of an engine group reported.
+    pub fn set_group(&self, group: &str, loads: &message::Loads) {
+        let pass_ms = loads.passes.map_or(0.0, |passes| passes.pass_ms(passes.requests));
+        self.pass_seconds.with_label_values(&[group]).set(pass_ms / 1000.0);
+        self.slow_engines.with_label_values(&[group]).set(loads.slow.len() as f64);
+    }
+
     /// Counts an attempt at a backend server by its outcome.
     pub fn count_attempt(&self, outcome: &str) {
         self.attempts.with_label_values(&[outcome]).inc();
--- a/src/metrics/page.rs
+++ b/src/metrics/page.rs
@@ -1,8 +1,8 @@
 //! The page that `GET /metrics` answers with.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder, core::Collector,
+    Encoder, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder, core::Collector,
 };
 
 use crate::agree::status::Status;
@@ -86,6 +86,11 @@
         gauge(&self.registry, name, help)
     }
 
+    pub(super) fn gauge_by(&self, name: &str, help: &str, labels: &[&str]) -> GaugeVec {
+        let opts = Opts::new(name, help).namespace(NAMESPACE);
+        register(&self.registry, GaugeVec::new(opts, labels))
+    }
+
     pub(super) fn counter(&self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
         let opts = Opts::new(name, help).namespace(NAMESPACE);
         register(&self.registry, IntCounterVec::new(opts, labels))
--- a/src/rank/actor.rs
+++ b/src/rank/actor.rs
@@ -195,8 +195,7 @@
     /// Publishes the loads, which gateways get at longer intervals than ticks.
     fn publish_loads(&self) {
         let Some(ownership) = &self.ownership else { return };
-        let requests = ownership.requests_by_rank();
-        self.agent.loads.send_replace(self.agent.engine_loads(requests));
+        self.agent.loads.send_replace(self.agent.engine_loads(ownership));
     }
 
     /// Starts a search for an edit if one is due, and sends the orders of the change under way.
--- a/src/rank/agent.rs
+++ b/src/rank/agent.rs
@@ -20,6 +20,7 @@
     ExpertCounts,
     actor::{Event, OwnershipActor},
     message::Loads,
+    ownership::Ownership,
     relay,
 };
 use crate::{
@@ -164,15 +165,19 @@
         self.started.elapsed()
     }
 
-    /// Returns the loads to send to gateways, from the `requests` of each rank; `None` if this
-    /// agent is not the owner.
-    pub fn engine_loads(&self, requests: Option<BTreeMap<usize, u32>>) -> Loads {
-        let state = self.state.borrow();
-        let is_owner = requests.is_some();
-        let engines = requests.into_iter().flatten();
-        let engines =
-            engines.filter_map(|(rank, requests)| Some((*state.group.get(&rank)?, requests)));
-        Loads { is_owner, engines: engines.collect() }
+    /// Returns the loads to send to gateways; those of an agent that is not the owner say so.
+    pub fn engine_loads(&self, ownership: &Ownership) -> Loads {
+        let Some(requests) = ownership.requests_by_rank() else { return Loads::default() };
+        let group = &self.state.borrow().group;
+        let engines = requests.into_iter();
+        let engines = engines.filter_map(|(rank, requests)| Some((*group.get(&rank)?, requests)));
+        let slow = ownership.slow_ranks().filter_map(|(rank, _)| group.get(&rank).copied());
+        Loads {
+            is_owner: true,
+            engines: engines.collect(),
+            slow: slow.collect(),
+            passes: ownership.pass_estimate(self.now()),
+        }
     }
 
     /// Sends an event to the actor, which runs as long as the process.
--- a/src/rank/message.rs
+++ b/src/rank/message.rs
@@ -1,30 +1,31 @@
 //! Messages between rank agents, and from the owner to gateways. They are encoded by position: the
-//! order and types of fields and variants must not change.
+//! order and types of fields and variants must not change without new paths.
 
 use std::{collections::BTreeSet, net};
 
 use serde::{Deserialize, Serialize};
 
 use super::{Choices, Order, OrderOutcome, Placement, Status};
+use crate::balance::capacity;
 
 /// Path on which the owner receives a list of [`Heartbeat`] and answers with one
 /// [`HeartbeatReply`].
-pub const HEARTBEAT_PATH: &str = "/pulse";
+pub const HEARTBEAT_PATH: &str = "/2/heartbeats";
 /// Path on which the relay of a section receives one [`Heartbeat`] of another rank in its section
 /// and answers with one [`HeartbeatReply`].
-pub const RELAY_PATH: &str = "/relay";
+pub const RELAY_PATH: &str = "/2/relay";
 /// Path on which an agent receives an [`Order`] for its engine and answers with one [`OrderReply`].
-pub const ORDER_PATH: &str = "/order";
+pub const ORDER_PATH: &str = "/2/order";
 /// Path on which an agent receives an [`Order`] with the ranks of its section that are to get it,
 /// and answers with each rank and its [`OrderReply`].
-pub const ORDERS_PATH: &str = "/orders";
+pub const ORDERS_PATH: &str = "/2/orders";
 
 /// Path on which an agent answers the request `()` of a gateway with a [`Loads`] for each that it
 /// knows as the owner or receives from the owner.
-pub const LOADS_PATH: &str = "/loads";
+pub const LOADS_PATH: &str = "/2/loads";
 /// Path on which an agent answers the request `()` of another agent with a [`Loads`] at once, and
 /// then with one at regular intervals while it is the owner.
-pub const OWNER_LOADS_PATH: &str = "/owner-loads";
+pub const OWNER_LOADS_PATH: &str = "/2/owner-loads";
 
 /// Loads of the engines of one group, as the group's owner knows them.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -33,6 +34,10 @@
     pub is_owner: bool,
     /// Number of running and queued requests, by the engine's address.
     pub engines: Vec<(net::SocketAddr, u32)>,
+    /// Engines that are slow and are to get no requests.
+    pub slow: Vec<net::SocketAddr>,
+    /// Measured passes of the group, if it makes passes.
+    pub passes: Option<capacity::PassEstimate>,
 }
 
 /// State of one engine, sent to the group's owner at regular intervals.
--- a/src/rank/mod.rs
+++ b/src/rank/mod.rs
@@ -13,6 +13,7 @@
 pub mod message;
 mod orders;
 pub mod ownership;
+pub mod pass_times;
 mod poll;
 pub mod popularity;
 pub mod relay;
@@ -20,4 +21,5 @@
 
 pub use state::{
     Action, Choices, ExpertCounts, MapSwitch, Member, Order, OrderOutcome, Placement, Status,
+    valid_pace,
 };
--- a/src/rank/ownership.rs
+++ b/src/rank/ownership.rs
@@ -10,12 +10,16 @@
     OrderOutcome, Status,
     change::{self, Change, End, Plan, Statuses},
     message::{Heartbeat, RankOrder},
+    pass_times::PassTimes,
     popularity::Popularity,
     relay,
 };
 use crate::{
     balance::capacity,
-    group::rebalance::{self, LayerMap, SharedMap},
+    group::{
+        rebalance::{self, LayerMap, SharedMap},
+        straggler,
+    },
     site::catalog::{ExpertShape, PassCost},
 };
 
@@ -47,6 +51,9 @@
 /// are unlikely to use the same version.
 const VERSION_INCREMENT_RANGE: u64 = 1 << 12;
 
+/// Time between two comparisons of the ranks' paces.
+const PACE_PERIOD: time::Duration = time::Duration::from_millis(100);
+
 /// State of a rank as its heartbeats show it.
 struct Rank {
     status: Status,
@@ -108,6 +115,11 @@
     lost_at: Option<time::Duration>,
     /// Newest maps that the agent's own engine was ordered to copy, by epoch and version.
     maps: BTreeMap<(u64, u64), SharedMap>,
+    passes: PassTimes,
+    paces: straggler::Detector,
+    /// Ranks that are slow, with their pace over the median.
+    slow: BTreeMap<usize, f64>,
+    next_pace_period: time::Duration,
 }
 
 impl Ownership {
@@ -133,6 +145,10 @@
             may_act_from: time::Duration::ZERO,
             lost_at: None,
             maps: BTreeMap::new(),
+            passes: PassTimes::default(),
+            paces: straggler::Detector::default(),
+            slow: BTreeMap::new(),
+            next_pace_period: time::Duration::ZERO,
         }
     }
 
@@ -154,7 +170,10 @@
             self.popularity.add(now, &choices);
             self.has_new_choices = true;
         }
+        let pass = heartbeat.status.pass;
         self.update_status(now, member.rank, heartbeat.status);
+        let running: u32 = self.ranks.values().map(|rank| rank.status.running).sum();
+        self.passes.record(now, pass, f64::from(running) / self.group_size.max(1) as f64);
         let Some(rank) = self.ranks.get_mut(&member.rank) else { return false };
         if let Some(placement) =
             heartbeat.placement.filter(|placement| placement.epoch == self.epoch)
@@ -229,6 +248,7 @@
         self.is_owner = false;
         self.lost_at = None;
         self.change = None;
+        self.passes = PassTimes::default();
     }
 
     /// Whether a change of the map is under way.
@@ -243,6 +263,52 @@
         self.is_owner.then(|| self.ranks.iter().map(|(n, rank)| (*n, requests(rank))).collect())
     }
 
+    /// Returns the ranks that are slow, with their pace over the median.
+    pub fn slow_ranks(&self) -> impl Iterator<Item = (usize, f64)> {
+        self.slow.iter().map(|(rank, pace)| (*rank, *pace))
+    }
+
+    /// Returns the measured passes of the group; `None` unless this process is the owner and the
+    /// group makes passes.
+    pub fn pass_estimate(&self, now: time::Duration) -> Option<capacity::PassEstimate> {
+        let cost = self.cost.as_ref().filter(|_| self.is_owner)?;
+        // A rank without requests has no part of its own in a pass.
+        let busy = self.ranks.values().filter(|rank| rank.status.running > 0);
+        let slowest = busy.map(|rank| rank.status.pace).fold(1.0, f64::max);
+        self.passes.estimate(now, capacity::pass_duration(cost, 0.0, 1.0), slowest)
+    }
+
+    /// Compares the paces of the ranks at regular intervals.
+    fn update_slow_ranks(&mut self, now: time::Duration) {
+        if now < self.next_pace_period || self.ranks.len() != self.group_size {
+            return;
+        }
+        self.next_pace_period = now + PACE_PERIOD;
+        let sample = |rank: &Rank| straggler::Sample { tokens: 1.0, busy_s: rank.status.pace };
+        let samples: Vec<straggler::Sample> = self.ranks.values().map(sample).collect();
+        let found = self.paces.add_period(&samples);
+        let slow: BTreeMap<usize, f64> = found.iter().map(|s| (s.rank, s.factor)).collect();
+        let is_new = |rank: &usize| !self.slow.contains_key(rank);
+        for (rank, factor) in slow.iter().filter(|(rank, _)| is_new(rank)) {
+            let (pace, factor) = (samples[*rank].busy_s, format!("{factor:.2}"));
+            log::info!(rank, pace, factor, epoch = self.epoch; "rank is slow; relieving it");
+        }
+        for rank in self.slow.keys().filter(|rank| !slow.contains_key(rank)) {
+            let pace = samples[*rank].busy_s;
+            log::info!(rank, pace, epoch = self.epoch; "rank is no longer slow");
+        }
+        if slow.keys().ne(self.slow.keys()) {
+            // The search that found no edit was for other ranks.
+            self.failed_search = None;
+        }
+        self.slow = slow;
+    }
+
+    /// Returns the slowness of each rank.
+    fn slowness(&self) -> Vec<f64> {
+        (0..self.group_size).map(|rank| self.slow.get(&rank).copied().unwrap_or(1.0)).collect()
+    }
+
     /// Logs the passes, requests and skew of the group; nothing unless this process is the owner.
     pub fn log_summary(&mut self, now: time::Duration) {
         if !self.is_owner {
@@ -252,13 +318,17 @@
         let weights = self.popularity.weights(now);
         let skew = weights
             .zip(self.map_in_use())
-            .map(|(weights, map)| format!("{:.2}", rebalance::mean_skew(&map, &weights)));
+            .map(|(weights, map)| rebalance::mean_skew(&map, &weights, &self.slowness()));
+        let passes = self.pass_estimate(now);
         log::info!(
             epoch = self.epoch,
             pass = self.ranks.values().map(|rank| rank.status.pass).max(),
+            pass_ms:? = passes.map(|passes| passes.pass_ms(passes.requests).round()),
+            fixed_ms:? = passes.map(|passes| passes.fixed_ms.round()),
             requests = requests.clone().sum::<u32>(),
             busiest_rank = requests.max(),
-            skew:?;
+            slow_ranks:? = self.slow.keys().collect::<Vec<_>>(),
+            skew:? = skew.map(|skew| format!("{skew:.2}"));
             "group state"
         );
     }
@@ -267,6 +337,7 @@
     /// `random` is a random number.
     pub fn step(&mut self, now: time::Duration, random: u64) -> Vec<RankOrder> {
         let Some(statuses) = self.statuses_to_act_on(now) else { return Vec::new() };
+        self.update_slow_ranks(now);
         if self.is_change_outdated(now) {
             self.finish_change(now, &End::Undone("popularity jumped"));
             self.pause_until = now;
@@ -304,9 +375,10 @@
             horizon: EDIT_HORIZON,
             copy_cost: copy_time.mul_f64(COPY_COST_FACTOR) / self.group_size.max(1) as u32,
             utilization: self.utilization(&statuses),
+            slowness: self.slowness(),
         };
         let map = self.map_in_use()?;
-        let skew = rebalance::mean_skew(&map, &weights);
+        let skew = rebalance::mean_skew(&map, &weights, &parameters.slowness);
         let too_soon = self.failed_search.is_some_and(|(failed_skew, at)| {
             skew < failed_skew + RETRY_SKEW_RISE && now < at + SEARCH_RETRY_DELAY
         });
@@ -325,7 +397,9 @@
         random: u64,
     ) {
         let Some(edit) = edit else {
-            self.failed_search = Some((rebalance::mean_skew(&search.map, &search.weights), now));
+            let slowness = &search.parameters.slowness;
+            let skew = rebalance::mean_skew(&search.map, &search.weights, slowness);
+            self.failed_search = Some((skew, now));
             return;
         };
         let Some(statuses) = self.statuses_to_act_on(now) else { return };
@@ -335,7 +409,7 @@
             return;
         }
         if self.popularity.weights(now).is_some_and(|weights| {
-            rebalance::is_outdated(&edit.map, &search.map, edit.skew.1, &weights)
+            rebalance::is_outdated(&edit.map, &search.map, edit.skew.1, &weights, &self.slowness())
         }) {
             log::info!(epoch = self.epoch; "map change not started: popularity jumped");
             return;
@@ -412,6 +486,7 @@
         self.change = None;
         (self.last_held_pass, self.last_version) = (0, 0);
         self.failed_search = None;
+        (self.passes, self.paces, self.slow) = Default::default();
         self.maps.retain(|(map_epoch, _), _| *map_epoch >= epoch);
     }
 
@@ -476,7 +551,8 @@
             return false;
         };
         let Some(weights) = self.popularity.weights(now) else { return false };
-        rebalance::is_outdated(change.new_map(), change.current_map(), self.expected_skew, &weights)
+        let (planned, present) = (change.new_map(), change.current_map());
+        rebalance::is_outdated(planned, present, self.expected_skew, &weights, &self.slowness())
     }
 
     /// Returns the utilization of the group, from 0 to 1.
--- a/src/rank/state.rs
+++ b/src/rank/state.rs
@@ -50,6 +50,19 @@
     pub armed: Option<MapSwitch>,
     /// Pass that does not start before it is released.
     pub held: Option<u64>,
+    /// Time that the engine needs for a unit of work over that of a healthy engine.
+    pub pace: f64,
+}
+
+/// Largest pace that counts: bounds what a false report can do.
+const MAX_PACE: f64 = 32.0;
+
+/// Returns the pace to use for a reported one; a report that makes no sense counts as healthy.
+pub fn valid_pace(reported: f64) -> f64 {
+    match reported {
+        _ if !reported.is_finite() || reported <= 0.0 => 1.0,
+        _ => reported.min(MAX_PACE),
+    }
 }
 
 impl Status {
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -4,8 +4,8 @@
 
 use knapweedford::{
     balance::{
-        self, Choice, GatewaySet, GroupProgress, RetryBudget, ServerSelector, SlidingWindow,
-        capacity, selector,
+        self, Choice, GatewaySet, GroupProgress, GroupReports, RetryBudget, ServerSelector,
+        SlidingWindow, capacity, selector,
     },
     name,
     settings::site::RetryLimits,
@@ -69,6 +69,7 @@
     selector: ServerSelector,
     rng: Pcg64,
     gateways: GatewaySet,
+    reports: GroupReports,
 }
 
 /// Returns the set of `gateways` gateways as number `own` of them knows it.
@@ -89,15 +90,24 @@
         let rng = Pcg64::seed_from_u64(7 + own as u64);
         let (registry, service) = (registry(servers), service());
         let gateways = gateway_set(own, gateways);
-        Self { registry, service, selector: ServerSelector::default(), rng, gateways }
+        let (selector, reports) = (ServerSelector::default(), GroupReports::default());
+        Self { registry, service, selector, rng, gateways, reports }
     }
 
     fn select(&mut self, now: Duration, tried: &[name::Server]) -> Choice {
+        self.select_for(now, tried, false)
+    }
+
+    fn select_for(&mut self, now: Duration, tried: &[name::Server], is_admitted: bool) -> Choice {
         let criteria = selector::Criteria {
             service: &self.service,
             zone: &name::Zone::new("here"),
-            max_event_gap: Some(MAX_EVENT_GAP),
+            demand: capacity::Demand {
+                max_event_gap: Some(MAX_EVENT_GAP),
+                timeout: Duration::from_secs(8),
+            },
             gateways: &self.gateways,
+            is_admitted,
             tried,
             now,
         };
@@ -105,6 +115,7 @@
         self.selector.select(
             self.registry.available_servers(&service_name),
             criteria,
+            &mut self.reports,
             &mut self.rng,
         )
     }
@@ -274,7 +285,7 @@
     );
     for n in 0..3 {
         let requests = if n == 1 { max_requests } else { max_requests - 2 };
-        fixture.selector.record_load(&name::Server::new(format!("i-{n}")), requests, now);
+        fixture.selector.record_load(&name::Server::new(format!("i-{n}")), requests, false, now);
     }
     // The other three gateways see the same two free slots, so they are not all used at once; what
     // the others have not used by the time that a report would show it is free.
@@ -321,7 +332,7 @@
     let failing = name::Server::new("i-0");
     for _ in 0..3 {
         fixture.selector.release(&failing, selector::Outcome::Failure, now);
-        fixture.selector.record_load(&failing, 0, now);
+        fixture.selector.record_load(&failing, 0, false, now);
         fixture.selector.release(&failing, selector::Outcome::Failure, now);
     }
     let soon = now + Duration::from_millis(10);
@@ -337,7 +348,7 @@
     let now = Duration::from_secs(5);
     for n in 0..3 {
         let server = name::Server::new(format!("i-{n}"));
-        fixture.selector.record_load(&server, 0, now);
+        fixture.selector.record_load(&server, 0, false, now);
         fixture.selector.release(&server, selector::Outcome::Replaced, now);
     }
     assert!(matches!(fixture.select(now, &[]), Choice::Server { .. }));
@@ -365,6 +376,55 @@
     assert!(!matches!(fixture.select(later, &[]), Choice::Paused { .. }));
 }
 
+/// One engine of a group is slow: no gateway sends it requests, also when the others are full, until
+/// the report is too old.
+#[test]
+fn slow_engine_avoided() {
+    let now = Duration::from_secs(5);
+    let slow = name::Server::new("i-1");
+    let mut fixture = Fixture::new(12, 4);
+    for n in 0..12 {
+        let server = name::Server::new(format!("i-{n}"));
+        fixture.selector.record_load(&server, 0, server == slow, now);
+    }
+    let requests = fixture.fill(now);
+    assert!(requests.len() > 8, "{requests:?}");
+    assert!(!requests.contains_key("i-1"), "the slow engine got requests: {requests:?}");
+    let later = fixture.fill(now + Duration::from_secs(2));
+    assert!(later.contains_key("i-1"), "an old report still counts: {later:?}");
+}
+
+/// A false report says that all engines are slow: they are used as if none was.
+#[test]
+fn all_engines_slow() {
+    let now = Duration::from_secs(5);
+    let mut fixture = Fixture::new(12, 4);
+    for n in 0..12 {
+        fixture.selector.record_load(&name::Server::new(format!("i-{n}")), 0, true, now);
+    }
+    assert!(!fixture.fill(now).is_empty());
+}
+
+/// A group of slow passes gets fewer requests than configured, and those that are refused are told
+/// so. Streams that move within it may still use all slots.
+#[test]
+fn slow_group_limited() {
+    let now = Duration::from_secs(5);
+    let limited = |passes: Option<capacity::PassEstimate>| {
+        let mut fixture = Fixture::new(12, 1);
+        fixture.reports.record("", passes, now);
+        let requests: u32 = fixture.fill(now).values().sum();
+        let refused = fixture.select(now, &[]);
+        (requests, refused, matches!(fixture.select_for(now, &[], true), Choice::Server { .. }))
+    };
+    let slow = capacity::PassEstimate { fixed_ms: 60.0, per_request_ms: 20.0, requests: 4.0 };
+    let (requests, refused, may_move) = limited(Some(slow));
+    assert_eq!((refused, may_move), (Choice::Slow, true));
+    let (configured, refused, _) = limited(None);
+    assert_eq!(refused, Choice::Full);
+    assert!(requests < configured / 2, "{requests} requests instead of {configured}");
+}
+
 /// At full load, many gateways wait for the same few slots and know of them from the same reports,
 /// which are some hundred milliseconds old. They must not all send there at once.
 #[test]
@@ -380,7 +440,8 @@
         );
         for n in 0..servers {
             let server = name::Server::new(format!("i-{n}"));
-            fixture.selector.record_load(&server, max_requests - u32::from(n % 10 == 0), now);
+            let requests = max_requests - u32::from(n % 10 == 0);
+            fixture.selector.record_load(&server, requests, false, now);
         }
         for (server, requests) in fixture.fill(now) {
             *sent.entry(server).or_default() += requests;
--- a/tests/gateways.rs
+++ b/tests/gateways.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::{
+    agents,
     chunks::ChunkedAnswer,
     processes::{self, Process, wait_until},
     store::Store,
@@ -70,10 +71,13 @@
     crashes: Arc<Mutex<Crashes>>,
     /// Limit on requests a second that the server names in its answers.
     limit: Arc<Mutex<Option<&'static str>>>,
-    /// Address and state under which the server was registered last.
-    registered: Arc<Mutex<Option<(net::SocketAddr, String)>>>,
+    /// How the server was registered last.
+    registered: Arc<Mutex<Option<Registered>>>,
 }
 
+/// Address, state and rank under which a server was registered.
+type Registered = (net::SocketAddr, String, Option<usize>);
+
 /// What crashes a server that begins to answer a request with it.
 #[derive(Clone, Copy, Debug)]
 pub enum CrashCause {
@@ -171,8 +175,8 @@
             let store = store.expect("a server that may crash has a store");
             store.remove("servers", &old_id);
             let registered = server.registered.lock().unwrap().clone();
-            if let Some((addr, state)) = registered {
-                register(&store, &server, addr, &state);
+            if let Some((addr, state, rank)) = registered {
+                register_rank(&store, &server, addr, &state, rank);
             }
         });
         true
@@ -310,8 +314,13 @@
 impl Gateway {
     /// Starts a gateway that reads the store at `store`.
     pub fn start(store: net::SocketAddr) -> Self {
+        Self::start_with_agents(store, 7340)
+    }
+
+    /// Starts a gateway that reads the store at `store` and asks rank agents on `agent_port`.
+    pub fn start_with_agents(store: net::SocketAddr, agent_port: u16) -> Self {
         let (client_addr, readiness_addr) = (unused_address(8227), unused_address(8220));
-        let (operators, peers) = (unused_address(7341), unused_address(7340));
+        let (operators, peers) = (unused_address(7341), unused_address(agent_port));
         let dir = path::Path::new(env!("CARGO_TARGET_TMPDIR"));
         let name = client_addr.ip().to_string().replace('.', "-");
         let base = dir.join(format!("gateway-{}-{name}", process::id()));
@@ -459,10 +468,21 @@
 
 /// Writes a server that is reached at `addr` to the registry.
 pub fn register(store: &Store, server: &Server, addr: net::SocketAddr, state: &str) {
-    *server.registered.lock().unwrap() = Some((addr, state.into()));
+    register_rank(store, server, addr, state, None);
+}
+
+/// Writes a server that is reached at `addr` to the registry, as this rank of a group if it is one.
+pub fn register_rank(
+    store: &Store,
+    server: &Server,
+    addr: net::SocketAddr,
+    state: &str,
+    rank: Option<usize>,
+) {
+    *server.registered.lock().unwrap() = Some((addr, state.into(), rank));
+    let group = rank.map_or(String::new(), agents::group_fields);
     let row = format!(
-        r#"{{"service":"llm","address":"{}","zone":"z","state":"{state}","born":1}}"#,
-        addr
+        r#"{{"service":"llm","address":"{addr}","zone":"z","state":"{state}","born":1{group}}}"#
     );
     store.put("servers", &server.current_id(), &row);
 }
--- a/tests/map_change.rs
+++ b/tests/map_change.rs
@@ -133,6 +133,7 @@
             prepared: engine.prepared.as_ref().map(|(version, _)| *version),
             armed: engine.armed,
             held: engine.held,
+            pace: 1.0,
         }
     }
 }
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -46,6 +46,7 @@
         prepared: None,
         armed: None,
         held: None,
+        pace: 1.0,
     }
 }
 
--- a/tests/rebalance.rs
+++ b/tests/rebalance.rs
@@ -22,6 +22,7 @@
         horizon: Duration::from_millis(2_500),
         copy_cost: Duration::from_millis(2),
         utilization: 1.0,
+        slowness: Vec::new(),
     }
 }
 
@@ -64,7 +65,7 @@
 #[test]
 fn first_edit() {
     let (map, weights, params) = (initial_map(), popular_from(0), params());
-    let before = rebalance::mean_skew(&map, &weights);
+    let before = rebalance::mean_skew(&map, &weights, &[]);
     let edit = rebalance::best_edit(&map, &weights, &params).expect("an edit pays");
     check_edit(&edit.map, &map, &params);
     assert!(before > 2.0 && edit.skew.1 < 1.3, "{before} to {}", edit.skew.1);
@@ -90,7 +91,7 @@
             copied += edit.copies_per_rank;
             map = edit.map;
         }
-        let skew = rebalance::mean_skew(&map, &weights);
+        let skew = rebalance::mean_skew(&map, &weights, &[]);
         assert!(skew < 1.3, "skew {skew} after jump {jump}");
     }
     assert!(copied < 20 * 8, "{copied} copies per rank in 20 jumps");
@@ -230,9 +231,12 @@
     let (map, weights, params) = (initial_map(), popular_from(0), params());
     let edit = rebalance::best_edit(&map, &weights, &params).expect("an edit pays");
     let too_low = edit.skew.1 - 0.7;
-    assert!(!rebalance::is_outdated(&edit.map, &map, edit.skew.1, &weights));
-    assert!(!rebalance::is_outdated(&edit.map, &map, too_low, &weights), "noise ended a good plan");
-    assert!(rebalance::is_outdated(&edit.map, &map, edit.skew.1, &popular_from(40)));
+    assert!(!rebalance::is_outdated(&edit.map, &map, edit.skew.1, &weights, &[]));
+    assert!(
+        !rebalance::is_outdated(&edit.map, &map, too_low, &weights, &[]),
+        "noise ended a good plan"
+    );
+    assert!(rebalance::is_outdated(&edit.map, &map, edit.skew.1, &popular_from(40), &[]));
 }
 
 /// In a group of 129 ranks with 258 experts and room for one spare copy in two, copies can only be
--- a/tests/sections.rs
+++ b/tests/sections.rs
@@ -26,6 +26,7 @@
         prepared,
         armed: None,
         held: None,
+        pace: 1.0,
     }
 }
 
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -9,18 +9,19 @@
     collections::BTreeMap,
     net,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
     thread,
     time::{Duration, Instant},
 };
 
+use knapweedford::{balance::capacity::PassEstimate, rank::message::Loads};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
 use crate::{
-    fuzz,
+    agents, fuzz,
     gateways::{self, Answer, Behavior, CrashCause, Gateway, Server},
     link::{Link, LinkMode},
     processes,
@@ -64,6 +65,11 @@
 const MAX_LATER_CRASHING_REQUESTS: usize = 3;
 /// Probability that a server that leaves stays away for one more round, in which other faults end.
 const LONG_LEAVE_PROBABILITY: f64 = 0.7;
+/// Probability that servers form a group of engines, and that a fault of a server makes it slow.
+const GROUP_PROBABILITY: f64 = 0.5;
+const SLOW_PROBABILITY: f64 = 0.5;
+/// Time between two events of a slow engine.
+const SLOW_EVENT_GAP_MS: u64 = 250;
 /// Time by which a busy machine may delay what a test observes.
 const SLACK: Duration = Duration::from_secs(2);
 
@@ -82,6 +88,8 @@
     /// A server's registration is removed, and it serves on.
     Deregister(usize),
     Configure,
+    /// An engine of the group is slow, and so are the passes of the group.
+    SlowEngine(usize),
     /// Requests that crash servers arrive at all gateways.
     CrashingRequests,
 }
@@ -157,6 +165,8 @@
     fault_times: FaultTimes,
     crash_cause: CrashCause,
     crashing_clients: Option<CrashingClients>,
+    /// What the agents of the group report; `None` if the servers form no group.
+    loads: Option<Arc<Mutex<Loads>>>,
 }
 
 /// A request with its answer.
@@ -169,35 +179,70 @@
 }
 
 impl Site {
-    fn start(gateways: usize, crash_cause: CrashCause) -> Self {
+    fn start(gateways: usize, crash_cause: CrashCause, is_group: bool) -> Self {
         let store = Store::start();
         let servers: Vec<Server> = (0..SERVERS).map(|n| Server::start(&format!("i-{n}"))).collect();
         let server_links: Vec<Link> =
             servers.iter().map(|server| Link::open(server.addr)).collect();
         servers[LIMITED_SERVER].set_limit(Some(LIMIT_PER_S.0));
-        for (server, link) in servers.iter().zip(&server_links) {
-            server.crash_on(crash_cause, &store);
-            gateways::register(&store, server, link.addr, "ready");
-        }
-        store.put("op", "config", &gateways::config(1, "llm"));
+        servers.iter().for_each(|server| server.crash_on(crash_cause, &store));
+        let loads = is_group.then(|| {
+            let absent = |n: usize| net::SocketAddr::from(([127, 0, 0, 1], n as u16));
+            let addr = |n: usize| server_links.get(n).map_or(absent(n), |link| link.addr);
+            let engines = (0..agents::RANKS).map(|n| (addr(n), 0)).collect();
+            Arc::new(Mutex::new(Loads { is_owner: true, engines, ..Loads::default() }))
+        });
+        let agent_port = loads.as_ref().map_or(7340, |loads| agents::start(Arc::clone(loads)));
         let store_link = Link::open(store.addr);
-        let gateways: Vec<Gateway> =
-            (0..gateways).map(|_| Gateway::start(store_link.addr)).collect();
-        let site = Self {
+        let mut site = Self {
             store,
             store_link,
             servers,
             server_links,
-            gateways,
-            version: 1,
+            gateways: Vec::new(),
+            version: 0,
             fault_times: FaultTimes::default(),
             crash_cause,
             crashing_clients: None,
+            loads,
         };
+        (0..SERVERS).for_each(|at| site.register(at, "ready"));
+        site.configure();
+        let starting =
+            (0..gateways).map(|_| Gateway::start_with_agents(site.store_link.addr, agent_port));
+        site.gateways = starting.collect();
         site.wait_until_ready();
         site
     }
 
+    /// Writes a server to the registry.
+    fn register(&self, at: usize, state: &str) {
+        let (server, addr) = (&self.servers[at], self.server_links[at].addr);
+        let rank = self.loads.as_ref().map(|_| at);
+        gateways::register_rank(&self.store, server, addr, state, rank);
+    }
+
+    /// Writes a new version of the configuration.
+    fn configure(&mut self) {
+        self.version += 1;
+        let config = match self.loads {
+            Some(_) => agents::config(self.version),
+            None => gateways::config(self.version, "llm"),
+        };
+        self.store.put("op", "config", &config);
+    }
+
+    /// Makes an engine slow, or none, and reports that as the group's agents do.
+    fn set_slow_engine(&self, slow: Option<usize>) {
+        let Some(loads) = &self.loads else { return };
+        let mut loads = loads.lock().unwrap();
+        loads.slow = slow.map(|at| self.server_links[at].addr).into_iter().collect();
+        loads.passes = slow.map(|_| {
+            let fixed_ms = SLOW_EVENT_GAP_MS as f64;
+            PassEstimate { fixed_ms, per_request_ms: 6.0, requests: 1.0 }
+        });
+    }
+
     /// Waits until all gateways are ready.
     fn wait_until_ready(&self) {
         for gateway in &self.gateways {
@@ -216,19 +261,15 @@
             Fault::StoreLink(mode) => self.store_link.set_mode(mode),
             Fault::Store(mode) => self.store.set_mode(mode),
             Fault::Drain(at) => {
-                gateways::register(
-                    &self.store,
-                    &self.servers[at],
-                    self.server_links[at].addr,
-                    "draining",
-                );
+                self.register(at, "draining");
             }
             Fault::Deregister(at) => {
                 gateways::deregister(&self.store, &self.servers[at]);
             }
-            Fault::Configure => {
-                self.version += 1;
-                self.store.put("op", "config", &gateways::config(self.version, "llm"));
+            Fault::Configure => self.configure(),
+            Fault::SlowEngine(at) => {
+                self.servers[at].set_behavior(Behavior::Paced(SLOW_EVENT_GAP_MS));
+                self.set_slow_engine(Some(at));
             }
             Fault::CrashingRequests => {
                 let addrs = self.gateways.iter().map(|gateway| gateway.process.address).collect();
@@ -251,17 +292,16 @@
                 self.crashing_clients.take().expect("the clients were started").stop();
             }
             Fault::Server(at, _) => self.servers[at].set_behavior(Behavior::Answer),
+            Fault::SlowEngine(at) => {
+                self.servers[at].set_behavior(Behavior::Answer);
+                self.set_slow_engine(None);
+            }
             Fault::ServerLink(at, _) => self.server_links[at].set_mode(LinkMode::Open),
             Fault::StoreLink(_) => self.store_link.set_mode(LinkMode::Open),
             Fault::Store(_) => self.store.set_mode(Mode::Normal),
             Fault::Drain(at) | Fault::Deregister(at) => {
                 self.fault_times.leaving.push((at, began_at, Instant::now()));
-                gateways::register(
-                    &self.store,
-                    &self.servers[at],
-                    self.server_links[at].addr,
-                    "ready",
-                );
+                self.register(at, "ready");
             }
         }
         let span = (began_at, Instant::now());
@@ -498,7 +538,9 @@
     // versions.
     let mut cause_rng = Pcg64::seed_from_u64(!seed);
     let crash_causes = [CrashCause::PromptPart(CRASHING_PART), CrashCause::Path(CRASHING_PATH)];
-    let mut site = Site::start(gateways, crash_causes[cause_rng.random_range(0..2)]);
+    let mut slow_rng = Pcg64::seed_from_u64(seed.rotate_left(32) ^ 1);
+    let is_group = slow_rng.random_bool(GROUP_PROBABILITY);
+    let mut site = Site::start(gateways, crash_causes[cause_rng.random_range(0..2)], is_group);
     let addrs: Vec<_> = site.gateways.iter().map(|gateway| gateway.process.address).collect();
     let clients = Clients::start(&addrs);
     let started = Instant::now();
@@ -510,12 +552,17 @@
         while faults.len() < count {
             let fault = match Fault::random(&mut rng, gateways) {
                 Fault::Drain(at) if cause_rng.random_bool(0.5) => Fault::Deregister(at),
+                Fault::Server(at, _) if is_group && slow_rng.random_bool(SLOW_PROBABILITY) => {
+                    Fault::SlowEngine(at)
+                }
                 fault => fault,
             };
             let target = |fault: &Fault| match fault {
                 Fault::Terminate(at) | Fault::Kill(at) | Fault::Freeze(at) | Fault::Reload(at) => {
                     (0, *at)
                 }
+                // One engine is slow at a time.
+                Fault::SlowEngine(_) => (6, 0),
                 Fault::Server(at, _) | Fault::ServerLink(at, _) => (1, *at),
                 Fault::StoreLink(_) | Fault::Store(_) => (2, 0),
                 Fault::Drain(at) | Fault::Deregister(at) => (3, *at),
