--- a/src/balance/capacity.rs
+++ b/src/balance/capacity.rs
@@ -152,6 +152,7 @@
         _ => passes.per_request_ms,
     };
     let passes = PassEstimate { per_request_ms, ..*passes };
+    // Most requests, up to `upper`, with which a pass takes at most `max_pass_ms`.
     let most = |max_pass_ms: f64, upper: u32| {
         let fits = |requests: &u32| passes.pass_ms(f64::from(*requests)) <= max_pass_ms;
         (1..=upper).take_while(fits).last().unwrap_or(0)
@@ -163,7 +164,7 @@
     let passes_per_answer = (cost.mean_answer_tokens / cost.steps_per_pass.max(1.0)).max(1.0);
     let late_answer_ms = demand.timeout.as_secs_f64() * 1000.0 * LATE_ANSWER_FRACTION;
     let late = most(late_answer_ms / passes_per_answer, configured).max(1);
-    // Answers of one rank per millisecond, but for the passes of an answer.
+    // Proportional to the answers that a rank ends in a unit of time.
     let rate = |requests: u32| f64::from(requests) / passes.pass_ms(f64::from(requests));
     match on_time {
         1.. if rate(on_time) >= rate(late) * LATE_ANSWER_VALUE => {
--- a/src/balance/group_reports.rs
+++ b/src/balance/group_reports.rs
@@ -40,7 +40,7 @@
                 let state = Group { passes, received_at: now, logged };
                 self.groups.insert(group.to_owned(), state);
             }
-            // The group stays known, so that its limit is not logged as new again.
+            // The last report of an idle group counts until it is outdated.
             (_, None) => {}
         }
     }
