Let waiting requests get slots in an order at each gateway

Cause: a request that found no slot waited for a tenth of its target, and who woke first took the slot that came free. Most were refused and came back after seconds, late, and urgent ones fared no better than others.

Change: balance::wait_queue keeps the waiting requests of one service and gateway, in the order of priority, of whether they can still be in time, of slots granted to their workspace lately and of age; one slot in eight goes to the oldest. How long one may wait follows from the target and the time that first answers take, how many may wait from the slots granted in the last second. An arrival displaces a less urgent one, which is refused at once. Requests that wait when the process aborts those in flight are refused and not sent, which a test of a stop with a full queue showed missing.

Not done: order across gateways, Retry-After from the queue, steps for a group that opens again.

--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -12,6 +12,7 @@
 pub mod quarantine;
 pub mod rate_limit;
 pub mod selector;
+pub mod wait_queue;
 pub mod window;
 
 pub use budget::RetryBudget;
@@ -22,4 +23,5 @@
 pub use quarantine::Quarantine;
 pub use rate_limit::RateLimit;
 pub use selector::{Choice, ServerSelector};
+pub use wait_queue::WaitQueue;
 pub use window::SlidingWindow;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -14,10 +14,10 @@
     relay,
     request_log::RequestLog,
     reservation::Reservation,
-    state::{Gateway, ReserveError},
+    state::{Gateway, ReserveError, Waiting},
 };
 use crate::{
-    balance::selector,
+    balance::{selector, wait_queue},
     http, metrics, name,
     platform::exchange,
     site::{Catalog, catalog},
@@ -37,9 +37,6 @@
 /// Smallest and largest Retry-After when no server takes the request, as fractions of the client's
 /// remaining time: a group that lost a member, or its power, needs about two seconds to recover.
 const RETRY_AFTER_OUTAGE_RANGE: (f64, f64) = (0.2, 0.33);
-/// Longest wait of a request for a free slot, as a fraction of the route's latency target; longer
-/// waits only delay the refusal.
-const SLOT_WAIT_FRACTION: f64 = 0.1;
 /// Remaining time that Retry-After is computed from when a request is refused before its body is
 /// complete, in seconds.
 const DEFAULT_REMAINING_S: f64 = 1.5;
@@ -114,6 +111,8 @@
     pub workspace: Option<name::Workspace>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
+    /// Urgency among the requests that wait for a slot.
+    pub urgency: wait_queue::Urgency,
     /// Time at which the client, or the route, gives up.
     pub timeout_at: Instant,
     /// Time at which the client gives up.
@@ -198,6 +197,8 @@
             Err(refusal) => return self.refuse(refusal, None, &mut request_log),
         };
         let service = self.gateway.pick_service(&route).clone();
+        let is_late = self.gateway.is_late(&route, info.deadline);
+        let urgency = wait_queue::Urgency { priority, is_late };
         // The whole request comes first, since the notes of crashes are limited in size.
         let mut fingerprints =
             vec![fingerprint::of_request(&head, &info.host, workspace.as_ref(), &body)];
@@ -212,6 +213,7 @@
             service,
             workspace,
             priority,
+            urgency,
             timeout_at,
             deadline,
             tried: Vec::new(),
@@ -269,6 +271,7 @@
                         _ if req.arrivals > 0 => Refusal::NotRun,
                         ReserveError::Full => Refusal::Full,
                         ReserveError::Slow => Refusal::SlowGroup,
+                        ReserveError::Displaced => Refusal::Displaced,
                         ReserveError::NoServer => Refusal::NoServer,
                         ReserveError::Stalled => Refusal::Stalled,
                     };
@@ -325,24 +328,55 @@
         }
     }
 
-    /// Reserves a slot at a server. Waits for a free slot, or until a server's limit allows the
-    /// request, only before the first arrival, and only while the answer can still be on time.
+    /// Reserves a slot at a server. Before the first arrival, waits for its turn and a free slot, or
+    /// until a server's limit allows the request, while the answer can still be on time.
     async fn reserve(&self, req: &RoutedRequest) -> Result<Reservation, ReserveError> {
-        let wait_until = Instant::now() + req.route.latency_target.mul_f64(SLOT_WAIT_FRACTION);
+        let gateway = &self.gateway;
+        let mut waiting: Option<Waiting> = None;
+        let mut failure = ReserveError::Full;
         loop {
-            let slot_freed = self.gateway.slot_freed.notified();
-            let reserved = self.gateway.reserve(req);
-            let next_try_at = match &reserved {
-                _ if req.arrivals > 0 => return reserved,
-                Err(ReserveError::Full | ReserveError::Slow) => wait_until,
-                Err(ReserveError::Limited(left)) if Instant::now() + *left < wait_until => {
-                    Instant::now() + *left
+            let slot_freed = gateway.slot_freed.notified();
+            if waiting.as_ref().is_some_and(Waiting::is_displaced) {
+                return Err(ReserveError::Displaced);
+            }
+            // The slots that aborted requests free are not for those that wait.
+            if waiting.is_some() && gateway.is_aborting() {
+                return Err(failure);
+            }
+            let mut allowed_at = None;
+            if req.arrivals > 0 || gateway.has_turn(req, waiting.as_ref()) {
+                match gateway.reserve(req) {
+                    Ok(reservation) => {
+                        gateway.record_grant(req);
+                        return Ok(reservation);
+                    }
+                    Err(err) if req.arrivals > 0 => return Err(err),
+                    Err(err @ (ReserveError::Full | ReserveError::Slow)) => failure = err,
+                    Err(err @ ReserveError::Limited(left)) => {
+                        (failure, allowed_at) = (err, Some(Instant::now() + left));
+                    }
+                    Err(err) => return Err(err),
                 }
-                _ => return reserved,
+            }
+            let waiting = match &waiting {
+                Some(waiting) => waiting,
+                None => match gateway.join_queue(req) {
+                    Some(joined) => waiting.insert(joined),
+                    None => return Err(failure),
+                },
             };
-            let timed_out = tokio::time::timeout_at(next_try_at, slot_freed).await.is_err();
-            if timed_out && next_try_at >= wait_until {
-                return reserved;
+            if allowed_at.is_some_and(|at| at >= waiting.until) {
+                return Err(failure);
+            }
+            let next_try_at = allowed_at.unwrap_or(waiting.until);
+            tokio::select! {
+                () = slot_freed => {}
+                () = tokio::time::sleep_until(next_try_at) => {
+                    if next_try_at >= waiting.until {
+                        return Err(failure);
+                    }
+                }
+                () = gateway.aborted() => return Err(failure),
             }
         }
     }
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -27,6 +27,8 @@
     Full,
     /// Every server has reached its limit of requests, which is lower than configured.
     SlowGroup,
+    /// The request made room for a more urgent one while it waited.
+    Displaced,
     /// No registered server may get the request.
     NoServer,
     /// The groups of all servers make no progress.
@@ -53,6 +55,7 @@
             Self::NoConfiguration
             | Self::Full
             | Self::SlowGroup
+            | Self::Displaced
             | Self::NoServer
             | Self::Stalled
             | Self::Paused
@@ -81,6 +84,7 @@
             Self::BodyIncomplete => "body-broken",
             Self::Full => "full",
             Self::SlowGroup => "slow-group",
+            Self::Displaced => "displaced",
             Self::NoServer => "no-server",
             Self::Stalled => "stalled",
             Self::Paused => "paused",
@@ -117,6 +121,9 @@
             Self::BodyIncomplete => "The body broke off; send it again.",
             Self::Full => "All backend servers are busy; it did not run; send it again later.",
             Self::SlowGroup => "The backend servers are slow; it did not run; send it again later.",
+            Self::Displaced => {
+                "More urgent requests came first; it did not run; send it again later."
+            }
             Self::NoServer => "No backend server is there; it did not run; send it again later.",
             Self::Stalled => {
                 "The backend servers make no progress; it did not run; send it again later."
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -23,6 +23,8 @@
     outcome: selector::Outcome,
     /// Start of the server's incarnation, in Unix milliseconds.
     started_ms: u64,
+    /// Service of the request.
+    service: name::Service,
     /// Fingerprints of the request.
     fingerprints: rc::Rc<[name::Fingerprint]>,
     /// Group that the server is a rank of.
@@ -54,6 +56,7 @@
             in_flight,
             outcome: selector::Outcome::Neutral,
             started_ms: registration.map_or(0, |registration| registration.started_ms),
+            service: req.service.clone(),
             fingerprints: rc::Rc::clone(&req.fingerprints),
             group: member.map(|member| member.group.clone()),
             events: 0,
@@ -77,6 +80,10 @@
         if previous < quarantine::ANSWERED_EVENTS && events >= quarantine::ANSWERED_EVENTS {
             state.quarantine.record_answer(&self.fingerprints, now);
         }
+        if previous == 0 {
+            let queue = state.queues.entry(self.service.clone()).or_default();
+            queue.record_first_answer(now.saturating_sub(self.reserved_at));
+        }
         match &self.group {
             Some(group) if previous == 0 => state.progress.begin_stream(group, now),
             Some(group) => state.progress.record_event(group, now),
@@ -126,7 +133,12 @@
     pub fn record_complete_answer(&mut self) {
         self.set_outcome(selector::Outcome::Success);
         let now = self.gateway.now();
-        self.gateway.state.borrow_mut().quarantine.record_answer(&self.fingerprints, now);
+        let state = &mut *self.gateway.state.borrow_mut();
+        state.quarantine.record_answer(&self.fingerprints, now);
+        if self.events == 0 {
+            let queue = state.queues.entry(self.service.clone()).or_default();
+            queue.record_first_answer(now.saturating_sub(self.reserved_at));
+        }
     }
 
     /// Records that the server's answer to `req` broke off, or did not come, because of `failure`.
@@ -175,6 +187,6 @@
         if self.outcome == selector::Outcome::Replaced {
             self.gateway.server_replaced.notify_one();
         }
-        self.gateway.slot_freed.notify_one();
+        self.gateway.slot_freed.notify_waiters();
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -13,7 +13,7 @@
 use crate::{
     balance::{
         Choice, GatewaySet, GroupProgress, GroupReports, Quarantine, RetryBudget, ServerSelector,
-        capacity, crash_note, selector,
+        WaitQueue, capacity, crash_note, selector, wait_queue,
     },
     daemon, http,
     http::client,
@@ -71,6 +71,9 @@
     pub(super) selector: ServerSelector,
     pub(super) progress: GroupProgress,
     reports: GroupReports,
+    pub(super) queues: BTreeMap<name::Service, WaitQueue>,
+    /// Longest deadline that callers stated, by route.
+    longest_deadlines: BTreeMap<String, time::Duration>,
     pub(super) quarantine: Quarantine,
     budgets: BTreeMap<name::Service, RetryBudget>,
     gateways: GatewaySet,
@@ -85,6 +88,8 @@
     Full,
     /// The same, but some limits are lower than configured since passes take long.
     Slow,
+    /// The request waited for a slot, and made room for a more urgent one.
+    Displaced,
     /// No registered server may get the request.
     NoServer,
     /// The groups of all servers are stalled.
@@ -97,6 +102,36 @@
     Quarantined(time::Duration),
 }
 
+/// A request that waits for a slot; it leaves the queue when this is dropped.
+pub struct Waiting {
+    gateway: rc::Rc<Gateway>,
+    service: name::Service,
+    ticket: wait_queue::Ticket,
+    /// Time at which the request no longer waits.
+    pub until: Instant,
+}
+
+impl Waiting {
+    /// Whether the request made room for a more urgent one.
+    pub fn is_displaced(&self) -> bool {
+        let state = self.gateway.state.borrow();
+        state.queues.get(&self.service).is_none_or(|queue| !queue.contains(self.ticket))
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let mut state = self.gateway.state.borrow_mut();
+        if let Some(queue) = state.queues.get_mut(&self.service) {
+            queue.leave(self.ticket);
+        }
+        self.gateway.metrics.set_queued(state.queues.values().map(WaitQueue::len).sum());
+        drop(state);
+        // It may be the turn of another request now.
+        self.gateway.slot_freed.notify_waiters();
+    }
+}
+
 /// Returns how long all streams of a group may be silent before it counts as stalled, for streams
 /// whose events are to be at most `max_event_gap` apart.
 fn max_silence(max_event_gap: time::Duration) -> time::Duration {
@@ -112,6 +147,8 @@
             selector: ServerSelector::default(),
             progress: GroupProgress::default(),
             reports: GroupReports::default(),
+            queues: BTreeMap::new(),
+            longest_deadlines: BTreeMap::new(),
             quarantine: Quarantine::new(&cfg.host),
             budgets: BTreeMap::new(),
             gateways: GatewaySet::new(&cfg.host),
@@ -168,6 +205,7 @@
             );
             self.metrics.page.set_version(catalog.version);
             state.catalog = Some(rc::Rc::new(catalog));
+            state.longest_deadlines.clear();
         }
     }
 
@@ -365,6 +403,11 @@
         self.aborting.send_replace(true);
     }
 
+    /// Whether requests in flight are to be answered at once.
+    pub fn is_aborting(&self) -> bool {
+        *self.aborting.borrow()
+    }
+
     /// Waits until requests in flight are to be answered at once.
     pub async fn aborted(&self) {
         // Waiting fails only if the sender, which `self` holds, was dropped.
@@ -470,6 +513,47 @@
         }
     }
 
+    /// Whether a caller that states this deadline has waited for longer than the latency target of
+    /// `route`: callers that return after a refusal state a shorter deadline than at first.
+    pub fn is_late(&self, route: &catalog::Route, deadline: Option<time::Duration>) -> bool {
+        let Some(deadline) = deadline else { return false };
+        let longest_deadlines = &mut self.state.borrow_mut().longest_deadlines;
+        let longest = longest_deadlines.entry(route.name.clone()).or_default();
+        *longest = deadline.max(*longest);
+        *longest > deadline + route.latency_target
+    }
+
+    /// Whether it is the turn of a request that waits, or of `req`, which has just arrived.
+    pub fn has_turn(&self, req: &RoutedRequest, waiting: Option<&Waiting>) -> bool {
+        let state = self.state.borrow();
+        let Some(queue) = state.queues.get(&req.service) else { return true };
+        match waiting {
+            Some(waiting) => queue.is_next(waiting.ticket),
+            None => queue.may_pass(req.urgency),
+        }
+    }
+
+    /// Lets a request wait for a slot; `None` if it would not get one in time.
+    pub fn join_queue(self: &rc::Rc<Self>, req: &RoutedRequest) -> Option<Waiting> {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let queue = state.queues.entry(req.service.clone()).or_default();
+        let time_left = req.timeout_at.saturating_duration_since(Instant::now());
+        let max_wait = queue.max_wait(req.route.latency_target).min(time_left);
+        let ticket = queue.join(req.urgency, req.workspace.as_ref(), max_wait, now)?;
+        self.metrics.set_queued(state.queues.values().map(WaitQueue::len).sum());
+        let (gateway, service) = (rc::Rc::clone(self), req.service.clone());
+        Some(Waiting { gateway, service, ticket, until: Instant::now() + max_wait })
+    }
+
+    /// Records that `req` got a slot.
+    pub fn record_grant(&self, req: &RoutedRequest) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let queue = state.queues.entry(req.service.clone()).or_default();
+        queue.record_grant(req.workspace.as_ref(), now);
+    }
+
     /// Records the first attempt of a request at `service`.
     pub fn record_first_attempt(&self, service: &name::Service) {
         let now = self.now();
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -74,4 +74,5 @@
 mod telemetry;
 mod tool;
 mod unframed;
+mod waiting;
 mod zones;
