--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -405,8 +405,8 @@
     assert!(!fixture.fill(now).is_empty());
 }
 
-/// A burst reaches a group of slow passes, which gets fewer requests than configured; those that are
-/// refused are told so. Streams that move within it may still use all slots.
+/// A burst reaches a group of slow passes, which gets fewer requests than configured; the refusals name
+/// that reason. Streams that move within it may still use all slots.
 #[test]
 fn slow_group_limited() {
     let now = Duration::from_secs(5);
--- a/tests/waiting.rs
+++ b/tests/waiting.rs
@@ -225,8 +225,8 @@
     assert_eq!(server.requests().len(), SLOTS + 4);
 }
 
-/// A gateway is stopped while requests wait: they are told that they did not run, and have not. A
-/// caller that left before is forgotten.
+/// A gateway is stopped while requests wait: they are refused, and have not run, nor has that of a
+/// caller that left before.
 #[test]
 fn stopped_while_waiting() {
     let (server, gateway) = start(8_000);
