Do not let statuses read from afar replace those of a rank's own agent

Cause: engines answer other hosts with values that are some hundred milliseconds old. While the agent of a rank was back, the owner still polled its engine or sent it orders directly for up to two seconds, and each older status replaced a newer one. A rank that was armed looked as if it had left a change, the change was undone without it, and a pass started with two maps.

Change: a status that another process read is ignored while the rank's own agent was heard within the age that statuses may have. Test ownership::remote_status_ignored.

--- a/src/rank/actor.rs
+++ b/src/rank/actor.rs
@@ -174,7 +174,7 @@
                 }
             }
             (Event::PolledStatus(status), Some(ownership)) => {
-                ownership.receive_polled_status(status)
+                ownership.receive_polled_status(now, status)
             }
             (Event::CopyOrdered { epoch, version, map }, Some(ownership)) => {
                 ownership.remember_map(epoch, version, map);
--- a/src/rank/ownership.rs
+++ b/src/rank/ownership.rs
@@ -59,10 +59,21 @@
     status: Status,
     /// Time of the last heartbeat or reply to an order.
     updated_at: time::Duration,
+    /// Process that sent the last heartbeat, and the time of that heartbeat.
+    agent: Option<(u64, time::Duration)>,
     /// Version of the map in use and the rank's experts by set.
     placement: Option<(u64, Vec<Vec<u16>>)>,
 }
 
+impl Rank {
+    /// Whether the rank's own agent sent a heartbeat lately, and another process read `status`.
+    fn has_newer_agent_status(&self, status: &Status, now: time::Duration) -> bool {
+        self.agent.is_some_and(|(agent, heard_at)| {
+            agent != status.read_id.0 && heard_at + MAX_STATUS_AGE >= now
+        })
+    }
+}
+
 /// The search for an edit of the map. It takes long in a large group, so it can run on another
 /// thread.
 #[derive(Clone, Debug)]
@@ -170,8 +181,14 @@
             self.popularity.add(now, &choices);
             self.has_new_choices = true;
         }
-        let pass = heartbeat.status.pass;
-        self.update_status(now, member.rank, heartbeat.status);
+        let (pass, agent) = (heartbeat.status.pass, heartbeat.status.read_id.0);
+        if let Some(rank) = self.ranks.get_mut(&member.rank) {
+            rank.agent = Some((agent, now));
+        }
+        self.update_status(now, now, member.rank, heartbeat.status);
+        if let Some(rank) = self.ranks.get_mut(&member.rank) {
+            rank.agent = Some((agent, now));
+        }
         let running: u32 = self.ranks.values().map(|rank| rank.status.running).sum();
         self.passes.record(now, pass, f64::from(running) / self.group_size.max(1) as f64);
         let Some(rank) = self.ranks.get_mut(&member.rank) else { return false };
@@ -206,10 +223,10 @@
 
     /// Handles the status of an engine that was polled because its agent is silent. It does not
     /// count as a heartbeat: the agent remains silent.
-    pub fn receive_polled_status(&mut self, status: Status) {
+    pub fn receive_polled_status(&mut self, now: time::Duration, status: Status) {
         let Some(rank) = status.member.as_ref().map(|member| member.rank) else { return };
         let updated_at = self.ranks.get(&rank).map_or(time::Duration::ZERO, |rank| rank.updated_at);
-        self.update_status(updated_at, rank, status);
+        self.update_status(now, updated_at, rank, status);
     }
 
     /// Handles the reply to an order; `outcome` is `None` if there was no answer.
@@ -233,7 +250,7 @@
             );
         }
         if let Some(status) = status {
-            self.update_status(now, order.rank, status);
+            self.update_status(now, now, order.rank, status);
         }
         if let Some(change) = &mut self.change {
             change.receive_reply(now, order.rank, &order.order, outcome);
@@ -490,8 +507,15 @@
         self.maps.retain(|(map_epoch, _), _| *map_epoch >= epoch);
     }
 
-    /// Records the status of a rank, unless it is of another epoch or older than the known one.
-    fn update_status(&mut self, now: time::Duration, rank: usize, status: Status) {
+    /// Records the status of a rank as of `updated_at`, unless it is of another epoch or may be older
+    /// than the known one.
+    fn update_status(
+        &mut self,
+        now: time::Duration,
+        updated_at: time::Duration,
+        rank: usize,
+        status: Status,
+    ) {
         let epoch = status.member.as_ref().map(|member| member.epoch);
         if epoch != Some(self.epoch) {
             return;
@@ -499,9 +523,12 @@
         match self.ranks.get_mut(&rank) {
             // A heartbeat may arrive after the reply to an order that has a newer status.
             Some(known) if is_older(&status, &known.status) => {}
-            Some(known) => (known.status, known.updated_at) = (status, now),
+            // An engine answers other hosts with values that are some hundred milliseconds old, so
+            // such a status must not replace that of the rank's own agent.
+            Some(known) if known.has_newer_agent_status(&status, now) => {}
+            Some(known) => (known.status, known.updated_at) = (status, updated_at),
             None => {
-                self.ranks.insert(rank, Rank { status, updated_at: now, placement: None });
+                self.ranks.insert(rank, Rank { status, updated_at, agent: None, placement: None });
             }
         }
     }
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -5,7 +5,7 @@
 use knapweedford::{
     group::rebalance::SharedMap,
     rank::{
-        Action, Choices, Member, Placement, Status,
+        Action, Choices, Member, Order, Placement, Status,
         message::{Heartbeat, RankOrder},
         ownership::Ownership,
     },
@@ -180,12 +180,39 @@
     }
     assert_eq!(ownership.silent_ranks(now), [0]);
     let held_pass = now.as_millis() as u64 / 50 + 2;
-    ownership.receive_polled_status(Status { held: Some(held_pass), ..status(0, now) });
+    ownership.receive_polled_status(now, Status { held: Some(held_pass), ..status(0, now) });
     let orders = ownership.step(now, 0);
     assert!(!orders.is_empty(), "the leftover change was not undone at once");
     assert_eq!(ownership.silent_ranks(now), [0], "a polled status counted as a heartbeat");
 }
 
+/// Engines answer other hosts with values that are some hundred milliseconds old. The agent of a rank
+/// is back while the owner still polls its engine, or sends it orders directly: what the owner reads
+/// there must not replace what the agent reported. An owner that took a rank for disarmed that was
+/// armed let a pass start with two maps.
+#[test]
+fn remote_status_ignored() {
+    let mut ownership = ownership();
+    let mut now = run_two_seconds(&mut ownership, Duration::ZERO, RANKS);
+    let read_by_owner = |now| Status { read_id: (0, u64::MAX), running: 9, ..status(2, now) };
+    let requests = |ownership: &Ownership| ownership.requests_by_rank().map(|by_rank| by_rank[&2]);
+    ownership.receive_polled_status(now, read_by_owner(now));
+    assert_eq!(requests(&ownership), Some(4), "a polled status replaced that of the agent");
+    let order = Order { epoch: 1, action: Action::Hold { pass: 1_000_000 } };
+    let order = RankOrder { rank: 2, order };
+    ownership.receive_reply(now, &order, None, Some(read_by_owner(now)));
+    assert_eq!(requests(&ownership), Some(4), "the status after an order replaced it");
+    // Once the agent has been silent for as long as statuses count, the engine is all there is.
+    for _ in 0..16 {
+        now += Duration::from_millis(50);
+        send_heartbeats_of(&mut ownership, now, 0..2);
+        send_heartbeats_of(&mut ownership, now, 3..RANKS);
+        ownership.step(now, 0);
+    }
+    ownership.receive_polled_status(now, read_by_owner(now));
+    assert_eq!(requests(&ownership), Some(9));
+}
+
 /// A group that lost a rank re-forms within a second, with a map that does not fit the popularity.
 /// The owner loses most heartbeats meanwhile but goes on without a takeover delay, as another owner
 /// would still be in its own.
