--- a/review/4/play.py
+++ b/review/4/play.py
@@ -42,6 +42,7 @@
         while True:
             at, request_id = time.monotonic(), site.request_id()
             client = net.Client(gateway.front)
+            site.record.line(f"client: {request_id} sent to {gateway.front[0]}")
             answer = await client.request(
                 "GET", "/cufi504/fi50/2f", site_config.headers(request_id, 1500), timeout=1.5
             )
--- a/review/5/play.py
+++ b/review/5/play.py
@@ -58,6 +58,7 @@
         client = net.Client(gateway.front)
         while True:
             request_id = site.request_id()
+            site.record.line(f"client: {request_id} sent")
             answer = await client.request(
                 "POST", "/puxa403/2f", site_config.headers(request_id, 1500), b"a payment", timeout=1.5
             )
