Give tests of gateways more than 250 addresses

Seen: with a new module that starts 54 gateways, 11 of 71 tests failed, each with answers of another test's gateway.

Cause: unused_address gave out 250 addresses, four to each gateway, and began again with the first after 62 gateways, while those still ran.

Change: the third byte of the address changes after each 250.

Measured: those tests and two more in one run: 73 passed.

--- a/tests/gateways.rs
+++ b/tests/gateways.rs
@@ -24,6 +24,8 @@
 
 /// Number of loopback addresses given out, so that each is used once.
 static ADDRESS_COUNT: atomic::AtomicUsize = atomic::AtomicUsize::new(1);
+/// Number of addresses given out that share their first three bytes.
+const HOSTS_PER_BLOCK: usize = 250;
 
 /// How a server treats the next requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -306,8 +308,9 @@
 /// Returns a loopback address that no other test uses.
 fn unused_address(port: u16) -> net::SocketAddr {
     let number = ADDRESS_COUNT.fetch_add(1, atomic::Ordering::Relaxed);
+    let (block, host) = ((number / HOSTS_PER_BLOCK) as u8, 1 + (number % HOSTS_PER_BLOCK) as u8);
     let pid = process::id();
-    let ip = net::Ipv4Addr::new(127, (pid >> 8) as u8 | 1, pid as u8, 1 + number as u8 % 250);
+    let ip = net::Ipv4Addr::new(127, (pid >> 8) as u8 | 1, (pid as u8).wrapping_add(block), host);
     net::SocketAddr::new(ip.into(), port)
 }
 
