Keep serving when the configuration limits heads to less than 8 KiB

Cause: the limit went into hyper's max_buf_size, which panics below 8 KiB, in the task of each connection.

Change: the buffer has 16 KiB to 1 MiB, and http::serve checks the limit in force on each request and answers 431. A connection whose buffer is too small for a raised limit is closed after its next answer. The time for a head is one second at least. Panics of a connection's task are logged.

The class: max_header_bytes 0, 1000, 4096, 8191, 20000, 2^40 and 2^64 - 1 on unsafe, streaming and safe routes, on new connections and on those that were open; time limits of 0, 1 and 2^64 - 1 ms; the readiness and the operators' port, whose limits are their own. max_body_bytes has no such bound.

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -36,6 +36,10 @@
 /// Time that clients' connections may stay idle while no configuration is known.
 const DEFAULT_IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
+/// Shortest time that clients have for a request head, whatever the configuration states: with none,
+/// all connections would be closed as they open.
+const MIN_HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
 /// State of one gateway; shared by all tasks of its thread.
 pub struct Gateway {
     /// Connections to backend servers.
@@ -425,8 +429,9 @@
         let head_bytes =
             limits.map_or(http::Limits::default().max_head_bytes, |l| l.max_head_bytes);
         // hyper includes the idle time before a request head in the timeout for the head.
-        let head_time =
-            limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout + limits.head_timeout);
+        let head_time = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| {
+            limits.idle_timeout.saturating_add(limits.head_timeout).max(MIN_HEAD_TIMEOUT)
+        });
         http::Limits {
             max_head_bytes: head_bytes,
             max_connections: connections,
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,8 +1,8 @@
 //! An HTTP/1.1 server that limits sizes, headers, connections and times.
 
-use std::{future, net, rc, time};
+use std::{convert, future, net, ops, rc, time};
 
-use hyper::{body, server, service};
+use hyper::{body, header, server, service};
 use hyper_util::rt;
 use tokio::{sync, task};
 
@@ -17,7 +17,7 @@
 /// Limits on the requests and connections of one port.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
-    /// Maximum size of a request head, in bytes. hyper accepts no limit below 8 KiB.
+    /// Maximum size of a request head, in bytes.
     pub max_head_bytes: usize,
     /// Maximum number of headers in a request.
     pub max_headers: usize,
@@ -38,6 +38,17 @@
     }
 }
 
+/// Smallest and largest buffer in which a request head is received, in bytes. hyper panics if its
+/// buffer is smaller than 8 KiB, so that a lower limit is checked once the head is complete.
+const HEAD_BUFFER_BYTES: ops::RangeInclusive<usize> = 16 << 10..=1 << 20;
+
+impl Limits {
+    /// Size of the buffer for the heads of a connection, in bytes.
+    fn head_buffer_bytes(&self) -> usize {
+        self.max_head_bytes.clamp(*HEAD_BUFFER_BYTES.start(), *HEAD_BUFFER_BYTES.end())
+    }
+}
+
 /// A request whose body has not been read yet.
 pub type Request = hyper::Request<body::Incoming>;
 /// An answer whose body is whole or streamed.
@@ -57,27 +68,31 @@
 
 /// Serves one port until `stop` turns true, then completes the requests in flight.
 ///
-/// Must run inside a `LocalSet`. `limits` is called for each new connection, which keeps the
-/// limits that were in force when it opened; only the maximum number of connections is fixed at
-/// the start.
+/// Must run inside a `LocalSet`. `limits` is called for each new connection, which keeps the time
+/// limit that was in force when it opened, and for each request, whose head must be within the
+/// limit at that time; the maximum number of connections is fixed at the start.
 pub async fn serve<H: Handler>(
     listener: tokio::net::TcpListener,
-    limits: impl Fn() -> Limits,
+    limits: impl Fn() -> Limits + 'static,
     handler: rc::Rc<H>,
     mut stop: sync::watch::Receiver<bool>,
 ) {
+    let limits = rc::Rc::new(limits);
     let slots = std::sync::Arc::new(sync::Semaphore::new(limits().max_connections));
     let mut tasks = task::JoinSet::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
+            Some(ended) = tasks.join_next() => {
+                log_panic(ended);
+                continue;
+            }
             _ = stop.wait_for(|stop| *stop) => break,
         };
-        while tasks.try_join_next().is_some() {}
         match (accepted, std::sync::Arc::clone(&slots).try_acquire_owned().ok()) {
             (Ok((conn, _)), Some(slot)) => {
-                let serving =
-                    serve_connection(conn, limits(), rc::Rc::clone(&handler), stop.clone());
+                let (limits, handler) = (rc::Rc::clone(&limits), rc::Rc::clone(&handler));
+                let serving = serve_connection(conn, limits, handler, stop.clone());
                 tasks.spawn_local(async move {
                     serving.await;
                     drop(slot);
@@ -91,28 +106,51 @@
         }
     }
     drop(listener);
-    while tasks.join_next().await.is_some() {}
+    while let Some(ended) = tasks.join_next().await {
+        log_panic(ended);
+    }
 }
 
 /// Pause after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
 
+/// Logs the panic that ended the task of a connection, if one did.
+fn log_panic(ended: Result<(), task::JoinError>) {
+    if let Err(err) = ended {
+        log::error!("the task of a connection failed: {err}");
+    }
+}
+
 async fn serve_connection<H: Handler>(
     conn: tokio::net::TcpStream,
-    limits: Limits,
+    limits: rc::Rc<impl Fn() -> Limits + 'static>,
     handler: rc::Rc<H>,
     mut stop: sync::watch::Receiver<bool>,
 ) {
     client::set_socket_options(&conn);
-    let answer = service::service_fn(move |req| {
-        let handler = rc::Rc::clone(&handler);
-        async move { Ok::<_, std::convert::Infallible>(handler.handle(req).await) }
+    let initial = limits();
+    let buffer_bytes = initial.head_buffer_bytes();
+    let answer = service::service_fn(move |req: Request| {
+        let (handler, limits) = (rc::Rc::clone(&handler), limits());
+        async move {
+            let head_bytes = head_bytes(&req);
+            if head_bytes > limits.max_head_bytes {
+                return Ok(refuse_head(head_bytes, limits.max_head_bytes));
+            }
+            let mut res = handler.handle(req).await;
+            // Larger heads, which are allowed by now, need a connection with a larger buffer.
+            if limits.head_buffer_bytes() > buffer_bytes {
+                let close = header::HeaderValue::from_static("close");
+                res.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, convert::Infallible>(res)
+        }
     });
     let conn = server::conn::http1::Builder::new()
         .timer(rt::TokioTimer::new())
-        .header_read_timeout(limits.head_timeout)
-        .max_headers(limits.max_headers)
-        .max_buf_size(limits.max_head_bytes)
+        .header_read_timeout(initial.head_timeout)
+        .max_headers(initial.max_headers)
+        .max_buf_size(buffer_bytes)
         .serve_connection(rt::TokioIo::new(conn), answer);
     let mut conn = std::pin::pin!(conn);
     let result = tokio::select! {
@@ -126,3 +164,23 @@
         log::debug!("connection ended: {err}");
     }
 }
+
+/// Size of the head of `req`, in bytes, without optional white space.
+fn head_bytes(req: &Request) -> usize {
+    let uri = req.uri();
+    let scheme = uri.scheme_str().map_or(0, |scheme| scheme.len() + "://".len());
+    let authority = uri.authority().map_or(0, |authority| authority.as_str().len());
+    let path = uri.path_and_query().map_or(0, |path| path.as_str().len());
+    let line = req.method().as_str().len() + "  HTTP/1.1\r\n".len() + scheme + authority + path;
+    let field = |name: &header::HeaderName, value: &header::HeaderValue| {
+        name.as_str().len() + value.len() + ":\r\n".len()
+    };
+    let fields: usize = req.headers().iter().map(|(name, value)| field(name, value)).sum();
+    line + fields + "\r\n".len()
+}
+
+fn refuse_head(head_bytes: usize, max_head_bytes: usize) -> Response {
+    log::info!(head_bytes, max_head_bytes; "request refused: its head is too large");
+    let problem = format!("The head has {head_bytes} bytes; send at most {max_head_bytes}.");
+    answer::refusal(431, &problem, None)
+}
--- a/tests/gateways.rs
+++ b/tests/gateways.rs
@@ -302,6 +302,7 @@
 pub struct Gateway {
     pub process: Process,
     pub readiness_addr: net::SocketAddr,
+    pub operators_addr: net::SocketAddr,
     client_addr: net::SocketAddr,
     settings_path: path::PathBuf,
     log_path: path::PathBuf,
@@ -339,7 +340,14 @@
         fs::write(&settings_path, settings).unwrap();
         fs::write(&log_path, "").unwrap();
         let process = run(&settings_path, &log_path, client_addr);
-        let gateway = Self { process, readiness_addr, client_addr, settings_path, log_path };
+        let gateway = Self {
+            process,
+            readiness_addr,
+            operators_addr: operators,
+            client_addr,
+            settings_path,
+            log_path,
+        };
         wait_until("the gateway listens", || net::TcpStream::connect(readiness_addr).ok());
         gateway
     }
@@ -451,7 +459,8 @@
     call_by(&processes::http_client(), at, method, path, headers)
 }
 
-fn call_by(
+/// Sends one request on a connection that `agent` keeps open.
+pub fn call_by(
     agent: &ureq::Agent,
     at: net::SocketAddr,
     method: &str,
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -38,6 +38,7 @@
 mod gate;
 mod gateway;
 mod gateways;
+mod head_limits;
 mod host_settings;
 mod hostile;
 mod keyed;
