Reject rows of other writers in the registry, and ignore ranks they invent

Seen: with rows of another writer in the registry gateways sent requests to what some of them named, so that clients got 503 beside two sound servers, and rank agents never took their group for complete, without which no agent manages the expert map.

Cause: the parser skipped the fields that the product does not use, and so also deep nesting, numbers out of range and wrong types in them; ranks were not compared with the size of their group; of two rows with one rank the later key counted instead of the later start.

Change: a row is parsed as a whole, all fields of the pages are required, and addresses, keys, starts, cold times and ranks must be possible.

--- a/src/rank/agent.rs
+++ b/src/rank/agent.rs
@@ -213,14 +213,17 @@
     /// Reads the group and its shape from the store; `true` once all of its ranks and its shape are
     /// known.
     async fn read_group(&self, store: &platform::Store) -> Result<bool> {
-        let entries = store.read_servers().await?;
-        let own_entry = entries.iter().find(|entry| entry.address == self.engine);
+        let mut entries = store.read_servers().await?;
+        // Entries of incarnations that crashed remain for a while beside those of the next ones.
+        entries.sort_by_key(|entry| entry.started_ms);
+        let own_entry = entries.iter().rfind(|entry| entry.address == self.engine);
         let Some(member) = own_entry.and_then(|entry| entry.member.clone()) else {
             return Ok(false);
         };
         let mut group = BTreeMap::new();
         for entry in &entries {
-            if let Some(other) = entry.member.as_ref().filter(|m| m.group == member.group) {
+            let other = entry.member.as_ref().filter(|other| other.group == member.group);
+            if let Some(other) = other.filter(|other| other.rank < member.ranks) {
                 group.insert(other.rank, entry.address);
             }
         }
--- a/tests/gateways.rs
+++ b/tests/gateways.rs
@@ -309,7 +309,7 @@
 }
 
 /// Returns a loopback address that no other test uses.
-fn unused_address(port: u16) -> net::SocketAddr {
+pub fn unused_address(port: u16) -> net::SocketAddr {
     let number = ADDRESS_COUNT.fetch_add(1, atomic::Ordering::Relaxed);
     let (block, host) = ((number / HOSTS_PER_BLOCK) as u8, 1 + (number % HOSTS_PER_BLOCK) as u8);
     let pid = process::id();
@@ -495,10 +495,15 @@
 ) {
     *server.registered.lock().unwrap() = Some((addr, state.into(), rank));
     let group = rank.map_or(String::new(), agents::group_fields);
-    let row = format!(
-        r#"{{"service":"llm","address":"{addr}","zone":"z","state":"{state}","born":1{group}}}"#
-    );
-    store.put("servers", &server.current_id(), &row);
+    store.put("servers", &server.current_id(), &row(addr, state, 1, &group));
+}
+
+/// Returns the row of a server; `more_fields` follow the others.
+pub fn row(addr: net::SocketAddr, state: &str, started_ms: u64, more_fields: &str) -> String {
+    format!(
+        r#"{{"service":"llm","address":"{addr}","zone":"z","version":"v1","slots":12,
+        "state":"{state}","cold_remaining_ms":0,"seq":1,"born":{started_ms}{more_fields}}}"#
+    )
 }
 
 /// Removes a server from the registry; it serves on.
--- a/tests/notices.rs
+++ b/tests/notices.rs
@@ -7,7 +7,7 @@
 };
 
 use crate::{
-    gateways::{Behavior, Site},
+    gateways::{self, Behavior, Site},
     store::Mode,
 };
 
@@ -32,10 +32,7 @@
     site.servers[0].set_behavior(Behavior::Leave);
     assert_eq!(site.send("GET", "/read/a", "id-1").status, 200);
     assert_eq!(site.send("GET", "/read/a", "id-2").status, 503);
-    let row = format!(
-        r#"{{"service":"llm","address":"{}","zone":"z","state":"ready","born":2}}"#,
-        site.servers[0].addr
-    );
+    let row = gateways::row(site.servers[0].addr, "ready", 2, "");
     site.store.put("servers", "i-0", &row);
     site.servers[0].set_behavior(Behavior::Answer);
     crate::processes::wait_until("the new incarnation gets requests", || {
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -53,9 +53,25 @@
         valid.replace("10.0.0.9:8080", "somewhere"),
         valid.replace(r#""zone":"riga-a""#, r#""zone":7"#),
         valid.replace(r#""service":"llm","#, ""),
+        valid.replace(r#""slots":12,"#, ""),
+        valid.replace(r#""slots":12"#, r#""slots":1e999"#),
+        valid.replace(r#""seq":4"#, r#""seq":[4]"#),
+        valid.replace(r#""version":"v1""#, r#""version":1"#),
+        valid.replace("1500", "1e999"),
+        valid.replace(":8080", ":65536"),
+        valid.replace(":8080", ":0"),
+        valid.replace("10.0.0.9", "0.0.0.0"),
+        valid.replace(r#""born":5"#, r#""born":9000000000000000000"#),
+        valid.replace(r#""born":5"#, r#""born":1e30"#),
+        valid.replace(r#""rank":3"#, r#""rank":12"#),
+        valid.replace(r#""rank":3"#, r#""rank":18446744073709551615"#),
+        valid.replace(r#""size":12"#, r#""size":0"#),
     ];
     for text in invalid {
-        assert!(registry::parse("i-1", text.as_bytes()).is_none(), "{text}");
+        assert!(registry::parse("i-1", text.as_bytes()).is_err(), "{text}");
+    }
+    for id in ["", "i\n1", "i\u{0}"] {
+        assert!(registry::parse(id, valid.as_bytes()).is_err(), "{id:?}");
     }
 }
 
