Take a refusal for a request's own only if it names the request

Seen: a faulty server that writes an earlier refusal once more in front of an answer made gateways answer 503 for requests that it ran (repeatable requests on kept connections, refusals without an id), and run an unsafe request at a second server (a 421 that names another request, also on a new connection).

Cause: classify_answer looked at 421 before the id, and took each answer without an id for the request's own.

Evidence: foreign_refusals on real gateways; before, kept_connections got 503 for a request that had run, and new_connections saw one request at two servers.

Change: an answer counts only if it names the request, whatever its status, or if it names none and is the first on its connection. Of other answers nothing counts, neither pause nor limit.

The class: 408, 421, 429 and 503, with another id and without, on kept and new connections, unsafe, safe and streaming routes, one server and two, and a server's own refusals.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -79,12 +79,14 @@
         }
     };
     let (head, body) = res.into_parts();
-    let kind = exchange::classify_answer(head.status, &head.headers, &req.id);
+    let kind = exchange::classify_answer(head.status, &head.headers, &req.id, !reused);
+    if kind != AnswerKind::OtherServer {
+        reservation.record_activity();
+    }
     let notice = match kind {
-        AnswerKind::OtherServer => exchange::ServerNotice::default(),
+        AnswerKind::OtherServer | AnswerKind::OtherRequest => exchange::ServerNotice::default(),
         _ => {
             let notice = exchange::server_notice(head.status, &head.headers);
-            reservation.record_activity();
             reservation.record_notice(notice, kind != AnswerKind::NotRun);
             notice
         }
--- a/tests/gateways.rs
+++ b/tests/gateways.rs
@@ -200,12 +200,13 @@
         if crash_times.last().is_some_and(|at| at.elapsed() < RESTART_TIME) {
             return abort(req);
         }
+        let id = headers.get("x-knapweedford-request-id").cloned().unwrap_or_default();
+        let id_header = ("X-Knapweedford-Request-Id", id.as_str());
         let expected = headers.get("x-knapweedford-expect-instance");
         if expected.is_some_and(|expected| *expected != self.current_id()) {
-            return respond(req, 421, "", &[]);
+            return respond(req, 421, "", &[id_header]);
         }
         let prompt = headers.get("x-knapweedford-prefix-hash").cloned().unwrap_or_default();
-        let id = headers.get("x-knapweedford-request-id").cloned().unwrap_or_default();
         let last_event: usize =
             headers.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or_default();
         let url = req.url().to_owned();
@@ -229,16 +230,15 @@
             }
         }
         let seal = format!("seal-{}", self.id);
-        let answer_headers =
-            [("X-Knapweedford-Request-Id", id.as_str()), ("X-Knapweedford-Response-Seal", &seal)];
+        let answer_headers = [id_header, ("X-Knapweedford-Response-Seal", &seal)];
         let limit = *self.limit.lock().unwrap();
         match behavior {
             Behavior::RefuseWith(status) => {
-                respond(req, status, "", &[("X-Knapweedford-Not-Executed", "1")]);
+                respond(req, status, "", &[id_header, ("X-Knapweedford-Not-Executed", "1")]);
             }
             Behavior::Pause(retry_after) => {
-                let headers = [("X-Knapweedford-Not-Executed", "1"), ("Retry-After", retry_after)];
-                respond(req, 503, "", &headers);
+                let not_executed = ("X-Knapweedford-Not-Executed", "1");
+                respond(req, 503, "", &[id_header, not_executed, ("Retry-After", retry_after)]);
             }
             Behavior::Leave => {
                 let [id, seal] = answer_headers;
@@ -252,8 +252,8 @@
             Behavior::Answer | Behavior::CutStream | Behavior::Paced(_)
                 if url.starts_with("/stream/") =>
             {
-                let headers: Vec<(&str, &str)> =
-                    limit.iter().map(|per_s| ("Server-Limit", *per_s)).collect();
+                let mut headers = answer_headers.to_vec();
+                headers.extend(limit.map(|per_s| ("Server-Limit", per_s)));
                 let mut chunks = ChunkedAnswer::start(req, "text/event-stream", &headers).unwrap();
                 for n in last_event + 1..=6 {
                     if let Behavior::Paced(gap_ms) = behavior {
--- /dev/null
+++ b/tests/raw_servers.rs
@@ -0,0 +1,91 @@
+//! Test harness for servers that choose the bytes that they send on a connection.
+
+use std::{
+    io::{BufRead, BufReader, Read},
+    net,
+    sync::Arc,
+    thread,
+};
+
+use crate::{
+    gateways::{self, Gateway},
+    processes::wait_until,
+    store::Store,
+};
+
+/// A request as a server received it.
+pub struct Request {
+    head: String,
+    /// Number of requests before it on the same connection.
+    pub earlier: usize,
+}
+
+impl Request {
+    /// Returns the value of the header `name`, which is in lower case; empty if there is none.
+    pub fn header(&self, name: &str) -> &str {
+        let lines = self.head.lines().filter_map(|line| line.split_once(": "));
+        lines.filter(|(key, _)| *key == name).map(|(_, value)| value).next().unwrap_or_default()
+    }
+
+    /// Returns the identity of the request.
+    pub fn id(&self) -> &str {
+        self.header("x-knapweedford-request-id")
+    }
+
+    /// Whether the request is for a stream.
+    pub fn streams(&self) -> bool {
+        self.head.contains(" /stream/")
+    }
+
+    /// Reads the next request on a connection; `None` at its end.
+    fn read(conn: &mut BufReader<net::TcpStream>, earlier: usize) -> Option<Self> {
+        let mut head = String::new();
+        while !head.ends_with("\r\n\r\n") {
+            if conn.read_line(&mut head).ok()? == 0 {
+                return None;
+            }
+        }
+        let req = Self { head, earlier };
+        let mut body = vec![0; req.header("content-length").parse().unwrap_or_default()];
+        conn.read_exact(&mut body).ok()?;
+        Some(req)
+    }
+}
+
+/// Starts a server; `answer` sends what answers a request, and returns whether the connection stays
+/// open.
+pub fn start(
+    answer: impl Fn(&Request, &mut net::TcpStream) -> bool + Send + Sync + 'static,
+) -> net::SocketAddr {
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let answer = Arc::new(answer);
+    thread::spawn(move || {
+        for conn in listener.incoming().map_while(Result::ok) {
+            let answer = Arc::clone(&answer);
+            thread::spawn(move || {
+                let mut tx = conn.try_clone().unwrap();
+                let mut rx = BufReader::new(conn);
+                for earlier in 0.. {
+                    match Request::read(&mut rx, earlier) {
+                        Some(req) if answer(&req, &mut tx) => {}
+                        _ => return,
+                    }
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// Starts a gateway with these servers, in this order of their ids, and waits until it is ready.
+pub fn start_gateway(servers: &[net::SocketAddr]) -> Gateway {
+    let store = Store::start();
+    for (n, addr) in servers.iter().enumerate() {
+        store.put("servers", &format!("i-{n}"), gateways::row(*addr, "ready", 1, ""));
+    }
+    store.put("op", "config", gateways::config(1, "llm"));
+    let gateway = Gateway::start(store.addr);
+    wait_until("the gateway is ready", || gateway.is_ready().then_some(()));
+    gateway
+}
