Do not trust a refused order on a connection that carried other calls

Seen: with an engine that writes an earlier refusal in front of the answer to an order, groups of real rank agents lost and regained their owner, changes of the map were dropped, and held passes waited up to a second.

Cause: the agent took the refusal for the order's answer, returned the connection to the pool, and took the answer that followed for that of its next call, so that heartbeats were lost.

Evidence: foreign_refusals::refused_orders; the agents' logs have "ownership lost" and await phases of over 700 ms. Two maps in one pass, the other hypothesis, were not seen: changes go by statuses, not by refusals.

Change: Pool::call_for_refusals fails and closes the connection if a reused one answers with a refusal.

The class: orders of all kinds, answers 0, 5 and 40 ms after the refusal.

Measured: the test failed before and passes.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -259,13 +259,43 @@
         req: Request,
         limit: usize,
         timeout: time::Duration,
+    ) -> Result<hyper::Response<Bytes>, Failure> {
+        self.call_with_trust(addr, req, limit, timeout, Trust::Any).await
+    }
+
+    /// Like [`call`](Self::call), for a request whose refusal must be its own: a server may write an
+    /// earlier refusal once more on a connection that has carried other requests. The call then
+    /// fails and the connection is closed, since the answer may still follow.
+    pub async fn call_for_refusals(
+        &self,
+        addr: net::SocketAddr,
+        req: Request,
+        limit: usize,
+        timeout: time::Duration,
+    ) -> Result<hyper::Response<Bytes>, Failure> {
+        self.call_with_trust(addr, req, limit, timeout, Trust::OwnRefusals).await
+    }
+
+    async fn call_with_trust(
+        &self,
+        addr: net::SocketAddr,
+        req: Request,
+        limit: usize,
+        timeout: time::Duration,
+        trust: Trust,
     ) -> Result<hyper::Response<Bytes>, Failure> {
         let calling = async {
-            let mut conn = match self.take(addr) {
+            let pooled = self.take(addr);
+            let is_reused = pooled.is_some();
+            let mut conn = match pooled {
                 Some(conn) => conn,
                 None => Connection::open(addr, timeout).await?,
             };
             let (head, body) = conn.send(req).await?.into_parts();
+            if trust == Trust::OwnRefusals && is_reused && !head.status.is_success() {
+                let problem = format!("status {} may answer an earlier request", head.status);
+                return Err(Failure::Sent(problem));
+            }
             let body = BodyReader::new(addr, conn, body).read_to_end(self, limit).await?;
             Ok(hyper::Response::from_parts(head, body))
         };
@@ -274,6 +304,15 @@
     }
 }
 
+/// Which answers count on a connection that has carried other requests.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Trust {
+    /// All of them.
+    Any,
+    /// Those that are no refusals.
+    OwnRefusals,
+}
+
 /// Creates a request that the load balancer itself sends to the platform or an engine, with a JSON
 /// body if `json` is given.
 pub fn request(
--- a/tests/foreign_refusals.rs
+++ b/tests/foreign_refusals.rs
@@ -11,7 +11,9 @@
 
 use crate::{
     gateways::{self, Behavior, Server},
+    rank_agents::{Group, OrderAnswers},
     raw_servers::{self, Request},
+    store::Store,
 };
 
 const REFUSAL_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -141,3 +143,23 @@
     let answer = gateways::send(gateway.process.address, "POST", "/once/a", "id-1");
     assert_eq!(answer.status, 503);
 }
+
+/// Guards against rank agents that take the refusal of an earlier order, or the answer that follows
+/// it, for the answer to another call: the group stands while their owner changes.
+#[test]
+fn refused_orders() {
+    let stores = [Store::start(), Store::start(), Store::start()];
+    let mut groups = stores.each_ref().map(|store| Group::start(store, 3));
+    for ((group, store), pause_ms) in groups.iter_mut().zip(&stores).zip([0, 5, 40]) {
+        group.start_agents(store);
+        group.wait_for_change();
+        group.set_answers(OrderAnswers::AfterEarlierRefusal(Duration::from_millis(pause_ms)));
+    }
+    thread::sleep(Duration::from_secs(5));
+    for group in &mut groups {
+        group.wait_for_change();
+        assert!(group.mixed_passes().is_empty(), "a pass began with two maps");
+        assert!(!group.logs().contains("ownership lost"), "{}", group.logs());
+        assert!(group.agents.iter_mut().all(|agent| agent.is_running()));
+    }
+}
--- a/tests/rank_agents.rs
+++ b/tests/rank_agents.rs
@@ -20,6 +20,9 @@
 /// Duration of a pass of the group.
 const PASS_TIME: Duration = Duration::from_millis(30);
 
+/// Passes after which requests choose another expert most of the time.
+const PASSES_PER_SHIFT: u64 = 50;
+
 /// How engines answer orders.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum OrderAnswers {
@@ -44,6 +47,8 @@
 struct Engines {
     step: u64,
     ranks: Vec<Engine>,
+    /// How often requests chose each expert.
+    counts: [u64; EXPERTS],
     answers: OrderAnswers,
     /// Passes that began while engines had different maps.
     mixed_passes: Vec<u64>,
@@ -57,6 +62,10 @@
             return;
         }
         self.step = next;
+        let popular = (next / PASSES_PER_SHIFT) as usize % EXPERTS;
+        for (expert, count) in self.counts.iter_mut().enumerate() {
+            *count += if expert == popular { 20 } else { 1 };
+        }
         for engine in &mut self.ranks {
             if engine.armed.is_some_and(|(_, step)| step <= next) {
                 engine.armed = None;
@@ -108,7 +117,7 @@
     fn report(&self, rank: usize) -> serde_json::Value {
         let engine = &self.ranks[rank];
         serde_json::json!({
-            "queued": 0, "running": 4, "pace": 1.0, "size": self.ranks.len(), "step": self.step,
+            "queued": 0, "running": 8, "pace": 1.0, "size": self.ranks.len(), "step": self.step,
             "group": {"name": "g", "epoch": EPOCH, "rank": rank, "state": "open"},
             "map": engine.map.0, "prepared": engine.prepared.as_ref().map(|(version, _)| version),
             "armed": engine.armed.map(|(version, step)| {
@@ -118,12 +127,6 @@
         })
     }
 
-    /// Returns what requests chose so far: mostly the first expert.
-    fn counts(&self) -> serde_json::Value {
-        let counts = [20, 1, 1, 1].map(|share| share * self.step);
-        serde_json::json!({"step": self.step, "epoch": EPOCH, "counts": counts})
-    }
-
     fn lists(&self, rank: usize) -> serde_json::Value {
         let list = |(version, experts): &(u64, Vec<u64>)| serde_json::json!({"version": version, "experts": [experts]});
         let engine = &self.ranks[rank];
@@ -149,6 +152,7 @@
         let engine = |rank| Engine { map: (0, in_turn(rank)), ..Engine::default() };
         let engines = Arc::new(Mutex::new(Engines {
             step: 0,
+            counts: [0; EXPERTS],
             ranks: (0..ranks).map(engine).collect(),
             answers: OrderAnswers::Normal,
             mixed_passes: Vec::new(),
@@ -171,7 +175,10 @@
         let config = agents::config(1);
         assert!(config.contains(shape));
         let small_shape = format!(r#""sets":1,"experts":{EXPERTS},"places":3,"spare":3"#);
-        store.put("op", "config", config.replace(shape, &small_shape));
+        // The engines are busy, and the work of the experts takes long enough to be worth a change.
+        let config = config.replace(shape, &small_shape).replace(r#""slots":1000"#, r#""slots":8"#);
+        let config = config.replace(r#""per_seq_ms":0.001"#, r#""per_seq_ms":2.0"#);
+        store.put("op", "config", config);
         Self { agents: Vec::new(), addresses, logs: Vec::new(), engines }
     }
 
@@ -206,8 +213,12 @@
 
     /// Whether an agent acts as the owner of the group.
     pub fn has_owner(&self) -> bool {
-        let owns = |log| fs::read_to_string(log).is_ok_and(|text| text.contains("is_owner=true"));
-        self.logs.iter().any(owns)
+        self.logs().contains("is_owner=true")
+    }
+
+    /// Returns what the agents have logged.
+    pub fn logs(&self) -> String {
+        self.logs.iter().map(|log| fs::read_to_string(log).unwrap()).collect()
     }
 
     /// Waits until all engines use a map that they did not use before.
@@ -251,7 +262,11 @@
         let mut engines = engines.lock().unwrap();
         match req.url() {
             "/-/report" => (200, engines.report(rank), OrderAnswers::Normal),
-            "/-/picked" => (200, engines.counts(), OrderAnswers::Normal),
+            "/-/picked" => {
+                let (step, counts) = (engines.step, engines.counts);
+                let body = serde_json::json!({"step": step, "epoch": EPOCH, "counts": counts});
+                (200, body, OrderAnswers::Normal)
+            }
             "/-/picked?lists=1" => (200, engines.lists(rank), OrderAnswers::Normal),
             "/-/order" => {
                 let order = serde_json::from_reader(req.as_reader()).unwrap();
