Resume a stream only with events that follow those before

Seen: after a stream broke off, 15 of 28 answers of the next server got into it: errors with status 200 as text, JSON, a head or an event, events that the client had, and answers without events, which ended the stream as complete.

Cause: relay::resume took any 2xx for the rest of the stream, and forward_events looked for event boundaries only.

Evidence: broken_streams on real gateways; errors that say so by their status did not get in, which rules out the choice of the next server and the framing.

Change: the rest has the status and media type of the beginning, its events have ids that increase from the last one, and without events it is an attempt that broke off. A stream whose last event has no id is not resumed.

The entry checks head and checksum; rank agents forward no streams.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -18,7 +18,7 @@
         self,
         answer::Piece,
         client::{BodyReader, Failure},
-        events::EventSplitter,
+        events::{self, EventSplitter},
     },
     metrics,
     platform::exchange,
@@ -43,6 +43,42 @@
     pub request_log: RequestLog,
 }
 
+/// How far the events of a stream have been forwarded.
+#[derive(Default)]
+struct Progress {
+    /// Id of the last event, if it had one.
+    last_id: Option<String>,
+    /// Whether the present server resumes the stream of another.
+    is_resumed: bool,
+    /// Whether the present server has sent an event.
+    has_events: bool,
+}
+
+impl Progress {
+    /// Records `events`, a run of complete events. Fails if the present server resumes the stream and
+    /// they do not follow those before.
+    fn record(&mut self, events: &[u8]) -> Result<(), Failure> {
+        let ids: Vec<Option<&str>> = EventSplitter::ids(events).collect();
+        let mut last_number = self.last_id.as_deref().and_then(|id| id.parse::<u64>().ok());
+        for id in ids.iter().filter(|_| self.is_resumed) {
+            let number = id.and_then(|id| id.parse().ok());
+            if id.is_none() || number <= last_number {
+                return Err(Failure::Sent(format!("event {id:?} follows event {last_number:?}")));
+            }
+            last_number = number;
+        }
+        if let Some(last_id) = ids.last() {
+            (self.last_id, self.has_events) = (last_id.map(str::to_owned), true);
+        }
+        Ok(())
+    }
+
+    /// Whether another server can send the events that follow the last one.
+    fn is_resumable(&self) -> bool {
+        self.last_id.is_some() || !self.has_events
+    }
+}
+
 /// Reason why a stream ended early.
 enum Interruption {
     /// The client closed its connection.
@@ -68,7 +104,7 @@
 async fn run(gateway: rc::Rc<Gateway>, stream: Stream, tx: mpsc::Sender<Piece>) {
     let Stream { head, mut body, mut reservation, mut req, mut request_log } = stream;
     let status = head.status.as_u16();
-    let mut last_id: Option<String> = None;
+    let mut progress = Progress::default();
     loop {
         let (server, group) = (reservation.server.clone(), reservation.group().map(str::to_owned));
         let moving = gateway.reserve_move(&req, &server, group.as_deref());
@@ -77,7 +113,7 @@
             &mut body,
             &mut reservation,
             &tx,
-            &mut last_id,
+            &mut progress,
             &mut request_log,
         );
         let forwarded = tokio::select! {
@@ -113,14 +149,17 @@
         // Closes the connection and releases the slot before another one is reserved.
         drop((body, reservation));
         let timeout_at = req.timeout_at;
-        let resuming = resume(&gateway, &mut req, last_id.as_deref(), target, &mut request_log);
+        let resuming = resume(&gateway, &mut req, (&head, &progress), target, &mut request_log);
         let resumed = tokio::select! {
             resumed = resuming => resumed,
             () = tx.closed() => return,
             () = tokio::time::sleep_until(timeout_at) => None,
         };
         match resumed {
-            Some(resumed) => (body, reservation) = resumed,
+            Some(resumed) => {
+                (body, reservation) = resumed;
+                (progress.is_resumed, progress.has_events) = (true, false);
+            }
             None => return request_log.set_end(metrics::Ending::Failed, status, "broken-off"),
         }
     }
@@ -132,7 +171,7 @@
     body: &mut BodyReader,
     reservation: &mut Reservation,
     tx: &mpsc::Sender<Piece>,
-    last_id: &mut Option<String>,
+    progress: &mut Progress,
     request_log: &mut RequestLog,
 ) -> Result<(), Interruption> {
     let mut events = EventSplitter::new(0);
@@ -142,33 +181,42 @@
         let complete =
             complete.map_err(|err| Interruption::Server(Failure::Sent(err.to_string())))?;
         let Some((complete, events)) = complete else { continue };
-        if let Some(id) = EventSplitter::last_id(&complete) {
-            *last_id = Some(id.to_owned());
-        }
+        progress.record(&complete).map_err(Interruption::Server)?;
         request_log.record_piece();
         reservation.record_events(events);
         tx.send(Piece::Data(complete.into())).await.map_err(|_| Interruption::ClientLeft)?;
     }
-    match events.at_event_boundary() {
-        true => Ok(()),
-        false => {
-            Err(Interruption::Server(Failure::Sent("the stream ended within an event".into())))
+    let problem = match () {
+        () if !events.at_event_boundary() => "the stream ended within an event",
+        () if progress.is_resumed && !progress.has_events => {
+            "the stream was resumed without events"
         }
-    }
+        () => return Ok(()),
+    };
+    Err(Interruption::Server(Failure::Sent(problem.into())))
+}
+
+/// Returns whether an answer with the head `next` can be the rest of the one that began with `first`.
+fn is_rest(first: &response::Parts, next: &response::Parts) -> bool {
+    first.status == next.status
+        && events::is_event_stream(&first.headers)
+        && events::is_event_stream(&next.headers)
 }
 
-/// Resumes the stream at another server, after the event `last_id`; returns `None` if that is
-/// not possible. The first attempt is that of `target`, if there is one.
+/// Resumes the stream that began with the head `first` at another server, after the events of
+/// `progress`; returns `None` if that is not possible. The first attempt is that of `target`, if there is one.
 async fn resume(
     gateway: &rc::Rc<Gateway>,
     req: &mut RoutedRequest,
-    last_id: Option<&str>,
+    (first, progress): (&response::Parts, &Progress),
     mut target: Option<Reservation>,
     request_log: &mut RequestLog,
 ) -> Option<(BodyReader, Reservation)> {
-    if req.route.repeatability != catalog::Repeatability::Resumable {
+    let may_resume = req.route.repeatability == catalog::Repeatability::Resumable;
+    if !may_resume || !progress.is_resumable() {
         return None;
     }
+    let last_id = progress.last_id.as_deref();
     loop {
         let mut reservation = match target.take() {
             Some(reservation) => reservation,
@@ -178,12 +226,14 @@
         request_log.add_attempt(&reservation.server, reservation.in_flight);
         req.tried.push(reservation.server.clone());
         match attempt::send(gateway, &mut reservation, req, last_id).await {
-            AttemptResult::Answer { body, succeeded: true, .. } => {
+            AttemptResult::Answer { head, body, succeeded: true } if is_rest(first, &head) => {
                 req.arrivals += 1;
                 return Some((body, reservation));
             }
-            AttemptResult::Answer { head, .. } => {
-                request_log.add_result(head.status.as_str());
+            AttemptResult::Answer { head, succeeded, .. } => {
+                let status = head.status.as_str();
+                request_log.add_result(if succeeded { "no-stream" } else { status });
+                reservation.set_outcome(selector::Outcome::Failure);
                 req.arrivals += 1;
             }
             AttemptResult::NotRun { reason, arrived } => {
--- a/src/http/events.rs
+++ b/src/http/events.rs
@@ -1,8 +1,19 @@
 //! Splits a stream of server-sent events at event boundaries.
 
+use hyper::header;
+
+/// Media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
 /// Maximum size of one event, in bytes.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
+/// Returns whether an answer with `headers` has a stream of events as its body.
+pub fn is_event_stream(headers: &hyper::HeaderMap) -> bool {
+    let kind = headers.get(header::CONTENT_TYPE).map(header::HeaderValue::as_bytes);
+    let start = kind.and_then(|kind| kind.get(..EVENT_STREAM.len()));
+    start.is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM.as_bytes()))
+}
+
 /// Splits the bytes of one stream into runs of complete events, and counts the events.
 #[derive(Debug)]
 pub struct EventSplitter {
@@ -59,6 +70,21 @@
         std::str::from_utf8(id).ok().map(str::trim)
     }
 
+    /// Returns the id of each event in `events`, a run of complete events, without comments, which
+    /// are no events.
+    pub fn ids(mut events: &[u8]) -> impl Iterator<Item = Option<&str>> {
+        let next_event = move || {
+            let end = events.windows(2).position(|pair| pair == b"\n\n")? + 2;
+            let (event, rest) = events.split_at(end);
+            events = rest;
+            Some(event)
+        };
+        let is_event = |event: &&[u8]| {
+            event.split(|byte| *byte == b'\n').any(|line| !line.is_empty() && line[0] != b':')
+        };
+        std::iter::from_fn(next_event).filter(is_event).map(Self::last_id)
+    }
+
     /// Whether the last complete event marks the end of a model engine's stream.
     pub fn is_complete(&self) -> bool {
         self.complete
--- a/src/sidecar/backend.rs
+++ b/src/sidecar/backend.rs
@@ -5,7 +5,7 @@
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3;
 
-use crate::http::events::EventSplitter;
+use crate::http::events::{self, EventSplitter};
 use crate::{config, name, settings, wire};
 
 /// Longest time to open a connection to the backend server.
@@ -127,7 +127,7 @@
         };
         let head = wire::Reply::Head { status: res.status().as_u16(), headers: wire_headers(&res) };
         match tx.blocking_send(head) {
-            Ok(()) if is_event_stream(&res) => forward_stream(call, res, tx),
+            Ok(()) if events::is_event_stream(res.headers()) => forward_stream(call, res, tx),
             Ok(()) => forward_body(call, res, tx),
             Err(_) => ExchangeEnd::Cancelled,
         }
@@ -201,12 +201,6 @@
     res.headers().iter().filter_map(header).collect()
 }
 
-fn is_event_stream(res: &http::Response<ureq::Body>) -> bool {
-    let content_type = res.headers().get(http::header::CONTENT_TYPE);
-    content_type
-        .is_some_and(|content_type| content_type.as_bytes().starts_with(b"text/event-stream"))
-}
-
 /// Forwards a stream in pieces of complete events, so that another server can resume it after any
 /// piece.
 fn forward_stream(
--- a/stand-ins/store.rs
+++ b/stand-ins/store.rs
@@ -77,7 +77,7 @@
     }
 
     /// Writes a row, as another writer than the product does.
-    pub fn put(&self, table: &str, key: &str, value: impl AsRef<[u8]>) {
+    pub fn put(&self, table: &str, key: &str, value: &(impl AsRef<[u8]> + ?Sized)) {
         let value = base64::engine::general_purpose::STANDARD.encode(value);
         self.change(|state| {
             state.ver += 1;
--- a/tests/foreign_refusals.rs
+++ b/tests/foreign_refusals.rs
@@ -137,7 +137,8 @@
         assert_eq!((send("id-4"), send("id-5")), (503, 503), "{path}");
     }
     let unstated = |_: &Request, conn: &mut net::TcpStream| {
-        conn.write_all(refusal(503, None).as_bytes()).is_ok() && false
+        let _ = conn.write_all(refusal(503, None).as_bytes());
+        false
     };
     let gateway = raw_servers::start_gateway(&[raw_servers::start(unstated)]);
     let answer = gateways::send(gateway.process.address, "POST", "/once/a", "id-1");
--- a/tests/foreign_rows.rs
+++ b/tests/foreign_rows.rs
@@ -51,7 +51,7 @@
     for (n, row) in rows.iter().enumerate() {
         store.put("servers", &format!("foreign-{n}"), row);
     }
-    store.put("servers", "foreign-bytes", [0xff, 0xfe, 0x00, b'{']);
+    store.put("servers", "foreign-bytes", &[0xff, 0xfe, 0x00, b'{']);
     store.put("servers", "foreign\nkey", &valid);
     rows.len() + 2
 }
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -12,6 +12,7 @@
 mod agreement;
 mod backends;
 mod balance;
+mod broken_streams;
 mod capacity;
 mod catalog;
 mod claims;
--- a/tests/rank_agents.rs
+++ b/tests/rank_agents.rs
@@ -169,7 +169,7 @@
             let group = format!(r#"{{"name":"g","epoch":1,"rank":{rank},"state":"open"}}"#);
             let fields = format!(r#","group":{group},"size":{ranks}"#);
             let row = gateways::row(*addr, "ready", 2, &fields);
-            store.put("servers", &format!("i-rank{rank}"), row);
+            store.put("servers", &format!("i-rank{rank}"), &row);
         }
         let shape = r#""sets":8,"experts":32,"places":5,"spare":2"#;
         let config = agents::config(1);
@@ -178,7 +178,7 @@
         // The engines are busy, and the work of the experts takes long enough to be worth a change.
         let config = config.replace(shape, &small_shape).replace(r#""slots":1000"#, r#""slots":8"#);
         let config = config.replace(r#""per_seq_ms":0.001"#, r#""per_seq_ms":2.0"#);
-        store.put("op", "config", config);
+        store.put("op", "config", &config);
         Self { agents: Vec::new(), addresses, logs: Vec::new(), engines }
     }
 
--- a/tests/raw_servers.rs
+++ b/tests/raw_servers.rs
@@ -1,10 +1,10 @@
 //! Test harness for servers that choose the bytes that they send on a connection.
 
 use std::{
-    io::{BufRead, BufReader, Read},
+    io::{BufRead, BufReader, Read, Write},
     net,
     sync::Arc,
-    thread,
+    thread, time,
 };
 
 use crate::{
@@ -13,6 +13,9 @@
     store::Store,
 };
 
+/// Longest time without a byte of an answer.
+const READ_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
 /// A request as a server received it.
 pub struct Request {
     head: String,
@@ -78,13 +81,36 @@
     addr
 }
 
+/// Requests a stream and returns all bytes of the answer, without its chunk framing.
+pub fn request_stream(at: net::SocketAddr, id: &str) -> String {
+    let mut conn = net::TcpStream::connect(at).unwrap();
+    conn.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+    let head = format!(
+        "POST /stream/a HTTP/1.1\r\nHost: {}\r\nApi-Key: {}\r\nContent-Length: 0\r\n\
+         X-Knapweedford-Request-Id: {id}\r\nConnection: close\r\n\r\n",
+        gateways::HOST,
+        gateways::API_KEY
+    );
+    conn.write_all(head.as_bytes()).unwrap();
+    let mut received = String::new();
+    let _ = conn.read_to_string(&mut received);
+    let (head, mut rest) = received.split_once("\r\n\r\n").unwrap_or((&received, ""));
+    let mut answer = format!("{head}\r\n\r\n");
+    while let Some((size, chunk)) = rest.split_once("\r\n") {
+        let size = usize::from_str_radix(size, 16).unwrap_or_default();
+        answer += &chunk[..size.min(chunk.len())];
+        rest = chunk.get(size + 2..).unwrap_or_default();
+    }
+    answer
+}
+
 /// Starts a gateway with these servers, in this order of their ids, and waits until it is ready.
 pub fn start_gateway(servers: &[net::SocketAddr]) -> Gateway {
     let store = Store::start();
     for (n, addr) in servers.iter().enumerate() {
-        store.put("servers", &format!("i-{n}"), gateways::row(*addr, "ready", 1, ""));
+        store.put("servers", &format!("i-{n}"), &gateways::row(*addr, "ready", 1, ""));
     }
-    store.put("op", "config", gateways::config(1, "llm"));
+    store.put("op", "config", &gateways::config(1, "llm"));
     let gateway = Gateway::start(store.addr);
     wait_until("the gateway is ready", || gateway.is_ready().then_some(()));
     gateway
