--- a/src/site/catalog.rs
+++ b/src/site/catalog.rs
@@ -210,8 +210,8 @@
 impl Route {
     /// Picks the service into whose share of the weights `draw`, from 0 to 1, falls.
     pub fn pick_service(&self, draw: f64) -> &name::Service {
-        let total_weight: u32 = self.targets.iter().map(|target| target.weight).sum();
-        let mut remaining = draw * f64::from(total_weight);
+        let total_weight: f64 = self.targets.iter().map(|target| f64::from(target.weight)).sum();
+        let mut remaining = draw * total_weight;
         for target in &self.targets {
             remaining -= f64::from(target.weight);
             if remaining < 0.0 {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -139,6 +139,45 @@
     assert!(took < Duration::from_millis(2500), "answered after {took:?}, the route allows 2 s");
 }
 
+/// Guards against a closed connection, or a configuration that is no longer followed, because of a
+/// time that is longer than the clock can count.
+#[test]
+fn huge_times() {
+    let site = Site::start(1, false);
+    let at = site.gateway.process.address;
+    let send = |deadline: &str| {
+        let headers = [
+            ("Host", HOST),
+            ("Api-Key", API_KEY),
+            ("X-Knapweedford-Request-Id", "id"),
+            ("X-Knapweedford-Deadline-Ms", deadline),
+        ];
+        let paths = [("GET", "/read/a"), ("POST", "/once/a"), ("POST", "/stream/a")];
+        paths.map(|(method, path)| call(at, method, path, &headers).status)
+    };
+    for deadline in ["1e30", "1e22", "1e18", "1.7e308", "1e999", "-1", "NaN", "inf"] {
+        assert_eq!(send(deadline), [200; 3], "{deadline}");
+    }
+    assert_eq!(send("soon"), [400; 3]);
+    for (n, ms) in ["1e30", "1.8e22", "1.7e308"].into_iter().enumerate() {
+        let config = config(n as u64 + 2, "llm")
+            .replace(r#""timeout_ms":2000"#, &format!(r#""timeout_ms":{ms}"#))
+            .replace(r#""target_latency_ms":400"#, &format!(r#""target_latency_ms":{ms}"#))
+            .replace(r#""gap_aim_ms":120"#, &format!(r#""gap_aim_ms":{ms}"#))
+            .replace(
+                r#""service":"llm","max"#,
+                r#""backends":[{"service":"llm","weight":1e30},
+                {"service":"llm","weight":1e30}],"max"#,
+            );
+        site.store.put("op", "config", &config);
+        let in_force = format!("msg=\"configuration in force\" version={} ", n + 2);
+        wait_until("the configuration is in force", || {
+            site.gateway.logs().contains(&in_force).then_some(())
+        });
+        assert_eq!((send("1e30"), send("3000")), ([200; 3], [200; 3]), "{ms}");
+    }
+}
+
 #[test]
 fn body_too_large() {
     let site = Site::start(1, false);
