Count events as forwarded once they are in the client's buffer

Cause: forward_events recorded events and then waited for room in the buffer; a move drops the task while it waits, and the next engine goes on after them.

Evidence: slow_readers::moved_streams, client 1 got event 58 and then 60.

Change: the task waits for room first, then records and forwards the events without waiting in between.

The class: a timeout and a client that leaves drop the task as well, and end the stream; a break ends the task only after it has forwarded what it read.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -55,22 +55,25 @@
 }
 
 impl Progress {
-    /// Records `events`, a run of complete events. Fails if the present server resumes the stream and
-    /// they do not follow those before.
-    fn record(&mut self, events: &[u8]) -> Result<(), Failure> {
-        let ids: Vec<Option<&str>> = EventSplitter::ids(events).collect();
+    /// Checks that `events`, a run of complete events, follow those before if the present server
+    /// resumes the stream.
+    fn check_order(&self, events: &[u8]) -> Result<(), Failure> {
         let mut last_number = self.last_id.as_deref().and_then(|id| id.parse::<u64>().ok());
-        for id in ids.iter().filter(|_| self.is_resumed) {
+        for id in EventSplitter::ids(events).filter(|_| self.is_resumed) {
             let number = id.and_then(|id| id.parse().ok());
             if id.is_none() || number <= last_number {
                 return Err(Failure::Sent(format!("event {id:?} follows event {last_number:?}")));
             }
             last_number = number;
         }
-        if let Some(last_id) = ids.last() {
+        Ok(())
+    }
+
+    /// Records that `events`, a run of complete events, have been forwarded.
+    fn record(&mut self, events: &[u8]) {
+        if let Some(last_id) = EventSplitter::ids(events).last() {
             (self.last_id, self.has_events) = (last_id.map(str::to_owned), true);
         }
-        Ok(())
     }
 
     /// Whether another server can send the events that follow the last one.
@@ -181,10 +184,13 @@
         let complete =
             complete.map_err(|err| Interruption::Server(Failure::Sent(err.to_string())))?;
         let Some((complete, events)) = complete else { continue };
-        progress.record(&complete).map_err(Interruption::Server)?;
+        progress.check_order(&complete).map_err(Interruption::Server)?;
         request_log.record_piece();
         reservation.record_events(events);
-        tx.send(Piece::Data(complete.into())).await.map_err(|_| Interruption::ClientLeft)?;
+        // A stream that moves or ends while this waits has not forwarded the events.
+        let slot = tx.reserve().await.map_err(|_| Interruption::ClientLeft)?;
+        progress.record(&complete);
+        slot.send(Piece::Data(complete.into()));
     }
     let problem = match () {
         () if !events.at_event_boundary() => "the stream ended within an event",
--- a/tests/broken_streams.rs
+++ b/tests/broken_streams.rs
@@ -5,6 +5,7 @@
     io::Write,
     net,
     sync::{Arc, Mutex},
+    time::Duration,
 };
 
 use crate::{
@@ -116,10 +117,12 @@
             scope.spawn(move || {
                 let gateway = raw_servers::start_gateway(&start_servers(*resumption));
                 let answer = gateways::send(gateway.process.address, "POST", "/stream/a", "id-1");
-                let received = raw_servers::request_stream(gateway.process.address, "id-2");
+                let at = gateway.process.address;
+                let received = raw_servers::request_stream(at, "id-2", Duration::ZERO);
                 let is_prefix = (SENT_EVENTS..EVENTS)
-                    .any(|last| received.ends_with(&format!("\r\n\r\n{}", events(1, last))));
-                if answer.status != 200 || answer.body.is_ok() || !is_prefix {
+                    .any(|last| received.text.ends_with(&format!("\r\n\r\n{}", events(1, last))));
+                let is_complete = answer.body.is_ok() || received.is_complete;
+                if answer.status != 200 || is_complete || !is_prefix {
                     failures.lock().unwrap().push(format!("{name}: {answer:?}, {received:?}"));
                 }
             });
@@ -150,8 +153,10 @@
         };
         let servers = [raw_servers::start(answer), raw_servers::start(answer)];
         let gateway = raw_servers::start_gateway(&servers);
-        let received = raw_servers::request_stream(gateway.process.address, "id-1");
-        assert!(received.ends_with(&format!("\r\n\r\n{sent}")), "{received}");
+        let at = gateway.process.address;
+        let received = raw_servers::request_stream(at, "id-1", Duration::ZERO);
+        assert!(received.text.ends_with(&format!("\r\n\r\n{sent}")), "{received:?}");
+        assert!(!received.is_complete, "{received:?}");
     }
 }
 
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -74,6 +74,7 @@
 mod shutdown;
 mod site;
 mod slow_engines;
+mod slow_readers;
 mod slow_server;
 mod soak;
 mod starter;
--- a/tests/raw_servers.rs
+++ b/tests/raw_servers.rs
@@ -16,6 +16,9 @@
 /// Longest time without a byte of an answer.
 const READ_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
+/// Bytes that a client reads at a time, and the size of its receive buffer.
+const READ_BYTES: usize = 16 << 10;
+
 /// A request as a server received it.
 pub struct Request {
     head: String,
@@ -81,9 +84,21 @@
     addr
 }
 
-/// Requests a stream and returns all bytes of the answer, without its chunk framing.
-pub fn request_stream(at: net::SocketAddr, id: &str) -> String {
-    let mut conn = net::TcpStream::connect(at).unwrap();
+/// An answer as a client received it.
+#[derive(Debug)]
+pub struct Received {
+    /// Head and body, without chunk framing.
+    pub text: String,
+    /// Whether the body ended with the last chunk.
+    pub is_complete: bool,
+}
+
+/// Requests a stream and reads the answer, with a pause of `pace` after each [`READ_BYTES`].
+pub fn request_stream(at: net::SocketAddr, id: &str, pace: time::Duration) -> Received {
+    let conn = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    conn.set_recv_buffer_size(READ_BYTES).unwrap();
+    conn.connect(&at.into()).unwrap();
+    let mut conn = net::TcpStream::from(conn);
     conn.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
     let head = format!(
         "POST /stream/a HTTP/1.1\r\nHost: {}\r\nApi-Key: {}\r\nContent-Length: 0\r\n\
@@ -92,16 +107,26 @@
         gateways::API_KEY
     );
     conn.write_all(head.as_bytes()).unwrap();
-    let mut received = String::new();
-    let _ = conn.read_to_string(&mut received);
-    let (head, mut rest) = received.split_once("\r\n\r\n").unwrap_or((&received, ""));
-    let mut answer = format!("{head}\r\n\r\n");
+    let (mut received, mut buf) = (Vec::new(), vec![0; READ_BYTES]);
+    while let Ok(read @ 1..) = conn.read(&mut buf) {
+        received.extend_from_slice(&buf[..read]);
+        thread::sleep(pace);
+    }
+    decode(&String::from_utf8(received).unwrap())
+}
+
+/// Removes the chunk framing of an answer.
+fn decode(answer: &str) -> Received {
+    let (head, mut rest) = answer.split_once("\r\n\r\n").unwrap_or((answer, ""));
+    let mut text = format!("{head}\r\n\r\n");
+    let mut is_complete = false;
     while let Some((size, chunk)) = rest.split_once("\r\n") {
         let size = usize::from_str_radix(size, 16).unwrap_or_default();
-        answer += &chunk[..size.min(chunk.len())];
+        is_complete = size == 0 && chunk == "\r\n";
+        text += &chunk[..size.min(chunk.len())];
         rest = chunk.get(size + 2..).unwrap_or_default();
     }
-    answer
+    Received { text, is_complete }
 }
 
 /// Starts a gateway with these servers, in this order of their ids, and waits until it is ready.
