--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -214,7 +214,8 @@
 }
 
 /// Resumes the stream that began with the head `first` at another server, after the events of
-/// `progress`; returns `None` if that is not possible. The first attempt is that of `target`, if there is one.
+/// `progress`; returns `None` if that is not possible. The first attempt is that of `target`, if
+/// there is one.
 async fn resume(
     gateway: &rc::Rc<Gateway>,
     req: &mut RoutedRequest,
