--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -43,9 +43,14 @@
         Self { child, address }
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the process, such as `STOP`.
     pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
+        let id = self.id().to_string();
         let status = process::Command::new("kill").args([&format!("-{name}"), &id]).status();
         assert!(status.unwrap().success());
     }
@@ -68,7 +73,7 @@
 
     /// Returns the resident memory of the process, in KiB.
     pub fn memory_kib(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id())).unwrap();
         let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
         line.trim().trim_end_matches(" kB").parse().unwrap()
     }
--- a/tests/raw_servers.rs
+++ b/tests/raw_servers.rs
@@ -22,6 +22,8 @@
 /// A request as a server received it.
 pub struct Request {
     head: String,
+    /// Body of the request.
+    pub body: Vec<u8>,
     /// Number of requests before it on the same connection.
     pub earlier: usize,
 }
@@ -38,9 +40,14 @@
         self.header("x-knapweedford-request-id")
     }
 
+    /// Returns the path of the request.
+    pub fn path(&self) -> &str {
+        self.head.split(' ').nth(1).unwrap_or_default()
+    }
+
     /// Whether the request is for a stream.
     pub fn streams(&self) -> bool {
-        self.head.contains(" /stream/")
+        self.path().starts_with("/stream/")
     }
 
     /// Reads the next request on a connection; `None` at its end.
@@ -51,9 +58,9 @@
                 return None;
             }
         }
-        let req = Self { head, earlier };
-        let mut body = vec![0; req.header("content-length").parse().unwrap_or_default()];
-        conn.read_exact(&mut body).ok()?;
+        let mut req = Self { head, body: Vec::new(), earlier };
+        req.body.resize(req.header("content-length").parse().unwrap_or_default(), 0);
+        conn.read_exact(&mut req.body).ok()?;
         Some(req)
     }
 }
