Bound the memory that a process holds for its clients

What callers saw: a crowd of clients with bodies of legal size that stop short of their end, whole, in pieces, in large or in tiny chunks, ended a gateway or an entry: it ran out of memory. Silent connections kept the balancer's check out.

Cause: each body was limited by itself, 4 MiB or 1 MiB, and 2,500 connections could each hold one. A body in tiny chunks cost forty times its length: the pieces were kept as they came, and each piece held the buffer in which it was received. An answer could fill 16 buffers of any size for a client that does not read. Nothing made room: who came first stayed.

Change: `http::Clients` counts what all ports of a process hold, half of the machine's memory at most (`machine.memory-mb` of the settings, by default that of the smallest machine of any site). A connection counts with 64 KiB, which covers its buffers in the kernel, which are limited now; what exceeds them is charged as it arrives: bodies, copied into segments, large heads, answers, events. Where room is short, the client that has held the most memory for the longest time beyond what it needs at 64 KiB/s makes room: a body is refused with 503, which states that the request did not run, other connections are closed. Clients whose requests are served, and who read their answers, never do. A quarter of the memory is for connections alone, so that what cannot be served is refused with an answer. Ports for the balancer and operators take 64 connections each. The rank agent and the sidecar share this for their ports.

Which client makes room is tested without network: `client_limits`.

--- a/src/daemon/control_plane.rs
+++ b/src/daemon/control_plane.rs
@@ -17,7 +17,7 @@
     cfg: &settings::Settings,
     peers: net::SocketAddr,
     operators: TcpListener,
-    page: metrics::Page,
+    (page, clients): (metrics::Page, Arc<http::Clients>),
     stop: watch::Receiver<bool>,
     publish_view: impl Fn(Arc<view::View>) + Send + 'static,
     dump: impl Fn(oneshot::Sender<serde_json::Value>) + 'static,
@@ -31,7 +31,8 @@
         queued_io_tasks,
     ));
     let port = OperatorsPort { token: cfg.token.clone(), dump, agent: agent_handle.clone(), page };
-    let port = http::serve(operators, http::Limits::default, rc::Rc::new(port), stop);
-    tokio::task::spawn_local(port);
+    let named = ("operators", clients);
+    let serving = http::serve(operators, named, http::Limits::default, rc::Rc::new(port), stop);
+    tokio::task::spawn_local(serving);
     Ok(agent_handle)
 }
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -28,6 +28,9 @@
 /// connections receive the refusal.
 const REFUSAL_PERIOD: Duration = Duration::from_secs(1);
 
+/// Largest number of connections of callers.
+const MAX_CALLER_CONNECTIONS: usize = 1_024;
+
 /// Runs the entry until SIGTERM or SIGINT and until all requests in flight have been answered.
 pub fn run(cfg: settings::Settings) -> Result {
     let (tx, rx) = mpsc::channel();
@@ -163,12 +166,13 @@
     };
     cfg.ports_file.as_deref().map_or(Ok(()), |path| ports.write(path))?;
 
+    let clients = http::Clients::new(&cfg.machine, &metrics.page);
     let (view_events, dump_events) = (events.clone(), events.clone());
     let agent_handle = control_plane::start(
         &cfg,
         peers_address,
         operators,
-        metrics.page.clone(),
+        (metrics.page.clone(), Arc::clone(&clients)),
         state.stop.subscribe(),
         move |view| super::send_event(&view_events, Event::View(view)),
         move |tx| super::send_event(&dump_events, Event::Dump(tx)),
@@ -203,7 +207,9 @@
             version_reporter.send(agent::Event::VersionSeen(Some(from), version));
         }),
     };
-    http::serve(callers, http::Limits::default, rc::Rc::new(handler), state.stop.subscribe()).await;
+    let limits = http::Limits { max_connections: MAX_CALLER_CONNECTIONS, ..Default::default() };
+    let port = ("callers", clients);
+    http::serve(callers, port, move || limits, rc::Rc::new(handler), state.stop.subscribe()).await;
     all_closed.recv().await;
     super::send_event(&events, Event::Drained);
     Ok(())
--- a/src/daemon/orders.rs
+++ b/src/daemon/orders.rs
@@ -2,8 +2,6 @@
 
 use std::time;
 
-use http_body_util::BodyExt;
-
 use super::agent::{AgentHandle, Event};
 use crate::{
     agree::{
@@ -58,9 +56,9 @@
 
 /// Reads the request's body as text; `None` if it is too long, too late or not UTF-8.
 async fn read_text(req: http::Request) -> Option<String> {
-    let body = http_body_util::Limited::new(req.into_body(), config::MAX_CONFIG_BYTES).collect();
-    let body = tokio::time::timeout(BODY_TIMEOUT, body).await.ok()?.ok()?;
-    String::from_utf8(body.to_bytes().to_vec()).ok()
+    let timeout_at = tokio::time::Instant::now() + BODY_TIMEOUT;
+    let body = req.into_body().read_to_end(config::MAX_CONFIG_BYTES, timeout_at).await.ok()?;
+    String::from_utf8(body.to_vec()).ok()
 }
 
 fn refuse_findings(findings: yaml::Findings) -> http::Response {
--- a/src/daemon/sidecar.rs
+++ b/src/daemon/sidecar.rs
@@ -11,7 +11,7 @@
 
 use super::{Ports, SharedState, agent, control_plane, io_tasks};
 use crate::{
-    Error, Result, metrics, peer, settings,
+    Error, Result, http, metrics, peer, settings,
     sidecar::{Backend, CallHandler, Core, Event, health},
     wire,
 };
@@ -113,12 +113,13 @@
     let ports = Ports { callers: None, operators: operators_address, peers: peers_address };
     cfg.ports_file.as_deref().map_or(Ok(()), |path| ports.write(path))?;
 
+    let clients = http::Clients::new(&cfg.machine, &page);
     let (view_events, dump_events) = (events.clone(), events.clone());
     let agent_handle = control_plane::start(
         &cfg,
         peers_address,
         operators,
-        page,
+        (page, clients),
         state.stop.subscribe(),
         move |view| super::send_event(&view_events, Event::View(view)),
         move |tx| super::send_event(&dump_events, Event::Dump(tx)),
--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -1,15 +1,14 @@
 //! Last stage of the pipeline: sends a session's answer to the caller, as one body or as a stream.
 
-use std::time;
+use std::{sync::Arc, time};
 
-use bytes::{Bytes, BytesMut};
-use tokio::sync::mpsc;
+use bytes::Bytes;
 
 use super::{Refusal, refusal, session};
-use crate::{http, metrics, wire};
-
-/// Largest number of pieces of a stream that wait for a caller that reads slowly.
-const MAX_PENDING_PIECES: usize = 64;
+use crate::{
+    http::{self, payload::Collector},
+    metrics, wire,
+};
 
 /// Drives `session` and returns its answer to the caller.
 pub async fn respond(
@@ -53,7 +52,7 @@
 /// Returns the refusal with which the session ends before the answer is complete.
 pub async fn collect_answer(
     session: &mut session::Session,
-) -> Result<(session::Head, Bytes), Refusal> {
+) -> Result<(session::Head, http::Payload), Refusal> {
     match session.next_part().await? {
         session::AnswerPart::Head(head) => collect_body(session, head).await,
         _ => Err(Refusal::ServerFailed { ran: wire::Ran::Unknown }),
@@ -63,15 +62,19 @@
 async fn collect_body(
     session: &mut session::Session,
     mut head: session::Head,
-) -> Result<(session::Head, Bytes), Refusal> {
-    let mut body = BytesMut::new();
+) -> Result<(session::Head, http::Payload), Refusal> {
+    let client = Arc::clone(session.client());
+    let no_memory = |_| Refusal::ServerFailed { ran: wire::Ran::Unknown };
+    let mut body = Collector::new(&client).map_err(no_memory)?;
     loop {
         match session.next_part().await? {
-            session::AnswerPart::Data(data) => body.extend_from_slice(&data),
-            session::AnswerPart::End => return Ok((head, body.freeze())),
+            session::AnswerPart::Data(data) => {
+                body.push_when_possible(&data).await.map_err(no_memory)?;
+            }
+            session::AnswerPart::End => return Ok((head, body.finish())),
             session::AnswerPart::Head(new_head) => {
                 head = new_head;
-                body.clear();
+                body = Collector::new(&client).map_err(no_memory)?;
             }
         }
     }
@@ -82,19 +85,15 @@
     head: &session::Head,
     flight: metrics::InFlightRequest,
 ) -> http::Response {
-    let (tx, rx) = mpsc::channel(MAX_PENDING_PIECES + 1);
-    if let Ok(end_permit) = tx.clone().try_reserve_owned() {
-        tokio::task::spawn_local(forward_stream(session, tx, end_permit, flight));
-    }
-    to_response(head, http::Body::Stream(rx))
+    let (tx, body) = http::Body::stream();
+    tokio::task::spawn_local(forward_stream(session, tx, flight));
+    to_response(head, body)
 }
 
-/// Forwards a stream to the caller through `tx`. `end_permit` is the channel slot reserved for the
-/// end marker, without which the caller sees that the stream was cut off.
+/// Forwards a stream to the caller through `tx`.
 async fn forward_stream(
     mut session: session::Session,
-    tx: mpsc::Sender<http::answer::Piece>,
-    end_permit: mpsc::OwnedPermit<http::answer::Piece>,
+    tx: http::answer::StreamSender,
     mut flight: metrics::InFlightRequest,
 ) {
     let id = session.id();
@@ -109,7 +108,7 @@
                 forward_piece(&tx, data, session.deadline()).await
             }
             Ok(session::AnswerPart::End) => {
-                end_permit.send(http::answer::Piece::End);
+                tx.finish();
                 return flight.end(metrics::Ending::Complete);
             }
             Ok(session::AnswerPart::Head(_)) => Ok(true),
@@ -129,12 +128,16 @@
 /// Sends `data` to the caller, and returns whether the caller is still connected. Waits until
 /// `deadline` for a caller that does not read.
 async fn forward_piece(
-    tx: &mpsc::Sender<http::answer::Piece>,
+    tx: &http::answer::StreamSender,
     data: Bytes,
     deadline: time::Instant,
 ) -> Result<bool, Refusal> {
-    match tokio::time::timeout_at(deadline.into(), tx.send(http::answer::Piece::Data(data))).await {
-        Ok(sent) => Ok(sent.is_ok()),
+    match tokio::time::timeout_at(deadline.into(), tx.reserve(data.len())).await {
+        Ok(Some(slot)) => {
+            slot.send(data.into());
+            Ok(true)
+        }
+        Ok(None) => Ok(false),
         Err(_) => Err(Refusal::DeadlinePassed { ran: wire::Ran::Unknown }),
     }
 }
--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -19,6 +19,12 @@
         /// Largest accepted body, in bytes.
         limit: u64,
     },
+    /// There is no memory for the request.
+    #[error("There is no memory for the request now; send it again after Retry-After.")]
+    NoRoom {
+        /// Time after which a retry makes sense.
+        retry_after: time::Duration,
+    },
     /// The configuration has no such service, or the service has no such call.
     #[error("{0}")]
     UnknownCall(String),
@@ -79,6 +85,7 @@
         match self {
             Self::BadRequest(_) => "bad",
             Self::TooLarge { .. } => "too-large",
+            Self::NoRoom { .. } => "no-memory",
             Self::UnknownCall(_) => "unknown",
             Self::Busy { .. } => "busy",
             Self::Unavailable { .. } => "unavailable",
@@ -96,7 +103,7 @@
             Self::TooLarge { .. } => 413,
             Self::UnknownCall(_) => 404,
             Self::Busy { .. } => 429,
-            Self::Unavailable { .. } | Self::ClaimsUnavailable { .. } => 503,
+            Self::NoRoom { .. } | Self::Unavailable { .. } | Self::ClaimsUnavailable { .. } => 503,
             Self::KeyConflict { .. } => 409,
             Self::DeadlinePassed { .. } => 504,
             Self::ServerFailed { .. } => 502,
@@ -107,6 +114,7 @@
     pub fn to_response(&self) -> http::Response {
         let retry_after = match self {
             Self::Busy { retry_after }
+            | Self::NoRoom { retry_after }
             | Self::Unavailable { retry_after }
             | Self::ClaimsUnavailable { retry_after } => Some(*retry_after),
             _ => None,
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{config, name, policy::prefix, wire};
+use crate::{config, http, name, policy::prefix, wire};
 
 /// Caller's request at stage `S` of the pipeline.
 #[derive(Debug)]
@@ -19,6 +19,8 @@
     pub headers: Vec<wire::Header>,
     /// Complete body.
     pub body: Vec<u8>,
+    /// Memory for the request and its answer.
+    pub memory: http::Charge,
     /// Data that is known from this stage on.
     pub stage: S,
 }
@@ -62,7 +64,7 @@
 
     /// Returns the same request at the stage `stage`.
     pub fn with_stage<T>(self, stage: T) -> Request<T> {
-        let Self { id, arrived_at, method, path, headers, body, stage: _ } = self;
-        Request { id, arrived_at, method, path, headers, body, stage }
+        let Self { id, arrived_at, method, path, headers, body, memory, stage: _ } = self;
+        Request { id, arrived_at, method, path, headers, body, memory, stage }
     }
 }
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -1,7 +1,7 @@
 //! Middle stages of the pipeline: routes one request, calls sidecars and assembles the answer, over
 //! as many attempts as necessary.
 
-use std::{rc, time};
+use std::{rc, sync::Arc, time};
 
 use bytes::Bytes;
 use tokio::sync::oneshot;
@@ -12,7 +12,7 @@
     request,
 };
 use crate::{
-    Result, peer,
+    Result, http, peer,
     policy::{
         collector::{self, Collector},
         retry::{Action, Failure, RetryState},
@@ -123,6 +123,11 @@
         self.req.id
     }
 
+    /// Returns the client that the answer is for.
+    pub fn client(&self) -> &Arc<http::Client> {
+        self.req.memory.client()
+    }
+
     /// Returns when the answer must be complete.
     pub fn deadline(&self) -> time::Instant {
         self.req.stage.deadline
--- a/src/gateway/fingerprint.rs
+++ b/src/gateway/fingerprint.rs
@@ -3,7 +3,7 @@
 use hyper::http::request;
 use xxhash_rust::xxh3;
 
-use crate::name;
+use crate::{http, name};
 
 /// Returns the fingerprint of a request to `host` by a client of `workspace`: requests have the same
 /// one if method, host, path with query, workspace and body are the same.
@@ -11,7 +11,7 @@
     head: &request::Parts,
     host: &str,
     workspace: Option<&name::Workspace>,
-    body: &[u8],
+    body: &http::Payload,
 ) -> name::Fingerprint {
     let target = head.uri.path_and_query().map_or("", |target| target.as_str());
     let workspace = workspace.map_or("", name::Workspace::as_str);
@@ -21,6 +21,6 @@
         hasher.update(&(field.len() as u64).to_le_bytes());
         hasher.update(field.as_bytes());
     }
-    hasher.update(body);
+    body.segments().for_each(|segment| hasher.update(segment));
     name::Fingerprint::of_request(hasher.digest128())
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,9 +1,7 @@
 //! Forwards a client's request to backend servers, with retries, and returns the answer.
 
-use std::{rc, time};
+use std::{rc, sync::Arc, time};
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::{header, http::request, http::response};
 use tokio::time::Instant;
 
@@ -18,7 +16,8 @@
 };
 use crate::{
     balance::{selector, wait_queue},
-    http, metrics, name,
+    http::{self, upload},
+    metrics, name,
     platform::exchange,
     site::{Catalog, catalog},
 };
@@ -96,7 +95,9 @@
     /// Head that the client sent.
     pub head: request::Parts,
     /// Body that the client sent.
-    pub body: Bytes,
+    pub body: http::Payload,
+    /// Connection of the client.
+    pub client: Arc<http::Client>,
     /// Identity of this attempt of the client.
     pub id: String,
     /// Fingerprints by which requests that crash servers are recognized.
@@ -192,9 +193,15 @@
         let allowed = info.deadline.unwrap_or(DEFAULT_DEADLINE);
         let deadline = arrived + allowed;
         let timeout_at = arrived + allowed.min(route.timeout).max(time::Duration::from_millis(1));
-        let body = match read_body(body, catalog.limits.max_body_bytes, timeout_at).await {
+        let client = Arc::clone(body.client());
+        let body = match body.read_to_end(catalog.limits.max_body_bytes, timeout_at).await {
             Ok(body) => body,
-            Err(refusal) => return self.refuse(refusal, None, &mut request_log),
+            Err(err) => {
+                if let upload::UploadError::Broken(err) = &err {
+                    log::info!("request body broke off: {err}");
+                }
+                return self.refuse(err.into(), None, &mut request_log);
+            }
         };
         let service = self.gateway.pick_service(&route).clone();
         let is_late = self.gateway.is_late(&route, info.deadline);
@@ -206,6 +213,7 @@
         let req = RoutedRequest {
             head,
             body,
+            client,
             id: info.id,
             fingerprints: fingerprints.into(),
             catalog,
@@ -406,7 +414,7 @@
         succeeded: bool,
         request_log: &mut RequestLog,
     ) -> Option<http::Response> {
-        let reading = body.read_to_end(&self.gateway.pool, MAX_ANSWER_BYTES);
+        let reading = body.read_for(&self.gateway.pool, MAX_ANSWER_BYTES, &req.client);
         let data = match self.within_time(req, reading).await {
             Err(cutoff) => {
                 request_log.add_result(cutoff.label());
@@ -492,20 +500,3 @@
             .max(time::Duration::from_secs_f64(self.gateway.random_between(min, max) * remaining_s))
     }
 }
-
-async fn read_body(
-    body: hyper::body::Incoming,
-    max_bytes: usize,
-    timeout_at: Instant,
-) -> Result<Bytes, Refusal> {
-    let reading = http_body_util::Limited::new(body, max_bytes).collect();
-    match tokio::time::timeout_at(timeout_at, reading).await {
-        Err(_) => Err(Refusal::BodyTimeout),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => Err(Refusal::TooLarge),
-        Ok(Err(err)) => {
-            log::info!("request body broke off: {err}");
-            Err(Refusal::BodyIncomplete)
-        }
-    }
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! [`crash_notes`] shares what gateways know of crashes. [`forward`] sends a request and retries it
 //! where that is safe, and [`relay`] forwards a stream of events to the client.
 
-use std::{net, path, rc, time};
+use std::{net, path, rc, sync::Arc, time};
 
 use tokio::{sync::watch as watch_channel, task};
 
@@ -33,9 +33,6 @@
 const ABORT_MARGIN: time::Duration = time::Duration::from_millis(300);
 /// Time for sending the answers to aborted requests.
 const ABORT_ANSWER_TIME: time::Duration = time::Duration::from_millis(150);
-/// Concurrent connections of clients; leaves file descriptors for backend servers within the
-/// platform's limit of about 4,000.
-const MAX_CLIENT_CONNECTIONS: usize = 2_500;
 /// Time between two sweeps of idle connections to backend servers.
 const IDLE_SWEEP_INTERVAL: time::Duration = time::Duration::from_secs(2);
 
@@ -62,6 +59,7 @@
     let operators = http::listen(cfg.operators).await?;
     let stop = watch_channel::Sender::new(false);
     let metrics = metrics::Entry::new();
+    let connected = http::Clients::new(&cfg.machine, &metrics.page);
     let gateway = state::Gateway::new(&cfg, metrics.clone());
     let store = platform::Store::new(cfg.store);
     task::spawn_local(watch::watch_operator_state(store.clone(), rc::Rc::clone(&gateway)));
@@ -75,19 +73,24 @@
     task::spawn_local(watch::watch_loads(gateway_of_loads, cfg.token.clone(), peer_port));
     task::spawn_local(close_idle_connections(rc::Rc::clone(&gateway)));
     let handler = rc::Rc::new(handlers::Readiness { gateway: rc::Rc::clone(&gateway) });
-    task::spawn_local(http::serve(readiness, http::Limits::default, handler, stop.subscribe()));
+    let port = ("readiness", Arc::clone(&connected));
+    let serving = http::serve(readiness, port, http::Limits::default, handler, stop.subscribe());
+    task::spawn_local(serving);
     let handler = rc::Rc::new(handlers::Operators {
         gateway: rc::Rc::clone(&gateway),
         token: cfg.token.clone(),
     });
-    task::spawn_local(http::serve(operators, http::Limits::default, handler, stop.subscribe()));
+    let port = ("operators", Arc::clone(&connected));
+    let serving = http::serve(operators, port, http::Limits::default, handler, stop.subscribe());
+    task::spawn_local(serving);
 
     let limits = {
         let gateway = rc::Rc::clone(&gateway);
-        move || gateway.connection_limits(MAX_CLIENT_CONNECTIONS)
+        let connections = cfg.machine.client_connections();
+        move || gateway.connection_limits(connections)
     };
     let handler = rc::Rc::new(forward::Forwarder { gateway: rc::Rc::clone(&gateway) });
-    let serving = http::serve(clients, limits, handler, stop.subscribe());
+    let serving = http::serve(clients, ("clients", connected), limits, handler, stop.subscribe());
     let mut serving = std::pin::pin!(serving);
     tokio::select! {
         () = serving.as_mut() => return Ok(()),
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -4,7 +4,7 @@
 
 use hyper::header;
 
-use crate::http;
+use crate::http::{self, upload};
 
 /// Reason why a request is not answered by a backend server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -23,6 +23,10 @@
     BodyTimeout,
     /// The body ended early.
     BodyIncomplete,
+    /// There is no memory for the request.
+    NoMemory,
+    /// The body arrived too slowly to keep its memory, which is short.
+    SlowBody,
     /// Every server has reached its limit of requests.
     Full,
     /// Every server has reached its limit of requests, which is lower than configured.
@@ -55,6 +59,8 @@
     pub fn status(self) -> u16 {
         match self {
             Self::NoConfiguration
+            | Self::NoMemory
+            | Self::SlowBody
             | Self::Full
             | Self::SlowGroup
             | Self::Displaced
@@ -84,6 +90,8 @@
             Self::TooLarge => "too-large",
             Self::BodyTimeout => "body-late",
             Self::BodyIncomplete => "body-broken",
+            Self::NoMemory => "no-memory",
+            Self::SlowBody => "slow-body",
             Self::Full => "full",
             Self::SlowGroup => "slow-group",
             Self::Displaced => "displaced",
@@ -112,6 +120,18 @@
     }
 }
 
+impl From<upload::UploadError> for Refusal {
+    fn from(err: upload::UploadError) -> Self {
+        match err {
+            upload::UploadError::TooLarge => Self::TooLarge,
+            upload::UploadError::TooLate => Self::BodyTimeout,
+            upload::UploadError::NoMemory => Self::NoMemory,
+            upload::UploadError::TooSlow => Self::SlowBody,
+            upload::UploadError::Broken(_) => Self::BodyIncomplete,
+        }
+    }
+}
+
 impl fmt::Display for Refusal {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
@@ -122,6 +142,10 @@
             Self::TooLarge => "The body is too large; send a smaller one.",
             Self::BodyTimeout => "The body did not arrive in time; send it again.",
             Self::BodyIncomplete => "The body broke off; send it again.",
+            Self::NoMemory => "There is no memory for it now; it did not run; send it again later.",
+            Self::SlowBody => {
+                "The body came too slowly while memory is short; it did not run; send it again."
+            }
             Self::Full => "All backend servers are busy; it did not run; send it again later.",
             Self::SlowGroup => "The backend servers are slow; it did not run; send it again later.",
             Self::Displaced => {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,9 +1,8 @@
 //! Forwards a stream of events to its client, and resumes it at another server if it breaks off.
 
-use std::rc;
+use std::{rc, sync::Arc};
 
 use hyper::http::response;
-use tokio::sync::mpsc;
 
 use super::{
     attempt::{self, AttemptResult},
@@ -16,7 +15,7 @@
     balance::selector,
     http::{
         self,
-        answer::Piece,
+        answer::StreamSender,
         client::{BodyReader, Failure},
         events::{self, EventSplitter},
     },
@@ -25,9 +24,9 @@
     site::catalog,
 };
 
-/// Pieces of an answer that are buffered for a client that reads slowly; with a full buffer, the
-/// server's stream is not read.
-const MAX_BUFFERED_PIECES: usize = 16;
+/// Bytes of events that a stream may hold before they are charged to its client. While they find no
+/// room, the server's stream is not read.
+const FREE_EVENT_BYTES: usize = 16 << 10;
 
 /// A stream of events that a server has begun to send.
 pub struct Stream {
@@ -100,15 +99,15 @@
 
 /// Starts a task that forwards `stream`; returns the response that the events go into.
 pub fn start(gateway: rc::Rc<Gateway>, stream: Stream) -> http::Response {
-    let (tx, rx) = mpsc::channel(MAX_BUFFERED_PIECES);
-    let mut res = hyper::Response::new(http::Body::Stream(rx));
+    let (tx, body) = http::Body::stream();
+    let mut res = hyper::Response::new(body);
     *res.status_mut() = stream.head.status;
     *res.headers_mut() = exchange::forwarded_headers(&stream.head.headers);
     tokio::task::spawn_local(run(gateway, stream, tx));
     res
 }
 
-async fn run(gateway: rc::Rc<Gateway>, stream: Stream, tx: mpsc::Sender<Piece>) {
+async fn run(gateway: rc::Rc<Gateway>, stream: Stream, tx: StreamSender) {
     let Stream { head, mut body, mut reservation, mut req, mut request_log } = stream;
     let status = head.status.as_u16();
     let mut progress = Progress::default();
@@ -116,7 +115,7 @@
         let (server, group) = (reservation.server.clone(), reservation.group().map(str::to_owned));
         let moving = gateway.reserve_move(&req, &server, group.as_deref());
         let forwarding = forward_events(
-            &gateway,
+            (&gateway, &req.client),
             &mut body,
             &mut reservation,
             &tx,
@@ -135,8 +134,7 @@
                 reservation.record_complete_answer();
                 request_log.add_result("end");
                 request_log.set_end(metrics::Ending::Complete, status, "answered");
-                let _ = tx.send(Piece::End).await;
-                return;
+                return tx.finish();
             }
             Err(Interruption::ClientLeft) => return,
             Err(Interruption::Timeout) => {
@@ -174,27 +172,34 @@
 
 /// Forwards complete events until the stream ends.
 async fn forward_events(
-    gateway: &Gateway,
+    (gateway, client): (&Gateway, &Arc<http::Client>),
     body: &mut BodyReader,
     reservation: &mut Reservation,
-    tx: &mpsc::Sender<Piece>,
+    tx: &StreamSender,
     progress: &mut Progress,
     request_log: &mut RequestLog,
 ) -> Result<(), Interruption> {
     let mut events = EventSplitter::new(0);
+    let evicted = |_| Interruption::ClientLeft;
+    let mut memory = client.charge(0).map_err(evicted)?;
     while let Some(data) = body.next(&gateway.pool).await {
         let data = data.map_err(Interruption::Server)?;
         let complete = events.push(&data);
         let complete =
             complete.map_err(|err| Interruption::Server(Failure::Sent(err.to_string())))?;
+        let incomplete_bytes = events.incomplete_bytes();
+        let held_bytes = incomplete_bytes + complete.as_ref().map_or(0, |(data, _)| data.len());
+        let charged_bytes = held_bytes.saturating_sub(FREE_EVENT_BYTES);
+        memory.resize_when_possible(charged_bytes).await.map_err(evicted)?;
         let Some((complete, events)) = complete else { continue };
         progress.check_order(&complete).map_err(Interruption::Server)?;
         request_log.record_piece();
         reservation.record_events(events);
         // A stream that moves or ends while this waits has not forwarded the events.
-        let slot = tx.reserve().await.map_err(|_| Interruption::ClientLeft)?;
+        let slot = tx.reserve(complete.len()).await.ok_or(Interruption::ClientLeft)?;
         progress.record(&complete);
-        slot.send(Piece::Data(complete.into()));
+        let charge = memory.split_off(incomplete_bytes.saturating_sub(FREE_EVENT_BYTES));
+        slot.send(http::Payload::from(complete).with_charge(Some(charge)));
     }
     let problem = match () {
         () if !events.at_event_boundary() => "the stream ended within an event",
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -3,16 +3,17 @@
 //! A connection carries one request at a time. Dropping a connection or an unfinished call
 //! closes its socket at once.
 
-use std::{cell, collections::BTreeMap, io, net, pin, rc, task, time};
+use std::{cell, collections::BTreeMap, io, net, pin, rc, sync::Arc, task, time};
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::Full;
 use hyper::{body, client::conn::http1, header};
 use hyper_util::rt;
 use tokio::time::Instant;
 
+use super::{Client, Payload, clients::NoMemory, payload::Collector};
+
 /// A request together with its whole body.
-pub type Request = hyper::Request<Full<Bytes>>;
+pub type Request = hyper::Request<Payload>;
 /// An answer whose body has not been read yet.
 pub type Response = hyper::Response<body::Incoming>;
 
@@ -55,7 +56,7 @@
 
 /// One connection to a server, closed when dropped.
 pub struct Connection {
-    tx: http1::SendRequest<Full<Bytes>>,
+    tx: http1::SendRequest<Payload>,
     driver: tokio::task::JoinHandle<()>,
     keep_alive: time::Duration,
     bytes: rc::Rc<ByteCounts>,
@@ -326,8 +327,8 @@
     if json.is_some() {
         req = req.header(header::CONTENT_TYPE, "application/json");
     }
-    let body = Full::new(Bytes::from(json.unwrap_or_default()));
-    req.body(body).map_err(|err| Failure::Unsent(err.to_string()))
+    req.body(Payload::from(json.unwrap_or_default()))
+        .map_err(|err| Failure::Unsent(err.to_string()))
 }
 
 /// Reads the body of an answer and keeps its connection open in the meantime.
@@ -355,6 +356,26 @@
         Ok(buf.freeze())
     }
 
+    /// Reads the body to its end for `client`, to which it is charged. Fails if it has more than
+    /// `limit` bytes. Where there is no memory for it, waits until there is.
+    pub async fn read_for(
+        &mut self,
+        pool: &Pool,
+        limit: usize,
+        client: &Arc<Client>,
+    ) -> Result<Payload, Failure> {
+        let no_memory = |err: NoMemory| Failure::Sent(err.to_string());
+        let mut collector = Collector::new(client).map_err(no_memory)?;
+        while let Some(data) = self.next(pool).await {
+            let data = data?;
+            if collector.len() + data.len() > limit {
+                return Err(Failure::Sent("the answer is too large".into()));
+            }
+            collector.push_when_possible(&data).await.map_err(no_memory)?;
+        }
+        Ok(collector.finish())
+    }
+
     /// Returns the next bytes, or `None` at the regular end, when the connection returns to
     /// `pool`.
     pub async fn next(&mut self, pool: &Pool) -> Option<Result<Bytes, Failure>> {
--- a/src/http/events.rs
+++ b/src/http/events.rs
@@ -85,6 +85,11 @@
         std::iter::from_fn(next_event).filter(is_event).map(Self::last_id)
     }
 
+    /// Number of bytes of the event that is not complete yet.
+    pub fn incomplete_bytes(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Whether the last complete event marks the end of a model engine's stream.
     pub fn is_complete(&self) -> bool {
         self.complete
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,6 +1,6 @@
 //! An HTTP/1.1 server that limits sizes, headers, connections and times.
 
-use std::{convert, future, net, ops, rc, time};
+use std::{convert, future, net, ops, pin, rc, sync::Arc, task as std_task, time};
 
 use hyper::{body, header, server, service};
 use hyper_util::rt;
@@ -10,9 +10,16 @@
 
 pub mod answer;
 pub mod client;
+pub mod clients;
 pub mod events;
+pub mod payload;
+mod socket;
+pub mod upload;
 
 pub use answer::Body;
+pub use clients::{Charge, Client, Clients};
+pub use payload::Payload;
+pub use upload::Upload;
 
 /// Limits on the requests and connections of one port.
 #[derive(Clone, Copy, Debug)]
@@ -21,18 +28,21 @@
     pub max_head_bytes: usize,
     /// Maximum number of headers in a request.
     pub max_headers: usize,
-    /// Maximum number of open connections; further ones are closed immediately.
+    /// Maximum number of open connections. For a further one, the slowest client makes room.
     pub max_connections: usize,
     /// Time within which a request head must arrive.
     pub head_timeout: time::Duration,
 }
 
+/// Default maximum number of connections to a port that the platform's balancer or operators use.
+const MAX_CONNECTIONS: usize = 64;
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
             max_head_bytes: 16 << 10,
             max_headers: 64,
-            max_connections: 1024,
+            max_connections: MAX_CONNECTIONS,
             head_timeout: time::Duration::from_secs(10),
         }
     }
@@ -50,7 +60,7 @@
 }
 
 /// A request whose body has not been read yet.
-pub type Request = hyper::Request<body::Incoming>;
+pub type Request = hyper::Request<Upload>;
 /// An answer whose body is whole or streamed.
 pub type Response = hyper::Response<Body>;
 
@@ -70,15 +80,15 @@
 ///
 /// Must run inside a `LocalSet`. `limits` is called for each new connection, which keeps the time
 /// limit that was in force when it opened, and for each request, whose head must be within the
-/// limit at that time; the maximum number of connections is fixed at the start.
+/// limit at that time. `port` names the port in logs and metrics.
 pub async fn serve<H: Handler>(
     listener: tokio::net::TcpListener,
+    (port, clients): (&'static str, Arc<Clients>),
     limits: impl Fn() -> Limits + 'static,
     handler: rc::Rc<H>,
     mut stop: sync::watch::Receiver<bool>,
 ) {
     let limits = rc::Rc::new(limits);
-    let slots = std::sync::Arc::new(sync::Semaphore::new(limits().max_connections));
     let mut tasks = task::JoinSet::new();
     loop {
         let accepted = tokio::select! {
@@ -89,17 +99,15 @@
             }
             _ = stop.wait_for(|stop| *stop) => break,
         };
-        match (accepted, std::sync::Arc::clone(&slots).try_acquire_owned().ok()) {
-            (Ok((conn, _)), Some(slot)) => {
-                let (limits, handler) = (rc::Rc::clone(&limits), rc::Rc::clone(&handler));
-                let serving = serve_connection(conn, limits, handler, stop.clone());
-                tasks.spawn_local(async move {
-                    serving.await;
-                    drop(slot);
-                });
+        match accepted {
+            Ok((conn, _)) => {
+                if let Some(client) = clients.admit(port, limits().max_connections) {
+                    let conn = socket::ClientSocket::new(conn, Arc::new(client));
+                    let (limits, handler) = (rc::Rc::clone(&limits), rc::Rc::clone(&handler));
+                    tasks.spawn_local(serve_connection(conn, limits, handler, stop.clone()));
+                }
             }
-            (Ok(_), None) => log::warn!("connection refused: too many connections are open"),
-            (Err(err), _) => {
+            Err(err) => {
                 log::warn!("a connection could not be accepted: {err}");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
@@ -122,28 +130,32 @@
 }
 
 async fn serve_connection<H: Handler>(
-    conn: tokio::net::TcpStream,
+    conn: socket::ClientSocket,
     limits: rc::Rc<impl Fn() -> Limits + 'static>,
     handler: rc::Rc<H>,
     mut stop: sync::watch::Receiver<bool>,
 ) {
-    client::set_socket_options(&conn);
+    let client = Arc::clone(conn.client());
     let initial = limits();
     let buffer_bytes = initial.head_buffer_bytes();
-    let answer = service::service_fn(move |req: Request| {
+    let answering = Arc::clone(&client);
+    let answer = service::service_fn(move |req: hyper::Request<body::Incoming>| {
         let (handler, limits) = (rc::Rc::clone(&handler), limits());
+        let client = Arc::clone(&answering);
         async move {
+            client.begin_answer();
+            let req = req.map(|body| Upload::new(body, Arc::clone(&client)));
             let head_bytes = head_bytes(&req);
-            if head_bytes > limits.max_head_bytes {
-                return Ok(refuse_head(head_bytes, limits.max_head_bytes));
-            }
-            let mut res = handler.handle(req).await;
+            let mut res = match head_bytes > limits.max_head_bytes {
+                true => refuse_head(head_bytes, limits.max_head_bytes),
+                false => handler.handle(req).await,
+            };
             // Larger heads, which are allowed by now, need a connection with a larger buffer.
-            if limits.head_buffer_bytes() > buffer_bytes {
+            if limits.head_buffer_bytes() > buffer_bytes || client.is_evicted() {
                 let close = header::HeaderValue::from_static("close");
                 res.headers_mut().insert(header::CONNECTION, close);
             }
-            Ok::<_, convert::Infallible>(res)
+            Ok::<_, convert::Infallible>(res.map(|body| AnswerBody { body, client }))
         }
     });
     let conn = server::conn::http1::Builder::new()
@@ -153,11 +165,24 @@
         .max_buf_size(buffer_bytes)
         .serve_connection(rt::TokioIo::new(conn), answer);
     let mut conn = std::pin::pin!(conn);
+    let serving = async {
+        tokio::select! {
+            result = conn.as_mut() => result,
+            _ = stop.wait_for(|stop| *stop) => {
+                conn.as_mut().graceful_shutdown();
+                conn.await
+            }
+        }
+    };
+    let mut serving = std::pin::pin!(serving);
     let result = tokio::select! {
-        result = conn.as_mut() => result,
-        _ = stop.wait_for(|stop| *stop) => {
-            conn.as_mut().graceful_shutdown();
-            conn.await
+        result = serving.as_mut() => result,
+        () = client.evicted() => {
+            // A body is refused with an answer; anything else ends here.
+            if client.is_evicted_during_body() {
+                let _ = tokio::time::timeout(REFUSAL_TIME, serving).await;
+            }
+            return;
         }
     };
     if let Err(err) = result {
@@ -165,6 +190,41 @@
     }
 }
 
+/// Time for sending the refusal of a body.
+const REFUSAL_TIME: time::Duration = time::Duration::from_secs(1);
+
+/// The body of an answer while it is sent.
+struct AnswerBody {
+    body: Body,
+    client: Arc<Client>,
+}
+
+impl body::Body for AnswerBody {
+    type Data = bytes::Bytes;
+    type Error = answer::Truncated;
+
+    fn poll_frame(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut std_task::Context<'_>,
+    ) -> std_task::Poll<Option<Result<body::Frame<bytes::Bytes>, answer::Truncated>>> {
+        pin::Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        self.client.begin_head();
+    }
+}
+
 /// Size of the head of `req`, in bytes, without optional white space.
 fn head_bytes(req: &Request) -> usize {
     let uri = req.uri();
--- a/src/metrics/page.rs
+++ b/src/metrics/page.rs
@@ -91,6 +91,11 @@
         register(&self.registry, GaugeVec::new(opts, labels))
     }
 
+    pub(super) fn int_gauge_by(&self, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+        let opts = Opts::new(name, help).namespace(NAMESPACE);
+        register(&self.registry, IntGaugeVec::new(opts, labels))
+    }
+
     pub(super) fn counter(&self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
         let opts = Opts::new(name, help).namespace(NAMESPACE);
         register(&self.registry, IntCounterVec::new(opts, labels))
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -22,7 +22,7 @@
 pub const VERSION_HEADER: &str = "knapweedford-wire";
 
 /// HTTP/2 flow-control window of one stream, in bytes.
-const STREAM_WINDOW_BYTES: u32 = 64 << 10;
+pub const STREAM_WINDOW_BYTES: u32 = 64 << 10;
 /// HTTP/2 flow-control window of one connection, in bytes. It covers the windows of all streams,
 /// so that a stream whose receiver stops reading cannot block the others.
 const CONNECTION_WINDOW_BYTES: u32 = MAX_STREAMS * STREAM_WINDOW_BYTES;
--- a/src/rank/agent.rs
+++ b/src/rank/agent.rs
@@ -129,7 +129,9 @@
     });
     let stop = watch::Sender::new(false);
     let page = rc::Rc::new(Operators { page: metrics::Page::new() });
-    task::spawn_local(http::serve(operators, http::Limits::default, page, stop.subscribe()));
+    let clients = http::Clients::new(&agent.cfg.machine, &page.page);
+    let port = ("operators", clients);
+    task::spawn_local(http::serve(operators, port, http::Limits::default, page, stop.subscribe()));
     let serving = rc::Rc::clone(&agent);
     let handle = rc::Rc::new(async move |incoming: peer::IncomingRequest| {
         if let Err(err) = rc::Rc::clone(&serving).serve(incoming).await {
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -19,6 +19,7 @@
     check_token(&settings.token, node, findings);
     check_urls(settings, node, findings);
     check_ports(settings, node, findings);
+    settings.machine.check(node, findings);
 }
 
 fn check_names(settings: &Settings, node: &Node, findings: &mut Findings) {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -8,8 +8,11 @@
 };
 
 mod check;
+pub mod machine;
 pub mod site;
 
+pub use machine::Machine;
+
 /// Maximum size of a settings file, in bytes.
 pub const MAX_SETTINGS_BYTES: usize = 64 << 10;
 
@@ -54,6 +57,8 @@
     pub balancer_lag_ms: u64,
     /// Addresses of peers to contact while the platform's host list is unavailable.
     pub seeds: Vec<net::SocketAddr>,
+    /// Size of the machine.
+    pub machine: Machine,
 }
 
 /// Backend server that a sidecar forwards requests to.
@@ -116,6 +121,7 @@
             "ports-file",
             "balancer-lag-ms",
             "seeds",
+            "machine",
         ];
         let table = MapReader::open(node, &known_keys, findings)?;
         let host: Option<String> = table.required("host", findings);
@@ -130,6 +136,7 @@
         let ports_file: Option<Option<String>> = table.optional("ports-file", None, findings);
         let balancer_lag_ms = table.optional("balancer-lag-ms", DEFAULT_BALANCER_LAG_MS, findings);
         let seeds = table.optional("seeds", Vec::new(), findings);
+        let machine = table.optional("machine", Machine::default(), findings);
         Some(Self {
             host: name::Host::new(host?),
             zone: zone?,
@@ -143,6 +150,7 @@
             ports_file: ports_file?.map(path::PathBuf::from),
             balancer_lag_ms: balancer_lag_ms?,
             seeds: seeds?,
+            machine: machine?,
         })
     }
 }
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -2,7 +2,7 @@
 
 use std::{net, path, time};
 
-use super::{MAX_SETTINGS_BYTES, check};
+use super::{MAX_SETTINGS_BYTES, Machine, check};
 use crate::{
     Result, name,
     yaml::{Findings, MapReader, Node, Read},
@@ -87,6 +87,8 @@
     pub stall: time::Duration,
     /// Time from SIGTERM to SIGKILL.
     pub grace: time::Duration,
+    /// Size of the machine.
+    pub machine: Machine,
 }
 
 impl Settings {
@@ -126,6 +128,7 @@
             let problem = "A time limit of 0 or less cannot be met";
             findings.add(node.mark_at(&["within"]), problem, "Write milliseconds above 0");
         }
+        self.machine.check(node, findings);
     }
 }
 
@@ -147,6 +150,7 @@
             "within",
             "stall-ms",
             "grace-s",
+            "machine",
         ];
         let table = MapReader::open(node, &known_keys, findings)?;
         let host: Option<String> = table.required("host", findings);
@@ -174,6 +178,7 @@
         let retries = table.optional("retries", RetryLimits::default(), findings);
         let max_view_age = table.optional("within", MaxViewAge::default(), findings);
         let stall_ms: Option<f64> = table.optional("stall-ms", DEFAULT_STALL_MS, findings);
+        let machine = table.optional("machine", Machine::default(), findings);
         let grace_s: Option<f64> = table.optional("grace-s", DEFAULT_GRACE_S, findings);
         Some(Self {
             host: name::Host::new(host?),
@@ -187,6 +192,7 @@
             max_view_age: max_view_age?,
             stall: time::Duration::try_from_secs_f64(stall_ms? / 1000.0).ok()?,
             grace: time::Duration::try_from_secs_f64(grace_s?).ok()?,
+            machine: machine?,
         })
     }
 }
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -17,6 +17,7 @@
 mod catalog;
 mod claims;
 mod client;
+mod client_limits;
 mod cluster;
 mod cold;
 mod collecting;
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -313,7 +313,12 @@
         let req =
             hyper::Request::builder().method(method).uri(target).body(()).expect("it is valid");
         let workspace = Workspace::from(workspace);
-        fingerprint::of_request(&req.into_parts().0, host, Some(&workspace), body.as_bytes())
+        fingerprint::of_request(
+            &req.into_parts().0,
+            host,
+            Some(&workspace),
+            &body.to_owned().into(),
+        )
     };
     let first = of("POST", "/a/b?c=1", "h", "w", "body");
     assert_eq!(first, of("POST", "/a/b?c=1", "h", "w", "body"));
