Bound the connections of a gateway to servers, and their buffers

What callers saw: nothing yet; 2,500 connections of clients with a request each opened as many to servers, more descriptors than the smallest machine has (2,700 sockets of 2,670), at which the process can open none for anybody. For clients that do not read large answers, megabytes waited in the buffers between gateway and servers.

Cause: only connections of clients had a limit, a figure of its own. The kernel lets the receive buffer of a connection grow to 32 MiB.

Change: a quarter of the sockets that the settings state (`machine.descriptors`) is for connections to servers, five eighths for clients. Where too many carry requests, an idle one is closed, else the request is refused with 503 (`no-connection`); at most 256 idle ones are kept. A connection to a server has buffers of 32 KiB in the kernel and in the HTTP library, and both count for the client whose request it carries.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,7 +7,7 @@
 use super::{forward::RoutedRequest, reservation::Reservation, state::Gateway};
 use crate::{
     balance::selector,
-    http::client::{BodyReader, Connection, Failure},
+    http::client::{BodyReader, Failure},
     platform::exchange::{self, AnswerKind},
 };
 
@@ -53,7 +53,10 @@
     let reused = pooled.is_some();
     let mut conn = match pooled {
         Some(conn) => conn,
-        None => match Connection::open(reservation.addr, CONNECT_TIMEOUT).await {
+        None if !gateway.pool.may_open() => {
+            return AttemptResult::NotRun { reason: "no-connection", arrived: false };
+        }
+        None => match gateway.pool.open(reservation.addr, CONNECT_TIMEOUT).await {
             Ok(conn) => conn,
             Err(_) => {
                 reservation.set_outcome(selector::Outcome::Failure);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -98,6 +98,8 @@
     pub body: http::Payload,
     /// Connection of the client.
     pub client: Arc<http::Client>,
+    /// Memory for the connection to a server.
+    _server_memory: http::Charge,
     /// Identity of this attempt of the client.
     pub id: String,
     /// Fingerprints by which requests that crash servers are recognized.
@@ -203,6 +205,9 @@
                 return self.refuse(err.into(), None, &mut request_log);
             }
         };
+        let Ok(server_memory) = client.charge(http::client::BOUNDED_CONNECTION_BYTES) else {
+            return self.refuse(Refusal::NoMemory, None, &mut request_log);
+        };
         let service = self.gateway.pick_service(&route).clone();
         let is_late = self.gateway.is_late(&route, info.deadline);
         let urgency = wait_queue::Urgency { priority, is_late };
@@ -214,6 +219,7 @@
             head,
             body,
             client,
+            _server_memory: server_memory,
             id: info.id,
             fingerprints: fingerprints.into(),
             catalog,
@@ -260,6 +266,9 @@
         mut request_log: RequestLog,
     ) -> http::Response {
         loop {
+            if !self.gateway.pool.may_open() {
+                return self.give_up(Refusal::NoConnection, req, &mut request_log);
+            }
             let mut reservation = match self.reserve(&req).await {
                 Ok(reservation) => reservation,
                 Err(err) => {
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -25,6 +25,8 @@
     BodyIncomplete,
     /// There is no memory for the request.
     NoMemory,
+    /// Too many connections to backend servers carry requests.
+    NoConnection,
     /// The body arrived too slowly to keep its memory, which is short.
     SlowBody,
     /// Every server has reached its limit of requests.
@@ -60,6 +62,7 @@
         match self {
             Self::NoConfiguration
             | Self::NoMemory
+            | Self::NoConnection
             | Self::SlowBody
             | Self::Full
             | Self::SlowGroup
@@ -91,6 +94,7 @@
             Self::BodyTimeout => "body-late",
             Self::BodyIncomplete => "body-broken",
             Self::NoMemory => "no-memory",
+            Self::NoConnection => "no-connection",
             Self::SlowBody => "slow-body",
             Self::Full => "full",
             Self::SlowGroup => "slow-group",
@@ -143,6 +147,9 @@
             Self::BodyTimeout => "The body did not arrive in time; send it again.",
             Self::BodyIncomplete => "The body broke off; send it again.",
             Self::NoMemory => "There is no memory for it now; it did not run; send it again later.",
+            Self::NoConnection => {
+                "Too many requests are at backend servers; it did not run; send it again later."
+            }
             Self::SlowBody => {
                 "The body came too slowly while memory is short; it did not run; send it again."
             }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -160,7 +160,7 @@
             stopping: false,
         };
         rc::Rc::new(Self {
-            pool: client::Pool::default(),
+            pool: client::Pool::bounded(cfg.machine.server_connections()),
             metrics,
             zone: cfg.zone.clone(),
             started: Instant::now(),
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -29,6 +29,14 @@
 const DEFAULT_KEEP_ALIVE: time::Duration = time::Duration::from_secs(4);
 /// Maximum number of idle connections that are kept to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
+/// Maximum number of idle connections that a bounded pool keeps.
+const MAX_IDLE_IN_BOUNDED_POOL: usize = 256;
+
+/// Receive buffer of a connection of a bounded pool in the kernel, in bytes, and the largest buffer
+/// of the HTTP library, which also limits an answer's head.
+const BOUNDED_BUFFER_BYTES: usize = 32 << 10;
+/// Memory that a connection of a bounded pool takes while it carries a request, in bytes.
+pub const BOUNDED_CONNECTION_BYTES: usize = 2 * BOUNDED_BUFFER_BYTES;
 
 /// Bytes that a server may send in one answer besides the body: its head, which hyper limits to
 /// about 400 KiB, and what hyper has read ahead.
@@ -60,6 +68,16 @@
     driver: tokio::task::JoinHandle<()>,
     keep_alive: time::Duration,
     bytes: rc::Rc<ByteCounts>,
+    _place: Option<Place>,
+}
+
+/// Place of a connection among those that a bounded pool may open.
+struct Place(rc::Rc<cell::Cell<usize>>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 /// Bytes of one answer.
@@ -142,6 +160,16 @@
 impl Connection {
     /// Opens a connection, which must succeed within `timeout`. Must run inside a `LocalSet`.
     pub async fn open(addr: net::SocketAddr, timeout: time::Duration) -> Result<Self, Failure> {
+        Self::open_at(addr, timeout, None).await
+    }
+
+    /// Like [`open`](Self::open); a connection with a place has buffers of bounded size.
+    async fn open_at(
+        addr: net::SocketAddr,
+        timeout: time::Duration,
+        place: Option<Place>,
+    ) -> Result<Self, Failure> {
+        let is_bounded = place.is_some();
         let unsent = |problem: &dyn ToString| Failure::Unsent(problem.to_string());
         let opening = async {
             let socket = tokio::net::TcpStream::connect(addr).await.map_err(|err| unsent(&err))?;
@@ -150,9 +178,17 @@
             // received yet must not reach it later.
             let reset = socket2::SockRef::from(&socket).set_linger(Some(time::Duration::ZERO));
             reset.map_err(|err| unsent(&err))?;
+            let mut builder = http1::Builder::new();
+            if is_bounded {
+                builder.max_buf_size(BOUNDED_BUFFER_BYTES);
+                let raw = socket2::SockRef::from(&socket);
+                if let Err(err) = raw.set_recv_buffer_size(BOUNDED_BUFFER_BYTES) {
+                    log::debug!("the size of a receive buffer could not be set: {err}");
+                }
+            }
             let bytes = rc::Rc::new(ByteCounts::default());
             let socket = BoundedSocket { socket, bytes: rc::Rc::clone(&bytes) };
-            let opened = http1::handshake(rt::TokioIo::new(socket)).await;
+            let opened = builder.handshake(rt::TokioIo::new(socket)).await;
             opened.map(|(tx, conn)| (tx, conn, bytes)).map_err(|err| unsent(&err))
         };
         let opened = tokio::time::timeout(timeout, opening).await;
@@ -163,7 +199,7 @@
                 log::debug!(server:% = addr; "connection ended: {err}");
             }
         });
-        Ok(Self { tx, driver, keep_alive: DEFAULT_KEEP_ALIVE, bytes })
+        Ok(Self { tx, driver, keep_alive: DEFAULT_KEEP_ALIVE, bytes, _place: place })
     }
 
     /// Sends one request and waits for the head of its answer.
@@ -217,9 +253,70 @@
 #[derive(Default)]
 pub struct Pool {
     idle: cell::RefCell<BTreeMap<net::SocketAddr, Vec<IdleConnection>>>,
+    bound: Option<Bound>,
+}
+
+/// Bound on the connections of a pool.
+struct Bound {
+    max_open: usize,
+    open: rc::Rc<cell::Cell<usize>>,
 }
 
 impl Pool {
+    /// Creates a pool whose connections, of which at most `max_open` are open, have buffers of
+    /// bounded size.
+    pub fn bounded(max_open: usize) -> Self {
+        Self { bound: Some(Bound { max_open, open: Default::default() }), ..Self::default() }
+    }
+
+    /// Opens a connection; where there are too many, the idle one that expires first is closed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `timeout` passes, or if too many connections carry requests, as
+    /// [`may_open`](Self::may_open) tells.
+    pub async fn open(
+        &self,
+        addr: net::SocketAddr,
+        timeout: time::Duration,
+    ) -> Result<Connection, Failure> {
+        let place = self.bound.as_ref().map(|bound| self.take_place(bound)).transpose()?;
+        Connection::open_at(addr, timeout, place).await
+    }
+
+    /// Returns whether a connection to a server may be opened now.
+    pub fn may_open(&self) -> bool {
+        let has_idle = || !self.idle.borrow().is_empty();
+        self.bound.as_ref().is_none_or(|bound| bound.open.get() < bound.max_open || has_idle())
+    }
+
+    fn take_place(&self, bound: &Bound) -> Result<Place, Failure> {
+        if bound.open.get() >= bound.max_open && !self.close_idle() {
+            return Err(Failure::Unsent("too many connections to servers are open".into()));
+        }
+        bound.open.set(bound.open.get() + 1);
+        Ok(Place(rc::Rc::clone(&bound.open)))
+    }
+
+    /// Closes the idle connection that expires first; returns `false` if none is idle.
+    fn close_idle(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let firsts = idle.iter().filter_map(|(addr, conns)| {
+            Some((*addr, conns.iter().map(|idle| idle.expires_at).min()?))
+        });
+        let Some((addr, expires_at)) = firsts.min_by_key(|(_, expires_at)| *expires_at) else {
+            return false;
+        };
+        let Some(conns) = idle.get_mut(&addr) else { return false };
+        if let Some(first) = conns.iter().position(|idle| idle.expires_at == expires_at) {
+            conns.swap_remove(first);
+        }
+        if conns.is_empty() {
+            idle.remove(&addr);
+        }
+        true
+    }
+
     /// Removes and returns the most recently used idle connection to `addr` that is still usable.
     pub fn take(&self, addr: net::SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
@@ -235,6 +332,10 @@
             return;
         }
         let mut idle = self.idle.borrow_mut();
+        let total: usize = idle.values().map(Vec::len).sum();
+        if self.bound.is_some() && total >= MAX_IDLE_IN_BOUNDED_POOL {
+            return;
+        }
         let connections = idle.entry(addr).or_default();
         if connections.len() < MAX_IDLE_PER_ADDRESS {
             let expires_at = Instant::now() + conn.keep_alive;
@@ -290,7 +391,7 @@
             let is_reused = pooled.is_some();
             let mut conn = match pooled {
                 Some(conn) => conn,
-                None => Connection::open(addr, timeout).await?,
+                None => self.open(addr, timeout).await?,
             };
             let (head, body) = conn.send(req).await?.into_parts();
             if trust == Trust::OwnRefusals && is_reused && !head.status.is_success() {
--- a/src/settings/machine.rs
+++ b/src/settings/machine.rs
@@ -34,6 +34,11 @@
         self.sockets() * 5 / 8
     }
 
+    /// Largest number of connections to backend servers, with idle ones.
+    pub fn server_connections(&self) -> usize {
+        self.sockets() / 4
+    }
+
     fn sockets(&self) -> usize {
         self.descriptors.saturating_sub(FILE_DESCRIPTORS) as usize
     }
