Count connections of other processes, and close those without the token

What operators saw: nothing yet. Whoever reaches the port for other processes could open 2,048 connections, as many descriptors as a rank agent's machine has in all, and keep them without ever sending the token.

Cause: the limit was a figure of its own, larger than the machine, and only the handshake of HTTP/2 had a time limit.

Change: connections of other processes count with `http::Clients` like all others, 1,024 at most. One that has not presented the token makes room for the next, and is closed after 10 s; one that has never makes room.

--- a/measure/agreement/exchange.rs
+++ b/measure/agreement/exchange.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context;
 use knapweedford::{
-    name, peer, wire,
+    http, metrics, name, peer, settings, wire,
     wire::{frame, gossip},
 };
 use tokio::{io, net, sync, task};
@@ -38,7 +38,8 @@
         }
         incoming.reply.finish();
     };
-    task::spawn_local(peer::serve(server, TOKEN.into(), rc::Rc::new(echo), stopped));
+    let clients = http::Clients::new(&settings::Machine::default(), &metrics::Page::new());
+    task::spawn_local(peer::serve(server, clients, TOKEN.into(), rc::Rc::new(echo), stopped));
     let byte_counts = task::spawn_local(async move {
         let (mut client_stream, _) = relay.accept().await?;
         let mut server_stream = net::TcpStream::connect(server_address).await?;
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -188,7 +188,9 @@
         }
     });
     let token = cfg.token.as_str().into();
-    tokio::task::spawn_local(peer::serve(peers, token, peer_handler, state.stop.subscribe()));
+    let serving_clients = Arc::clone(&clients);
+    let stop = state.stop.subscribe();
+    tokio::task::spawn_local(peer::serve(peers, serving_clients, token, peer_handler, stop));
 
     let (open_calls, mut all_closed) = tokio::sync::mpsc::channel(1);
     let handler = RequestHandler {
--- a/src/daemon/sidecar.rs
+++ b/src/daemon/sidecar.rs
@@ -119,7 +119,7 @@
         &cfg,
         peers_address,
         operators,
-        (page, clients),
+        (page, Arc::clone(&clients)),
         state.stop.subscribe(),
         move |view| super::send_event(&view_events, Event::View(view)),
         move |tx| super::send_event(&dump_events, Event::Dump(tx)),
@@ -146,7 +146,8 @@
             log::info!("{err}");
         }
     });
-    peer::serve(peers, cfg.token.as_str().into(), peer_handler, state.stop.subscribe()).await;
+    let token = cfg.token.as_str().into();
+    peer::serve(peers, clients, token, peer_handler, state.stop.subscribe()).await;
     super::send_event(&events, Event::Drained);
     Ok(())
 }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -3,7 +3,7 @@
 //! One stream carries one exchange: a request of one frame and a reply of one or more
 //! frames. The path names the kind of exchange; headers carry the wire version and the token.
 
-use std::{net, rc, time};
+use std::{net, rc, sync::Arc, time};
 
 use bytes::BytesMut;
 use h2::server;
@@ -35,7 +35,11 @@
 /// Time within which the whole frame of a request must arrive.
 const FRAME_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// Maximum number of peer connections that are open at once.
-const MAX_CONNECTIONS: usize = 2048;
+const MAX_CONNECTIONS: usize = 1024;
+/// Time within which a peer must present the token.
+const TOKEN_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+/// Name of the port in logs and metrics.
+const PORT: &str = "peers";
 
 /// A request from a peer whose frame has been read completely.
 pub struct IncomingRequest {
@@ -98,6 +102,7 @@
 /// Must run inside a `LocalSet`.
 pub async fn serve<F>(
     listener: tokio::net::TcpListener,
+    clients: Arc<crate::http::Clients>,
     token: rc::Rc<str>,
     handle: rc::Rc<F>,
     mut stop: sync::watch::Receiver<bool>,
@@ -112,19 +117,17 @@
         };
         while tasks.try_join_next().is_some() {}
         match accepted {
-            Ok((conn, peer)) if tasks.len() < MAX_CONNECTIONS => {
+            Ok((conn, peer)) => {
+                let Some(client) = clients.admit(PORT, MAX_CONNECTIONS) else { continue };
                 let serving = serve_connection(
-                    conn,
-                    peer,
+                    (conn, peer),
+                    rc::Rc::new(client),
                     rc::Rc::clone(&token),
                     rc::Rc::clone(&handle),
                     stop.clone(),
                 );
                 tasks.spawn_local(serving);
             }
-            Ok((_, peer)) => {
-                log::warn!(peer:%; "peer connection refused: too many connections are open")
-            }
             Err(err) => {
                 log::warn!("a peer connection could not be accepted: {err}");
                 tokio::time::sleep(time::Duration::from_millis(50)).await;
@@ -136,8 +139,8 @@
 }
 
 async fn serve_connection<F>(
-    conn: tokio::net::TcpStream,
-    peer: net::SocketAddr,
+    (conn, peer): (tokio::net::TcpStream, net::SocketAddr),
+    client: rc::Rc<crate::http::Client>,
     token: rc::Rc<str>,
     handle: rc::Rc<F>,
     mut stop: sync::watch::Receiver<bool>,
@@ -151,12 +154,15 @@
         .max_concurrent_streams(MAX_STREAMS)
         .max_header_list_size(MAX_HEADER_LIST_BYTES)
         .handshake(conn);
-    let mut conn = match tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await {
-        Ok(Ok(conn)) => conn,
-        _ => return log::debug!(peer:%; "peer handshake failed"),
+    let handshake = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake);
+    let mut conn = tokio::select! {
+        Ok(Ok(conn)) = handshake => conn,
+        () = client.evicted() => return,
+        else => return log::debug!(peer:%; "peer handshake failed"),
     };
     let mut tasks = task::JoinSet::new();
     let mut stopping = false;
+    let token_timeout_at = tokio::time::Instant::now() + TOKEN_TIMEOUT;
     loop {
         let accepted = tokio::select! {
             accepted = conn.accept() => accepted,
@@ -166,12 +172,17 @@
                 continue;
             }
             Some(_) = tasks.join_next() => continue,
+            () = client.evicted() => return,
+            () = tokio::time::sleep_until(token_timeout_at), if client.is_at_head() => {
+                return log::info!(peer:%; "peer connection closed: no token was presented in time");
+            }
         };
         match accepted {
             Some(Ok((req, res))) => {
                 tasks.spawn_local(serve_stream(
                     req,
                     res,
+                    rc::Rc::clone(&client),
                     rc::Rc::clone(&token),
                     rc::Rc::clone(&handle),
                 ));
@@ -185,6 +196,7 @@
 async fn serve_stream<F>(
     req: http::Request<h2::RecvStream>,
     mut res: server::SendResponse<bytes::Bytes>,
+    client: rc::Rc<crate::http::Client>,
     token: rc::Rc<str>,
     handle: rc::Rc<F>,
 ) where
@@ -199,6 +211,10 @@
     if !secrets_match(header(&req, "authorization"), &token) {
         return refuse(&mut res, 401);
     }
+    // A peer with the token never makes room for others.
+    if client.is_at_head() {
+        client.begin_answer();
+    }
     if header(&req, VERSION_HEADER) != wire::VERSION.to_string() {
         return refuse(&mut res, 426);
     }
--- a/src/rank/agent.rs
+++ b/src/rank/agent.rs
@@ -5,6 +5,7 @@
     cell,
     collections::{BTreeMap, BTreeSet},
     net, path, rc,
+    sync::Arc,
     time::{self, Duration},
 };
 
@@ -130,7 +131,7 @@
     let stop = watch::Sender::new(false);
     let page = rc::Rc::new(Operators { page: metrics::Page::new() });
     let clients = http::Clients::new(&agent.cfg.machine, &page.page);
-    let port = ("operators", clients);
+    let port = ("operators", Arc::clone(&clients));
     task::spawn_local(http::serve(operators, port, http::Limits::default, page, stop.subscribe()));
     let serving = rc::Rc::clone(&agent);
     let handle = rc::Rc::new(async move |incoming: peer::IncomingRequest| {
@@ -139,7 +140,7 @@
         }
     });
     let token: rc::Rc<str> = agent.cfg.token.as_str().into();
-    task::spawn_local(peer::serve(listener, token, handle, stop.subscribe()));
+    task::spawn_local(peer::serve(listener, clients, token, handle, stop.subscribe()));
     task::spawn_local(rc::Rc::clone(&agent).follow_store());
     task::spawn_local(rc::Rc::clone(&agent).poll_engine());
     // No setting that an agent uses can change without a restart, but SIGHUP must not end the
--- a/tests/agents.rs
+++ b/tests/agents.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use knapweedford::{peer, rank::message::Loads};
+use knapweedford::{http, metrics, peer, rank::message::Loads, settings};
 
 use crate::gateways;
 
@@ -18,6 +18,11 @@
     "context_per_k":0.0,"read_per_s":1000000000.0,"chunk":512,"usual":{"prompt":868,"answer":96},
     "sets":8,"experts":32,"places":5,"spare":2,"expert_mb":320.0,"expert_share":0.85}"#;
 
+/// Returns limits on the clients of a port that no test reaches.
+pub fn clients() -> Arc<http::Clients> {
+    http::Clients::new(&settings::Machine::default(), &metrics::Page::new())
+}
+
 /// Serves `loads` as the agent of the group's owner does; returns its port.
 pub fn start(loads: Arc<Mutex<Loads>>) -> u16 {
     let (port_tx, port_rx) = mpsc::channel();
@@ -37,7 +42,14 @@
                 }
             });
             let stop = tokio::sync::watch::Sender::new(false);
-            peer::serve(listener, "secret-of-the-tests".into(), handle, stop.subscribe()).await;
+            peer::serve(
+                listener,
+                clients(),
+                "secret-of-the-tests".into(),
+                handle,
+                stop.subscribe(),
+            )
+            .await;
         });
     });
     port_rx.recv().unwrap()
--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -12,7 +12,7 @@
 use rand::{Rng, RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
-use crate::{fuzz, processes};
+use crate::{agents, fuzz, processes};
 use processes::{Daemon, Site, SiteOptions};
 
 /// Number of connections with invalid bytes to each port.
@@ -195,7 +195,13 @@
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let handle = rc::Rc::new(async |incoming| reply_with_frames(incoming).await);
-        tokio::task::spawn_local(peer::serve(listener, processes::TOKEN.into(), handle, stopped));
+        tokio::task::spawn_local(peer::serve(
+            listener,
+            agents::clients(),
+            processes::TOKEN.into(),
+            handle,
+            stopped,
+        ));
         let pool = peer::Pool::new(processes::TOKEN);
         let mut unread = Vec::new();
         for _ in 0..UNREAD_EXCHANGES {
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -66,8 +66,13 @@
             incoming.reply.send(&8u32).await.unwrap();
             incoming.reply.finish();
         });
-        let serving =
-            tokio::task::spawn_local(peer::serve(listener, "token".into(), handle, stopped));
+        let serving = tokio::task::spawn_local(peer::serve(
+            listener,
+            crate::agents::clients(),
+            "token".into(),
+            handle,
+            stopped,
+        ));
         let mut reader = peer::Pool::new("token").exchange(address, "/call", &7u32).await.unwrap();
         assert_eq!(reader.next::<u32>().await.unwrap(), Some(8));
         assert_eq!(reader.next::<u32>().await.unwrap(), None);
