Close a connection to an engine after each refusal

Cause: an engine that writes an earlier refusal in front of its answer does so on a new connection, too. The refusal was taken for the order's own, and the connection was kept, so that the answer that followed was taken for that of the next call, a heartbeat. Reports that failed left their connections in use in the same way.

Change: a connection to an engine is closed at the end of each answer that is not successful, also of the first on it, for orders and for reports.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -365,9 +365,9 @@
         self.call_with_trust(addr, req, limit, timeout, Trust::Any).await
     }
 
-    /// Like [`call`](Self::call), for a request whose refusal must be its own: a server may write an
-    /// earlier refusal once more on a connection that has carried other requests. The call then
-    /// fails and the connection is closed, since the answer may still follow.
+    /// Like [`call`](Self::call), for a server that may write an earlier refusal once more. A refusal
+    /// on a connection that has carried other requests may be such a one: the call fails. After any
+    /// refusal the connection is closed, since the answer to the request may still follow.
     pub async fn call_for_refusals(
         &self,
         addr: net::SocketAddr,
@@ -394,11 +394,14 @@
                 None => self.open(addr, timeout).await?,
             };
             let (head, body) = conn.send(req).await?.into_parts();
-            if trust == Trust::OwnRefusals && is_reused && !head.status.is_success() {
+            let is_distrusted = trust == Trust::OwnRefusals && !head.status.is_success();
+            if is_distrusted && is_reused {
                 let problem = format!("status {} may answer an earlier request", head.status);
                 return Err(Failure::Sent(problem));
             }
-            let body = BodyReader::new(addr, conn, body).read_to_end(self, limit).await?;
+            let mut body = BodyReader::new(addr, conn, body);
+            body.closes_connection = is_distrusted;
+            let body = body.read_to_end(self, limit).await?;
             Ok(hyper::Response::from_parts(head, body))
         };
         let timed_out = || Failure::Sent("no answer in time".into());
@@ -437,12 +440,14 @@
     body: body::Incoming,
     conn: Option<Connection>,
     addr: net::SocketAddr,
+    /// Whether the connection is closed at the end of the body.
+    closes_connection: bool,
 }
 
 impl BodyReader {
     /// Creates a reader for the body of an answer that arrives on `conn`.
     pub fn new(addr: net::SocketAddr, conn: Connection, body: body::Incoming) -> Self {
-        Self { body, conn: Some(conn), addr }
+        Self { body, conn: Some(conn), addr, closes_connection: false }
     }
 
     /// Reads the body to its end. Fails if it has more than `limit` bytes.
@@ -500,7 +505,8 @@
                     return Some(Err(Failure::Sent(err.to_string())));
                 }
                 None => {
-                    if let Some(conn) = self.conn.take() {
+                    let conn = self.conn.take();
+                    if let Some(conn) = conn.filter(|_| !self.closes_connection) {
                         pool.put(self.addr, conn);
                     }
                     return None;
--- a/tests/foreign_refusals.rs
+++ b/tests/foreign_refusals.rs
@@ -9,6 +9,8 @@
     time::Duration,
 };
 
+use knapweedford::http::client;
+
 use crate::{
     gateways::{self, Behavior, Server},
     rank_agents::{Group, OrderAnswers},
@@ -146,6 +148,38 @@
     assert_eq!(answer.status, 503);
 }
 
+/// Guards against the answer to a refused order, which follows an earlier refusal on a new connection,
+/// that is taken for the answer to the next call to that engine.
+#[test]
+fn late_order_answer() {
+    let addr = raw_servers::start(|req, conn| {
+        let sent = match req.path() {
+            "/order" => {
+                let refused =
+                    conn.write_all(b"HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\n{}");
+                thread::sleep(Duration::from_millis(40));
+                let late = b"HTTP/1.1 202 Accepted\r\nContent-Length: 4\r\n\r\nlate";
+                refused.and_then(|()| conn.write_all(late))
+            }
+            _ => conn.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown"),
+        };
+        sent.is_ok()
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let timeout = Duration::from_secs(2);
+        let req = |method, path| client::request(method, addr, path, None).ok().unwrap();
+        for _ in 0..3 {
+            let pool = client::Pool::default();
+            let order = req(hyper::Method::POST, "/order");
+            let refused = pool.call_for_refusals(addr, order, 100, timeout).await.ok().unwrap();
+            assert_eq!(refused.status(), 409);
+            let report = pool.call(addr, req(hyper::Method::GET, "/report"), 100, timeout).await;
+            assert_eq!(report.ok().unwrap().body(), "own");
+        }
+    });
+}
+
 /// Guards against rank agents that take the refusal of an earlier order, or the answer that follows
 /// it, for the answer to another call: the group stands while their owner changes.
 #[test]
