Close connections that are distrusted by their keep-alive time

The reader of a body needs no flag of its own: a connection whose keep-alive time is zero does not return to the pool. Behaviour is unchanged; foreign_refusals passes.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -399,9 +399,10 @@
                 let problem = format!("status {} may answer an earlier request", head.status);
                 return Err(Failure::Sent(problem));
             }
-            let mut body = BodyReader::new(addr, conn, body);
-            body.closes_connection = is_distrusted;
-            let body = body.read_to_end(self, limit).await?;
+            if is_distrusted {
+                conn.keep_alive = time::Duration::ZERO;
+            }
+            let body = BodyReader::new(addr, conn, body).read_to_end(self, limit).await?;
             Ok(hyper::Response::from_parts(head, body))
         };
         let timed_out = || Failure::Sent("no answer in time".into());
@@ -440,14 +441,12 @@
     body: body::Incoming,
     conn: Option<Connection>,
     addr: net::SocketAddr,
-    /// Whether the connection is closed at the end of the body.
-    closes_connection: bool,
 }
 
 impl BodyReader {
     /// Creates a reader for the body of an answer that arrives on `conn`.
     pub fn new(addr: net::SocketAddr, conn: Connection, body: body::Incoming) -> Self {
-        Self { body, conn: Some(conn), addr, closes_connection: false }
+        Self { body, conn: Some(conn), addr }
     }
 
     /// Reads the body to its end. Fails if it has more than `limit` bytes.
@@ -505,8 +504,7 @@
                     return Some(Err(Failure::Sent(err.to_string())));
                 }
                 None => {
-                    let conn = self.conn.take();
-                    if let Some(conn) = conn.filter(|_| !self.closes_connection) {
+                    if let Some(conn) = self.conn.take() {
                         pool.put(self.addr, conn);
                     }
                     return None;
