--- a/src/http/clients.rs
+++ b/src/http/clients.rs
@@ -30,7 +30,7 @@
 /// Send buffer of a client's connection in the kernel, in bytes.
 pub const SEND_BUFFER_BYTES: usize = 16 << 10;
 /// Rate at which a client that sends or reads is never asked to make room.
-const MIN_BYTES_PER_S: f64 = 64.0 * 1024.0;
+const MIN_BYTES_PER_S: f64 = 16.0 * 1024.0;
 /// Shortest delay of a client that is asked to make room, so that one that has just connected can
 /// send its request.
 const MIN_LAG: time::Duration = time::Duration::from_millis(100);
