Warn of bodies that are allowed and can never be served

A configuration may allow bodies for which a small machine has no memory. Each of them would be refused with a promise that a later one is served. The gateway says so when the configuration comes into force. Tested by head_limits::body_without_memory; host_settings::machine_size tests the checks of the settings.

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -19,7 +19,7 @@
     http::client,
     metrics, name, platform,
     rank::message,
-    settings::site,
+    settings::{Machine, site},
     site::{Catalog, Registry, catalog},
 };
 
@@ -36,6 +36,10 @@
 /// Time that clients' connections may stay idle while no configuration is known.
 const DEFAULT_IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
+/// Memory that the request with the largest body takes besides the body, in bytes.
+const REQUEST_OVERHEAD_BYTES: usize =
+    http::clients::LARGE_RECEIVE_BUFFER_BYTES + 2 * client::BOUNDED_CONNECTION_BYTES;
+
 /// Shortest time that clients have for a request head, whatever the configuration states: with none,
 /// all connections would be closed as they open.
 const MIN_HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(1);
@@ -50,6 +54,7 @@
     started: Instant,
     retries: cell::Cell<site::RetryLimits>,
     max_view_age: cell::Cell<site::MaxViewAge>,
+    machine: Machine,
     /// Longest silence of an answer that breaks off because its own server crashed.
     pub max_crash_silence: time::Duration,
     /// Notified when notes of crashes are to be written to the store.
@@ -166,6 +171,7 @@
             started: Instant::now(),
             retries: cell::Cell::new(cfg.retries),
             max_view_age: cell::Cell::new(cfg.max_view_age),
+            machine: cfg.machine,
             max_crash_silence: cfg.stall.mul_f64(CRASH_SILENCE_FRACTION),
             notes_pending: Notify::new(),
             store_recovered: Notify::new(),
@@ -207,12 +213,26 @@
                 routes = catalog.route_count();
                 "configuration in force"
             );
+            self.check_body_limit(&catalog);
             self.metrics.page.set_version(catalog.version);
             state.catalog = Some(rc::Rc::new(catalog));
             state.longest_deadlines.clear();
         }
     }
 
+    /// Warns if a body that `catalog` allows can never be served on this machine.
+    fn check_body_limit(&self, catalog: &Catalog) {
+        let content_bytes = self.machine.client_content_bytes();
+        let largest_bytes = content_bytes.saturating_sub(REQUEST_OVERHEAD_BYTES);
+        let max_body_bytes = catalog.limits.max_body_bytes;
+        if max_body_bytes > largest_bytes {
+            log::warn!(
+                version = catalog.version, max_body_bytes, largest_bytes;
+                "the configuration allows bodies for which this machine has no memory"
+            );
+        }
+    }
+
     /// Returns whether zones are evacuated only because the store was restored from a copy that
     /// lacks them.
     pub fn keeps_evacuations(&self) -> bool {
--- a/src/http/clients.rs
+++ b/src/http/clients.rs
@@ -34,9 +34,6 @@
 /// Shortest delay of a client that is asked to make room, so that one that has just connected can
 /// send its request.
 const MIN_LAG: time::Duration = time::Duration::from_millis(100);
-/// Part of the memory that bodies and answers may take; the rest is for connections, so that their
-/// requests can be refused with an answer.
-const CONTENT_SHARE: f64 = 0.75;
 /// Shortest time between two log lines about clients that make room or are refused.
 const LOG_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
@@ -137,6 +134,8 @@
 /// The clients of a process, and the memory held for them.
 pub struct Clients {
     limit_bytes: usize,
+    /// Most memory that bodies and answers may take.
+    content_limit_bytes: usize,
     state: Mutex<State>,
     metrics: metrics::Clients,
 }
@@ -146,13 +145,12 @@
     pub fn new(machine: &Machine, page: &metrics::Page) -> Arc<Self> {
         let metrics = metrics::Clients::new(page);
         metrics.set_memory_limit(machine.client_memory_bytes());
-        let limit_bytes = machine.client_memory_bytes();
-        Arc::new(Self { limit_bytes, state: Mutex::default(), metrics })
-    }
-
-    /// Most memory that bodies and answers may take, in bytes.
-    pub fn content_limit_bytes(&self) -> usize {
-        (self.limit_bytes as f64 * CONTENT_SHARE) as usize
+        Arc::new(Self {
+            limit_bytes: machine.client_memory_bytes(),
+            content_limit_bytes: machine.client_content_bytes(),
+            state: Mutex::default(),
+            metrics,
+        })
     }
 
     /// Admits a new connection to `port`, which may have `max_connections`; a slower client makes
@@ -442,7 +440,7 @@
         let (port, lag) = (holder.port, holder.lag(now).unwrap_or_default());
         let cost = (holder.bytes + bytes) as f64 * lag.as_secs_f64();
         let made_room =
-            clients.make_room(&mut state, bytes, clients.content_limit_bytes(), cost, now);
+            clients.make_room(&mut state, bytes, clients.content_limit_bytes, cost, now);
         if made_room.is_err() {
             clients.metrics.count_refused(port, "memory");
             if let Some(decisions) = state.log_turn(now) {
--- a/src/settings/machine.rs
+++ b/src/settings/machine.rs
@@ -13,6 +13,10 @@
 /// Descriptors that the platform reserves for files.
 const FILE_DESCRIPTORS: u32 = 200;
 
+/// Part of the clients' memory that bodies and answers may take; the rest is for connections, so that
+/// their requests can be refused with an answer.
+const CONTENT_SHARE: f64 = 0.75;
+
 /// Memory and descriptors that the machine gives to the process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Machine {
@@ -29,6 +33,11 @@
         usize::try_from(self.memory_mb).unwrap_or(usize::MAX).saturating_mul(1_000_000) / 2
     }
 
+    /// Memory that bodies and answers of clients may take, in bytes.
+    pub fn client_content_bytes(&self) -> usize {
+        (self.client_memory_bytes() as f64 * CONTENT_SHARE) as usize
+    }
+
     /// Largest number of connections of clients.
     pub fn client_connections(&self) -> usize {
         self.sockets() * 5 / 8
--- a/tests/head_limits.rs
+++ b/tests/head_limits.rs
@@ -1,4 +1,5 @@
-//! Limits of the configuration on the heads of clients' requests, and on the time that they take.
+//! Limits of the configuration on the heads and bodies of clients' requests, and on the time that they
+//! take.
 
 use std::{
     io::{Read, Write},
@@ -13,6 +14,7 @@
 
 const ROUTES: [(&str, &str); 3] = [("POST", "/once/a"), ("POST", "/stream/a"), ("GET", "/read/a")];
 const HEAD_LIMIT: &str = r#""max_header_bytes":16384"#;
+const BODY_LIMIT: &str = r#""max_body_bytes":1000"#;
 const TIME_LIMITS: &str = r#""header_timeout_ms":3000,
         "idle_timeout_ms":15000"#;
 
@@ -99,6 +101,18 @@
     assert_eq!(send(90_000), 200);
 }
 
+/// Guards against bodies that are allowed but never served, which nobody notices.
+#[test]
+fn body_without_memory() {
+    let site = Site::start(1, false);
+    let warning = "the configuration allows bodies for which this machine has no memory";
+    configure(&site, 2, BODY_LIMIT, r#""max_body_bytes":4194304"#);
+    assert!(!site.gateway.logs().contains(warning));
+    configure(&site, 3, BODY_LIMIT, r#""max_body_bytes":1000000000"#);
+    wait_until("the gateway warns", || site.gateway.logs().contains(warning).then_some(()));
+    assert_eq!(site.send("POST", "/once/a", "id-1").status, 200);
+}
+
 /// Guards against time limits at which every connection is closed before its client has sent a
 /// request.
 #[test]
--- a/tests/host_settings.rs
+++ b/tests/host_settings.rs
@@ -42,6 +42,29 @@
     assert!(settings::Settings::parse(ENTRY).is_ok());
 }
 
+/// Guards against processes that start and then serve nobody, and against a default that does not
+/// fit the smallest machine.
+#[test]
+fn machine_size() {
+    let with_machine = |machine: &str| format!("{ENTRY}machine: {machine}\n");
+    let parsed = settings::Settings::parse(ENTRY).unwrap().machine;
+    assert_eq!((parsed.memory_mb, parsed.descriptors), (112, 2_870));
+    let text = with_machine("{memory-mb: 260, descriptors: 4100}");
+    let parsed = settings::Settings::parse(&text).unwrap().machine;
+    assert_eq!((parsed.memory_mb, parsed.descriptors), (260, 4_100));
+    assert!(parsed.client_connections() + parsed.server_connections() < 3_900);
+    for (machine, problem) in [
+        ("{memory-mb: 4}", "4 MB of memory do not hold the largest request"),
+        ("{descriptors: 100}", "100 descriptors leave too few for clients"),
+        ("{memory-mb: -1}", "whole number"),
+        ("{memory-mb: 112.5}", "whole number"),
+        ("{memory: 112}", "memory"),
+    ] {
+        let found = findings_of(&with_machine(machine));
+        assert!(found.len() == 1 && found[0].contains(problem), "{machine}: {found:?}");
+    }
+}
+
 #[test]
 fn entry_needs_callers() {
     let found = findings_after_edit("callers: 127.0.0.1:0\n", "");
