Serve heads of up to 1,024 fields

Cause: the limit on the number of fields, 64, which bounded what a head costs.

Change: 1,024 fields, which is 16 bytes for each in a head of 16 KiB. Fields beyond 64 are charged to the client with 256 bytes each. More of them are still refused: the HTTP library allocates 64 bytes for each allowed field whenever it parses a head.

Evidence: head_limits::many_fields failed before at 65 fields and passes with 65, 200 and 1,000.

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -36,6 +36,9 @@
 /// Time that clients' connections may stay idle while no configuration is known.
 const DEFAULT_IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
+/// Maximum number of headers in a client's request: a head of 16 KiB whose headers have 16 bytes each.
+/// The HTTP library allocates 64 bytes for each of them while it parses a head.
+const MAX_HEADERS: usize = 1_024;
 /// Memory that the request with the largest body takes besides the body, in bytes.
 const REQUEST_OVERHEAD_BYTES: usize =
     http::clients::LARGE_RECEIVE_BUFFER_BYTES + 2 * client::BOUNDED_CONNECTION_BYTES;
@@ -454,9 +457,9 @@
         });
         http::Limits {
             max_head_bytes: head_bytes,
+            max_headers: MAX_HEADERS,
             max_connections: connections,
             head_timeout: head_time,
-            ..Default::default()
         }
     }
 
--- a/src/http/clients.rs
+++ b/src/http/clients.rs
@@ -273,7 +273,8 @@
 }
 
 impl Client {
-    /// Charges `bytes` to the client for content beyond what each connection counts with.
+    /// Charges `bytes` to the client for content beyond what each connection counts with. A charge of
+    /// nothing always succeeds.
     ///
     /// # Errors
     ///
@@ -281,7 +282,7 @@
     /// make room.
     pub fn charge(self: &Arc<Self>, bytes: usize) -> Result<Charge, NoMemory> {
         let mut charge = Charge { client: Arc::clone(self), bytes: 0 };
-        charge.grow(bytes)?;
+        charge.resize(bytes)?;
         Ok(charge)
     }
 
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -41,13 +41,21 @@
     fn default() -> Self {
         Self {
             max_head_bytes: 16 << 10,
-            max_headers: 64,
+            max_headers: FREE_HEADERS,
             max_connections: MAX_CONNECTIONS,
             head_timeout: time::Duration::from_secs(10),
         }
     }
 }
 
+/// Headers of a request that count with its connection; more of them are charged to the client.
+const FREE_HEADERS: usize = 64;
+/// Memory for each header beyond [`FREE_HEADERS`], in bytes: its entries in the maps of the request
+/// that was received and of the one that is sent to a server.
+const HEADER_BYTES: usize = 256;
+/// `Retry-After` for a request head for which there is no memory.
+const NO_MEMORY_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+
 /// Smallest and largest buffer in which a request head is received, in bytes. hyper panics if its
 /// buffer is smaller than 8 KiB, so that a lower limit is checked once the head is complete.
 const HEAD_BUFFER_BYTES: ops::RangeInclusive<usize> = 16 << 10..=1 << 20;
@@ -146,16 +154,22 @@
             client.begin_answer();
             let req = req.map(|body| Upload::new(body, Arc::clone(&client)));
             let head_bytes = head_bytes(&req);
-            let mut res = match head_bytes > limits.max_head_bytes {
-                true => refuse_head(head_bytes, limits.max_head_bytes),
-                false => handler.handle(req).await,
+            let more_headers = req.headers().len().saturating_sub(FREE_HEADERS);
+            let charge = client.charge(more_headers * HEADER_BYTES);
+            let mut res = match &charge {
+                _ if head_bytes > limits.max_head_bytes => {
+                    refuse_head(head_bytes, limits.max_head_bytes)
+                }
+                Err(err) => answer::refusal(503, &err.to_string(), Some(NO_MEMORY_RETRY_AFTER)),
+                Ok(_) => handler.handle(req).await,
             };
             // Larger heads, which are allowed by now, need a connection with a larger buffer.
             if limits.head_buffer_bytes() > buffer_bytes || client.is_evicted() {
                 let close = header::HeaderValue::from_static("close");
                 res.headers_mut().insert(header::CONNECTION, close);
             }
-            Ok::<_, convert::Infallible>(res.map(|body| AnswerBody { body, client }))
+            let _head_charge = charge.ok();
+            Ok::<_, convert::Infallible>(res.map(|body| AnswerBody { body, client, _head_charge }))
         }
     });
     let conn = server::conn::http1::Builder::new()
@@ -197,6 +211,8 @@
 struct AnswerBody {
     body: Body,
     client: Arc<Client>,
+    /// Memory for the head of the request.
+    _head_charge: Option<Charge>,
 }
 
 impl body::Body for AnswerBody {
--- a/tests/head_limits.rs
+++ b/tests/head_limits.rs
@@ -101,6 +101,29 @@
     assert_eq!(send(90_000), 200);
 }
 
+/// Guards against heads that are refused for the number of their fields, which no page limits. Those
+/// fields reach the server.
+#[test]
+fn many_fields() {
+    let site = Site::start(1, false);
+    for count in [65, 200, 1_000] {
+        let names: Vec<String> = (0..count).map(|n| format!("x{n}")).collect();
+        let mut headers = vec![
+            ("Host", HOST),
+            ("Api-Key", API_KEY),
+            ("X-Knapweedford-Request-Id", "id"),
+            ("X-Knapweedford-Deadline-Ms", "3000"),
+        ];
+        headers.extend(names.iter().map(|name| (name.as_str(), "1")));
+        for (method, path) in ROUTES {
+            let answer = gateways::call(site.gateway.process.address, method, path, &headers);
+            assert_eq!(answer.status, 200, "{count} fields, {path}: {answer:?}");
+        }
+        let received = site.servers[0].requests().pop().unwrap().headers;
+        assert!(names.iter().all(|name| received.contains_key(name)), "{count} fields");
+    }
+}
+
 /// Guards against bodies that are allowed but never served, which nobody notices.
 #[test]
 fn body_without_memory() {
