--- a/src/http/upload.rs
+++ b/src/http/upload.rs
@@ -75,7 +75,6 @@
             () = tokio::time::sleep_until(timeout_at) => Err(UploadError::TooLate),
         };
         client.begin_answer();
-        client.set_receive_buffer(RECEIVE_BUFFER_BYTES);
         received
     }
 
@@ -96,6 +95,9 @@
                 }));
             }
         }
+        if read_ahead.is_some_and(|charged| charged.is_ok()) {
+            self.client.set_receive_buffer(RECEIVE_BUFFER_BYTES);
+        }
         Ok(collector.finish())
     }
 
