--- a/tests/client_limits.rs
+++ b/tests/client_limits.rs
@@ -11,6 +11,8 @@
 };
 use proptest::prelude::*;
 
+use crate::fuzz;
+
 const PORT: &str = "clients";
 const MIB: usize = 1 << 20;
 /// Memory of the machine of these tests, in megabytes.
@@ -232,7 +234,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(64))]
+    #![proptest_config(fuzz::config(64))]
 
     /// Guards against bodies that lose or repeat bytes at the border of segments, and against pieces
     /// that cost more than their bytes.
--- a/tests/fuzz.rs
+++ b/tests/fuzz.rs
@@ -1,4 +1,4 @@
-//! Runs state machine tests with a fixed seed; a failure prints the command that reproduces it.
+//! Runs state machine and property tests with a fixed seed; a failure prints the command that reproduces it.
 //!
 //! `KNAPWEEDFORD_SEED` and `KNAPWEEDFORD_CASES` set the seed and the number of cases.
 
@@ -20,6 +20,21 @@
     pub max_steps: usize,
 }
 
+/// Returns the configuration of a property test that runs `cases` cases in CI.
+pub fn config(cases: u32) -> test_runner::Config {
+    seeded_config(env_or("KNAPWEEDFORD_SEED", SEED), env_or("KNAPWEEDFORD_CASES", cases))
+}
+
+fn seeded_config(seed: u64, cases: u32) -> test_runner::Config {
+    test_runner::Config {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 20_000,
+        rng_seed: test_runner::RngSeed::Fixed(seed),
+        ..test_runner::Config::default()
+    }
+}
+
 /// Runs state machine `T`; the error contains the shrunk case and the command that reproduces it.
 pub fn run<T>(plan: &Plan) -> Result<(), String>
 where
@@ -40,13 +55,7 @@
     <T::Reference as ReferenceStateMachine>::State: fmt::Debug + Clone,
     <T::Reference as ReferenceStateMachine>::Transition: fmt::Debug + Clone,
 {
-    let config = test_runner::Config {
-        cases,
-        failure_persistence: None,
-        max_shrink_iters: 20_000,
-        rng_seed: test_runner::RngSeed::Fixed(seed),
-        ..test_runner::Config::default()
-    };
+    let config = seeded_config(seed, cases);
     let strategy = T::Reference::sequential_strategy(1..plan.max_steps);
     test_runner::TestRunner::new(config.clone())
         .run(&strategy, |(state, steps, seen_counter)| {
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -39,6 +39,7 @@
 mod fuzz_agreement;
 mod fuzz_answers;
 mod fuzz_gate;
+mod fuzz_parsers;
 mod gate;
 mod gateway;
 mod gateways;
