--- a/src/http/clients.rs
+++ b/src/http/clients.rs
@@ -1,9 +1,10 @@
 //! Limits on the memory and connections that a process holds for its clients, over all its ports.
 //!
 //! Every connection counts with [`CONNECTION_BYTES`], and what exceeds them is charged to the
-//! connection as it arrives: bodies, answers, large heads. Where room is short, the client makes
-//! room that has held the most memory for the longest time beyond what it needs at
-//! [`MIN_BYTES_PER_S`]. Clients whose requests are served and who read their answers never do.
+//! connection as it arrives: bodies, answers, large heads. Where room is short, the client with the
+//! highest product of memory and lag makes room: its body is refused, or its connection closed. The
+//! lag of a client is how long ago it would have sent or read the same at [`MIN_BYTES_PER_S`].
+//! Clients whose requests are served and who read their answers have none.
 
 use std::{
     collections::BTreeMap,
@@ -31,12 +32,11 @@
 pub const SEND_BUFFER_BYTES: usize = 16 << 10;
 /// Rate at which a client that sends or reads is never asked to make room.
 const MIN_BYTES_PER_S: f64 = 16.0 * 1024.0;
-/// Shortest delay of a client that is asked to make room, so that one that has just connected can
+/// Shortest lag of a client that is asked to make room, so that one that has just connected can
 /// send its request.
 const MIN_LAG: time::Duration = time::Duration::from_millis(100);
 /// Shortest time between two log lines about clients that make room or are refused.
 const LOG_INTERVAL: time::Duration = time::Duration::from_millis(200);
-
 /// Time after which an answer that found no room asks for it again.
 const ROOM_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
@@ -72,18 +72,19 @@
     /// Memory held for it; 0 once it was asked to make room.
     bytes: usize,
     stage: Stage,
-    /// Time since when the client would not have been delayed at [`MIN_BYTES_PER_S`].
+    /// Time at which the client would have sent or read the same at [`MIN_BYTES_PER_S`]; its lag is the
+    /// time since then.
     behind_since: Instant,
     /// Whether an answer waits for the client to read, or holds a part of its bytes while it waits for
     /// room.
     blocked: bool,
-    /// Delay when the client had last read all that there was.
+    /// Lag when the client had last read all that there was.
     lag_before_block: time::Duration,
     eviction: Arc<Eviction>,
 }
 
 impl Holder {
-    /// Returns the delay of a client that may be asked to make room.
+    /// Returns the lag of a client that may be asked to make room.
     fn lag(&self, now: Instant) -> Option<time::Duration> {
         let may_make_room = self.bytes > 0 && (self.stage != Stage::Answer || self.blocked);
         let lag = now.saturating_duration_since(self.behind_since);
@@ -96,8 +97,7 @@
         self.behind_since = (self.behind_since + earned).min(now);
     }
 
-    /// Records whether bytes of an answer wait for the client. Its delay does not grow while none
-    /// do.
+    /// Records whether an answer waits for the client. Its lag does not grow while none does.
     fn set_blocked(&mut self, blocked: bool, now: Instant) {
         match (self.blocked, blocked) {
             (false, true) => {
@@ -216,8 +216,8 @@
         Ok(())
     }
 
-    /// Asks the client with the highest cost above `min_cost` to make room; returns `false` if there
-    /// is none. Its memory counts as free from now on.
+    /// Asks the client with the highest cost, which is memory times lag, to make room, if its cost is
+    /// above `min_cost`; returns `false` if there is none. Its memory counts as free from now on.
     fn evict(
         &self,
         state: &mut State,
