Let tests with raw servers wait until the gateways are counted

The log shows one attempt, no retry, 37 ms before "number of gateways changed gateways=1 previous=64": until a gateway knows how many share the budget of retries, its share is too small for one, which is intended. The harness waits for that line; the checks are as they were. 10 of 10 tests that use it for broken streams and refusals pass.

--- a/tests/raw_servers.rs
+++ b/tests/raw_servers.rs
@@ -147,5 +147,9 @@
     store.put("op", "config", &config.replace(r#""timeout_ms":2000"#, r#""timeout_ms":20000"#));
     let gateway = Gateway::start(store.addr);
     wait_until("the gateway is ready", || gateway.is_ready().then_some(()));
+    // Until then its share of the retries is too small for a single one.
+    wait_until("the gateway knows how many there are", || {
+        gateway.logs().contains("number of gateways changed").then_some(())
+    });
     gateway
 }
