Count a request head only until the next one begins

On a kept connection the bytes of all heads added up: past 16 KiB in sum a client was charged for memory that it did not hold, and would in the end have been asked to make room or been cut off. Found on reading the change.

--- a/src/http/clients.rs
+++ b/src/http/clients.rs
@@ -195,6 +195,7 @@
             id,
             eviction,
             is_at_head: AtomicBool::new(true),
+            has_new_head: AtomicBool::new(true),
             receive_buffer_bytes: AtomicUsize::new(RECEIVE_BUFFER_BYTES),
         })
     }
@@ -269,6 +270,8 @@
     id: u64,
     eviction: Arc<Eviction>,
     is_at_head: AtomicBool,
+    /// Whether the client has begun a request head since [`take_new_head`](Self::take_new_head).
+    has_new_head: AtomicBool,
     /// Size that the connection's receive buffer is to have; 0 once it has it.
     receive_buffer_bytes: AtomicUsize,
 }
@@ -328,6 +331,11 @@
         self.is_at_head.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the client has begun a request head since the last call.
+    pub(super) fn take_new_head(&self) -> bool {
+        self.has_new_head.swap(false, Ordering::Relaxed)
+    }
+
     /// Sets the size that the connection's receive buffer is to have from its next read on.
     pub fn set_receive_buffer(&self, bytes: usize) {
         self.receive_buffer_bytes.store(bytes, Ordering::Relaxed);
@@ -373,6 +381,7 @@
     fn begin(&self, stage: Stage) {
         let now = Instant::now();
         self.is_at_head.store(stage == Stage::Head, Ordering::Relaxed);
+        self.has_new_head.fetch_or(stage == Stage::Head, Ordering::Relaxed);
         self.update(|holder| {
             (holder.stage, holder.behind_since, holder.blocked) = (stage, now, false);
             holder.lag_before_block = time::Duration::ZERO;
--- a/src/http/socket.rs
+++ b/src/http/socket.rs
@@ -39,12 +39,11 @@
     /// Counts `received` bytes if they belong to a request head.
     fn record_head(&mut self, received: usize) -> io::Result<()> {
         if !self.client.is_at_head() {
-            self.head_bytes = 0;
             return Ok(());
         }
         // A new head replaces the one before.
-        if self.head_bytes == 0 {
-            self.head_charge = None;
+        if self.client.take_new_head() {
+            (self.head_bytes, self.head_charge) = (0, None);
         }
         self.head_bytes += received;
         let excess = self.head_bytes.saturating_sub(FREE_HEAD_BYTES);
--- a/tests/head_limits.rs
+++ b/tests/head_limits.rs
@@ -101,6 +101,21 @@
     assert_eq!(send(90_000), 200);
 }
 
+/// Guards against memory that is counted for the heads of earlier requests on a connection.
+#[test]
+fn kept_connection() {
+    let site = Site::start(1, false);
+    let agent = processes::http_client();
+    for _ in 0..50 {
+        let at = site.gateway.process.address;
+        assert_eq!(send_large(&agent, at, ("GET", "/read/a"), 8_000).status, 200);
+    }
+    let page = gateways::call(site.gateway.operators_addr, "GET", "/metrics", &[]).body.unwrap();
+    let used = page.lines().find_map(|l| l.strip_prefix("knapweedford_client_memory_bytes "));
+    let used: usize = used.unwrap().parse().unwrap();
+    assert!(used <= 4 * (64 << 10), "{used} bytes for a few idle connections");
+}
+
 /// Guards against heads that are refused for the number of their fields, which no page limits. Those
 /// fields reach the server.
 #[test]
