--- a/review/lib-2/fleet.rs
+++ b/review/lib-2/fleet.rs
@@ -349,10 +349,186 @@
     Ok(i32::from(served == 0.0))
 }
 
+/// Requests a second of the clients of the plain service, and for how long they send.
+const PLAIN_REQUESTS_PER_S: f64 = 30.0;
+const PLAIN_TIME: Duration = Duration::from_secs(64);
+const PLAIN_WORKERS: usize = 3;
+const PLAIN_WORK: Duration = Duration::from_millis(60);
+/// A faulty worker hands out wrong bytes in place of each of this many answers, for the first
+/// [`GARBLE_TIME`] of each [`GARBLE_PERIOD`].
+const GARBLED_EACH: u64 = 34;
+const GARBLE_TIME: Duration = Duration::from_secs(5);
+const GARBLE_PERIOD: Duration = Duration::from_secs(6);
+
+/// What plain workers ran, and what they handed out in place of an answer.
+#[derive(Default)]
+struct PlainLog {
+    lines: Vec<String>,
+    garbled: usize,
+}
+
+/// Serves a plain worker, which answers with its seal and the request's id.
+fn serve_plain_worker(
+    id: String,
+    is_faulty: bool,
+    started: Instant,
+    answers: Arc<Mutex<u64>>,
+    log: Arc<Mutex<PlainLog>>,
+    conn: TcpStream,
+) -> io::Result<()> {
+    let mut out = conn.try_clone()?;
+    let mut from = BufReader::new(conn);
+    while let Some(message) = wire::read(&mut from)? {
+        let request = message.header("x-knapweedford-request-id").unwrap_or_default().to_owned();
+        let echo = format!("X-Knapweedford-Request-Id: {request}\r\n");
+        if message.header("x-knapweedford-expect-instance") != Some(&id) {
+            let headers = echo + "X-Knapweedford-Not-Executed: 1\r\n";
+            out.write_all(&wire::json_answer(421, &headers, "{}"))?;
+            continue;
+        }
+        thread::sleep(PLAIN_WORK);
+        let at = started.elapsed();
+        let is_due = {
+            let mut answers = answers.lock().unwrap();
+            *answers += 1;
+            let into_period = at.as_secs_f64() % GARBLE_PERIOD.as_secs_f64();
+            is_faulty
+                && *answers >= GARBLED_EACH
+                && into_period < GARBLE_TIME.as_secs_f64()
+                && std::mem::take(&mut *answers) > 0
+        };
+        let mut log = log.lock().unwrap();
+        let what = if is_due { "hands out wrong bytes" } else { "answers" };
+        log.lines.push(format!("{:8.3} worker {id} runs {request} and {what}", at.as_secs_f64()));
+        log.garbled += usize::from(is_due);
+        drop(log);
+        let body = "x".repeat(800);
+        match is_due {
+            true => {
+                write!(out, "HTTP/1.1 200 OK\r\nContent-Length: 800\r\n\r\n{}", "#".repeat(800))?
+            }
+            false => write!(
+                out,
+                "HTTP/1.1 200 OK\r\nContent-Length: 800\r\nKeep-Alive: timeout=15\r\n\
+                 X-Knapweedford-Response-Seal: {id}.{request}\r\n{echo}\r\n{body}"
+            )?,
+        }
+    }
+    Ok(())
+}
+
+/// Sends one unsafe or safe request; returns the status, the seal and the first byte of the body.
+fn send_plain(addr: SocketAddr, id: &str, is_safe: bool) -> io::Result<(u16, Option<String>, u8)> {
+    let mut conn = TcpStream::connect_timeout(&addr, Duration::from_secs(1))?;
+    conn.set_read_timeout(Some(Duration::from_secs(3)))?;
+    let (line, body) = match is_safe {
+        true => ("GET /r/a", String::new()),
+        false => ("POST /u/a", "b".repeat(600)),
+    };
+    write!(
+        conn,
+        "{line} HTTP/1.1\r\nHost: a.example\r\nX-Knapweedford-Request-Id: {id}\r\n\
+         X-Knapweedford-Deadline-Ms: 1500\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )?;
+    let answer = wire::read(&mut BufReader::new(conn))?.ok_or(io::ErrorKind::UnexpectedEof)?;
+    let status = answer.target.parse().map_err(|_| io::ErrorKind::InvalidData)?;
+    let seal = answer.header("x-knapweedford-response-seal").map(str::to_owned);
+    Ok((status, seal, answer.body.first().copied().unwrap_or_default()))
+}
+
+/// Clients send unsafe and safe requests to a plain service; with trouble, one of its three workers
+/// hands out wrong bytes in place of some answers.
+fn run_garbled(root: &Path, case_dir: &Path) -> Result<i32, Box<dyn std::error::Error>> {
+    let with_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
+    let dir = env::temp_dir().join(format!("knapweedford-fleet-{}", process::id()));
+    fs::create_dir_all(&dir)?;
+    let block = Block::free(&[FRONT_PORT, READY_PORT, PEER_PORT, PEER_PORT + 1, WORKER_PORT]);
+    let store = store::Store::start(block.addr(STORE_MACHINE, STORE_PORT))?;
+    store.put("op", "config", r#"{"version":7,"routes":[{"name":"r-1","host":"a.example","prefix":"/u/","kind":"unsafe","timeout_ms":800,"target_latency_ms":300,"priority":2,"service":"ledger","max_attempts":1,"public":true},{"name":"r-2","host":"a.example","prefix":"/r/","kind":"safe","timeout_ms":800,"target_latency_ms":300,"priority":2,"service":"ledger","max_attempts":2,"public":true}],"services":[{"name":"ledger","health_path":"/healthz","max_conns":100,"cold_start_s":0.0,"cold_per_s":0.0}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#);
+    let started = Instant::now();
+    let log = Arc::<Mutex<PlainLog>>::default();
+    for worker in 0..PLAIN_WORKERS {
+        let addr = block.addr(FIRST_WORKER_MACHINE + worker, WORKER_PORT);
+        let id = format!("i-{worker:04}");
+        let row = format!(
+            r#"{{"service":"ledger","address":"{addr}","zone":"z","version":"v1","slots":6,"state":"ready","cold_remaining_ms":0,"born":{},"seq":1}}"#,
+            unix_ms() - 60_000
+        );
+        store.put("servers", &id, &row);
+        let (answers, log) = (Arc::default(), Arc::clone(&log));
+        let is_faulty = with_trouble && worker < 1;
+        wire::listen(addr, move |conn| {
+            let (answers, log) = (Arc::clone(&answers), Arc::clone(&log));
+            serve_plain_worker(id.clone(), is_faulty, started, answers, log, conn)
+        })?;
+    }
+    let case = Case { root: root.into(), dir: dir.clone(), block };
+    let gateways = (1..=GATEWAYS)
+        .map(|n| case.start_gateway(n, &format!("front-z-{n}")))
+        .collect::<io::Result<Vec<_>>>()?;
+    thread::sleep(Duration::from_secs(10));
+    let (mut number, first_at) = (0u64, Instant::now());
+    let answered = Arc::<Mutex<Vec<(u16, bool, bool, String)>>>::default();
+    let mut sending = Vec::new();
+    while first_at.elapsed() < PLAIN_TIME {
+        let due = first_at + Duration::from_secs_f64(number as f64 / PLAIN_REQUESTS_PER_S);
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        let addr = case.block.addr(number as usize % GATEWAYS + 1, FRONT_PORT);
+        let (is_safe, answered) = (number % 8 >= 5, Arc::clone(&answered));
+        sending.push(thread::spawn(move || {
+            let id = format!("{number:016x}");
+            let at = started.elapsed().as_secs_f64();
+            let (status, seal, first) = send_plain(addr, &id, is_safe).unwrap_or((0, None, 0));
+            let kind = if is_safe { "safe" } else { "unsafe" };
+            let body = if first == b'#' { "the wrong bytes" } else { "another body" };
+            let line =
+                format!("{at:8.3} {kind} request {id}: status {status}, seal {seal:?}, {body}");
+            let is_mixed = (200..300).contains(&status) && seal.is_none();
+            answered.lock().unwrap().push((status, is_mixed, is_safe, line));
+        }));
+        number += 1;
+    }
+    sending.into_iter().for_each(|thread| {
+        let _ = thread.join();
+    });
+    drop(gateways);
+    let answered = std::mem::take(&mut *answered.lock().unwrap());
+    let served = answered.iter().filter(|(status, ..)| *status == 200).count();
+    let mixed: Vec<_> = answered.iter().filter(|(_, is_mixed, ..)| *is_mixed).collect();
+    let unsafe_ones = mixed.iter().filter(|(_, _, is_safe, _)| !is_safe).count();
+    let log = log.lock().unwrap();
+    let verdict = format!(
+        "{} of {} requests answered 200; wrong bytes {} times in place of an answer; clients got {} \
+         successes without a worker's seal, {unsafe_ones} of them to unsafe requests",
+        served,
+        answered.len(),
+        log.garbled,
+        mixed.len()
+    );
+    let mut record = fs::File::create(case_dir.join("record.txt"))?;
+    writeln!(record, "{verdict}\n\nSuccesses without a seal:")?;
+    mixed.iter().try_for_each(|(.., line)| writeln!(record, "{line}"))?;
+    writeln!(record, "\nAll answers:")?;
+    answered.iter().try_for_each(|(.., line)| writeln!(record, "{line}"))?;
+    writeln!(record, "\nWhat the workers ran:")?;
+    log.lines.iter().try_for_each(|line| writeln!(record, "{line}"))?;
+    fs::remove_dir_all(&dir)?;
+    println!("{verdict}");
+    match (mixed.is_empty(), served) {
+        (_, 0) => Err("no request was served".into()),
+        (is_kept, _) => Ok(i32::from(!is_kept)),
+    }
+}
+
 fn main() {
     let mut args = env::args().skip(1);
     let (root, case) = (args.next().unwrap_or_default(), args.next().unwrap_or_default());
-    let run = if args.next().is_some_and(|mode| mode == "foreign") { run_foreign } else { run };
+    let run = match args.next().as_deref() {
+        Some("foreign") => run_foreign,
+        Some("garbled") => run_garbled,
+        _ => run,
+    };
     let code = run(Path::new(&root), Path::new(&case)).unwrap_or_else(|err| {
         eprintln!("the case could not run: {err}");
         2
