--- a/review/lib-2/fleet.rs
+++ b/review/lib-2/fleet.rs
@@ -44,7 +44,7 @@
 const EVENT_GAP: Duration = Duration::from_millis(30);
 
 /// Machines that were replaced before, and how many of them run at a time.
-const REPLACED: usize = 200;
+const REPLACED: usize = 120;
 const REPLACED_AT_A_TIME: usize = 8;
 const RECOVER: Duration = Duration::from_secs(12);
 
