--- a/review/11/case.py
+++ b/review/11/case.py
@@ -294,6 +294,15 @@
     for rank in range(RANKS):
         start(rank)
     passes = asyncio.create_task(group.run())
+
+    async def heartbeats():
+        for seq in range(2, 10_000):
+            await asyncio.sleep(1.2)
+            for rank, ip in enumerate(ips):
+                value = row(f"{ip}:{engine_port}", rank, group.engines[rank].born)
+                store.put("servers", f"i-{rank:02}", value | {"seq": seq})
+
+    beating = asyncio.create_task(heartbeats())
     begun = time.monotonic()
     next_kill = begun + FIRST_KILL_S
     while time.monotonic() < begun + LENGTH_S and not group.mixed:
@@ -309,6 +318,7 @@
             start(VICTIM)
             note(f"agent of rank {VICTIM} started again")
     passes.cancel()
+    beating.cancel()
     note(f"{group.step} passes, {group.changes} changes of the map, {len(group.mixed)} mixed passes")
     print(f"{group.step} passes, {group.changes} changes, {len(group.mixed)} mixed passes")
     for task in asyncio.all_tasks() - {asyncio.current_task()}:
