Review case 7: MAP, a foreign registry row while a rank agent is down

Cause: a rank agent takes the addresses of its group from rows of any service, and its owner stores the status in a reply under the rank that the order was meant for.

--- a/review/11/case.py
+++ b/review/7/case.py
@@ -317,6 +317,8 @@
                 await asyncio.sleep(0.1)
             start(VICTIM)
             note(f"agent of rank {VICTIM} started again")
+    if group.mixed:
+        await asyncio.sleep(2)
     passes.cancel()
     beating.cancel()
     note(f"{group.step} passes, {group.changes} changes of the map, {len(group.mixed)} mixed passes")
