--- a/review/lib-2/fleet.rs
+++ b/review/lib-2/fleet.rs
@@ -296,59 +296,6 @@
     }
 }
 
-/// Clients send requests; with trouble, another writer has written entries of a service that the
-/// configuration doesn't name, which give the address of a worker.
-fn run_foreign(root: &Path, case_dir: &Path) -> Result<i32, Box<dyn std::error::Error>> {
-    let with_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
-    let dir = env::temp_dir().join(format!("knapweedford-fleet-{}", process::id()));
-    fs::create_dir_all(&dir)?;
-    let block = Block::free(&[FRONT_PORT, READY_PORT, PEER_PORT, PEER_PORT + 1, WORKER_PORT]);
-    let store = start_platform(&block)?;
-    for worker in (0..WORKERS).filter(|_| with_trouble) {
-        let addr = block.addr(FIRST_WORKER_MACHINE + worker, WORKER_PORT);
-        let row = format!(
-            r#"{{"service":"inventory","address":"{addr}","zone":"z","version":"v1","slots":12,"state":"ready","cold_remaining_ms":0,"born":{},"seq":1}}"#,
-            unix_ms()
-        );
-        store.put("servers", &format!("inventory-{worker}"), &row);
-    }
-    let case = Case { root: root.into(), dir: dir.clone(), block };
-    let mut gateways = (1..=GATEWAYS)
-        .map(|n| case.start_gateway(n, &format!("front-z-{n}")))
-        .collect::<io::Result<Vec<_>>>()?;
-    // Traffic starts 10 s after the machines do.
-    thread::sleep(Duration::from_secs(10));
-    let ready = (1..=GATEWAYS).filter(|machine| case.is_ready(*machine)).count();
-    let started = Instant::now();
-    let (stop, attempts) = (Arc::<AtomicBool>::default(), Arc::default());
-    let addrs = (1..=GATEWAYS).map(|machine| case.block.addr(machine, FRONT_PORT)).collect();
-    let clients = {
-        let (stop, attempts) = (Arc::clone(&stop), Arc::clone(&attempts));
-        thread::spawn(move || run_clients(addrs, started, stop, attempts))
-    };
-    thread::sleep(Duration::from_secs(34));
-    stop.store(true, Ordering::Relaxed);
-    let _ = clients.join();
-    let running = gateways.iter_mut().map(|g| usize::from(g.is_running())).sum::<usize>();
-    drop(gateways);
-    let mut attempts: Vec<Attempt> = std::mem::take(&mut *attempts.lock().unwrap());
-    attempts.sort_by_key(|attempt| attempt.sent_at);
-    let (sent, served) = share_served(&attempts, Duration::ZERO, Duration::MAX);
-    let verdict = format!(
-        "{sent} requests were sent in 34 s, and {served:.3} of them served; {ready} gateways were \
-         ready, {running} running"
-    );
-    let mut record = fs::File::create(case_dir.join("record.txt"))?;
-    writeln!(record, "{verdict}\n")?;
-    for Attempt { sent_at, gateway, status, complete } in &attempts {
-        let at = sent_at.as_secs_f64();
-        writeln!(record, "{at:8.3} gateway {gateway} status {status} complete {complete}")?;
-    }
-    fs::remove_dir_all(&dir)?;
-    println!("{verdict}");
-    Ok(i32::from(served == 0.0))
-}
-
 /// Requests a second of the clients of the plain service, and for how long they send.
 const PLAIN_REQUESTS_PER_S: f64 = 30.0;
 const PLAIN_TIME: Duration = Duration::from_secs(64);
@@ -525,7 +472,6 @@
     let mut args = env::args().skip(1);
     let (root, case) = (args.next().unwrap_or_default(), args.next().unwrap_or_default());
     let run = match args.next().as_deref() {
-        Some("foreign") => run_foreign,
         Some("garbled") => run_garbled,
         _ => run,
     };
