Log why an answer cannot be told to be the server's

Change: the line `answer is defective` with the request, server, status, whether the connection was reused, the defect and what the answer counts as. Nothing else changes.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -83,6 +83,17 @@
     };
     let (head, body) = res.into_parts();
     let kind = exchange::classify_answer(head.status, &head.headers, &req.id, !reused);
+    if let Some(defect) = exchange::find_defect(head.status, &head.headers, &req.id) {
+        log::info!(
+            req:% = req.id,
+            server:% = reservation.server,
+            status = head.status.as_u16(),
+            reused,
+            defect:%,
+            counts_as:? = kind;
+            "answer is defective"
+        );
+    }
     if kind != AnswerKind::OtherServer {
         reservation.record_activity();
     }
