Count an answer only if it names the request and a success has its seal

Cause: an answer that names no request counted if it was the first on its connection, which every answer to an unsafe request is, and no success was asked for its seal. A 421 of that kind even sent an unsafe request on to another server.

Change: an answer counts only if all ids that it has are that of the request, it has one, and a success has exactly one seal. Otherwise the request is repeated elsewhere if it may be, and else answered 502, and nothing that the answer says of its server is used. It is no crash of the server. A refusal that states that the request did not run may still name none as the first on its connection.

Tests: foreign_answers::unsealed_successes, unnamed_failures and answered_elsewhere and two more cases of broken_streams::not_the_rest failed before; foreign_answers::sound_answers held. fuzz_parsers::answer_heads checks the new classes, and the stand-in of endless sends id and seal, without which its endless bodies would no longer be read.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -83,14 +83,13 @@
     };
     let (head, body) = res.into_parts();
     let kind = exchange::classify_answer(head.status, &head.headers, &req.id, !reused);
-    if let Some(defect) = exchange::find_defect(head.status, &head.headers, &req.id) {
+    if let AnswerKind::Defective(defect) = kind {
         log::info!(
             req:% = req.id,
             server:% = reservation.server,
             status = head.status.as_u16(),
             reused,
-            defect:%,
-            counts_as:? = kind;
+            defect:%;
             "answer is defective"
         );
     }
@@ -98,7 +97,7 @@
         reservation.record_activity();
     }
     let notice = match kind {
-        AnswerKind::OtherServer | AnswerKind::OtherRequest => exchange::ServerNotice::default(),
+        AnswerKind::OtherServer | AnswerKind::Defective(_) => exchange::ServerNotice::default(),
         _ => {
             let notice = exchange::server_notice(head.status, &head.headers);
             reservation.record_notice(notice, kind != AnswerKind::NotRun);
@@ -122,9 +121,11 @@
             .await;
             AttemptResult::NotRun { reason, arrived: true }
         }
-        AnswerKind::OtherRequest => {
+        AnswerKind::Defective(defect) => {
             reservation.set_outcome(selector::Outcome::Failure);
-            AttemptResult::Unknown(Failure::Sent("the answer belongs to another request".into()))
+            AttemptResult::Unknown(Failure::Defective(format!(
+                "the answer does not count: {defect}"
+            )))
         }
         AnswerKind::Succeeded | AnswerKind::Failed => {
             let succeeded = kind == AnswerKind::Succeeded;
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -63,6 +63,7 @@
         match failure {
             Failure::Unsent(_) => self.add_result("unsent"),
             Failure::Sent(_) => self.add_result("broken"),
+            Failure::Defective(_) => self.add_result("defective"),
         }
         log::debug!(req:% = self.id; "attempt failed: {}", failure.problem());
     }
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -147,7 +147,9 @@
         let silent_for = now.saturating_sub(self.active_at);
         // The ranks of a group that stall with a crashed one break off later. A server without a group
         // may have crashed at any time.
-        let has_crashed = self.group.is_none() || silent_for <= self.gateway.max_crash_silence;
+        let may_have_crashed = self.group.is_none() || silent_for <= self.gateway.max_crash_silence;
+        // A server that sends anything has not crashed.
+        let has_crashed = may_have_crashed && !matches!(failure, client::Failure::Defective(_));
         let fingerprints: Vec<&str> =
             req.fingerprints.iter().map(name::Fingerprint::as_str).collect();
         log::info!(
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -51,13 +51,15 @@
     Unsent(String),
     /// The server may have read the request.
     Sent(String),
+    /// The server may have read the request, and what it sent is not the answer.
+    Defective(String),
 }
 
 impl Failure {
     /// Description of the failure.
     pub fn problem(&self) -> &str {
         match self {
-            Self::Unsent(problem) | Self::Sent(problem) => problem,
+            Self::Unsent(problem) | Self::Sent(problem) | Self::Defective(problem) => problem,
         }
     }
 }
--- a/tests/broken_streams.rs
+++ b/tests/broken_streams.rs
@@ -88,6 +88,14 @@
     ("another request", |req| {
         whole(req, "200 OK", EVENT_STREAM, &events(4, EVENTS)).replace(req.id(), "id-other")
     }),
+    ("no request", |req| {
+        let answer = whole(req, "200 OK", EVENT_STREAM, &events(4, EVENTS));
+        answer.replace(&format!("X-Knapweedford-Request-Id: {}\r\n", req.id()), "")
+    }),
+    ("no seal", |req| {
+        let answer = whole(req, "200 OK", EVENT_STREAM, &events(4, EVENTS));
+        answer.replace("X-Knapweedford-Response-Seal: seal\r\n", "")
+    }),
     ("no HTTP", |_| "it failed\n\n".into()),
     ("nothing", |_| String::new()),
 ];
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -11,7 +11,7 @@
 use crate::gateways::{self, Site};
 
 /// What an endless server sends.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Garbage {
     /// A header line without end.
     HeaderLine,
@@ -28,18 +28,18 @@
 }
 
 impl Garbage {
-    /// Bytes that are sent once, and those that are repeated.
+    /// Bytes that follow the status line and the headers of a sound answer, and those that are
+    /// repeated.
     fn bytes(self) -> (&'static str, &'static str) {
         match self {
-            Self::HeaderLine => ("HTTP/1.1 200 OK\r\nX-Long: ", "aaaaaaaaaaaaaaaa"),
-            Self::Headers => ("HTTP/1.1 200 OK\r\n", "X-More: yes\r\n"),
+            Self::HeaderLine => ("X-Long: ", "aaaaaaaaaaaaaaaa"),
+            Self::Headers => ("", "X-More: yes\r\n"),
             Self::NoHttp => ("", "\u{1}\u{2}garbage\r\n\r\n"),
-            Self::ChunkSize => ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"),
-            Self::Body => ("HTTP/1.1 200 OK\r\n\r\n", "xxxxxxxxxxxxxxxx"),
-            Self::Event => (
-                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: ",
-                "xxxxxxxxxxxxxxxx",
-            ),
+            Self::ChunkSize => ("Transfer-Encoding: chunked\r\n\r\n", "0"),
+            Self::Body => ("\r\n", "xxxxxxxxxxxxxxxx"),
+            Self::Event => {
+                ("Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", "xxxxxxxxxxxxxxxx")
+            }
         }
     }
 }
@@ -58,8 +58,17 @@
 }
 
 fn send_garbage(mut conn: net::TcpStream, garbage: Garbage, is_slow: bool) {
-    let _ = conn.read(&mut [0; 4096]);
-    let (once, repeated) = garbage.bytes();
+    let mut buf = [0; 4096];
+    let read = conn.read(&mut buf).unwrap_or_default();
+    let req = String::from_utf8_lossy(&buf[..read]).into_owned();
+    let id = req.lines().find_map(|line| line.strip_prefix("x-knapweedford-request-id: "));
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nX-Knapweedford-Request-Id: {}\r\n\
+         X-Knapweedford-Response-Seal: seal\r\n",
+        id.unwrap_or_default()
+    );
+    let (first, repeated) = garbage.bytes();
+    let once = if garbage == Garbage::NoHttp { String::new() } else { head + first };
     let fast = repeated.repeat(if is_slow { 1 } else { 1_000 });
     let mut sent = conn.write_all(once.as_bytes());
     let mut bytes = repeated.bytes().cycle();
--- a/tests/fuzz_parsers.rs
+++ b/tests/fuzz_parsers.rs
@@ -37,7 +37,7 @@
     " 7 ",
     "0x10",
 ];
-const HEADERS: [&str; 12] = [
+const HEADERS: [&str; 13] = [
     "host",
     "api-key",
     "x-knapweedford-request-id",
@@ -45,6 +45,7 @@
     "x-knapweedford-token-usage",
     "x-knapweedford-prefix-hash",
     "x-knapweedford-not-executed",
+    "x-knapweedford-response-seal",
     "retry-after",
     "server-limit",
     "server-leaving",
@@ -61,6 +62,7 @@
         number.clone().prop_map(|number| number.as_bytes().to_vec()),
         (number.clone(), number).prop_map(|(a, b)| format!("{a},{b}:{a},").into_bytes()),
         collection::vec(prop_oneof![32..127_u8, 128..=255_u8], 0..60),
+        Just(b"id".to_vec()),
     ]
 }
 
@@ -120,9 +122,23 @@
     fn answer_heads(headers in headers(), status in 100..600_u16, is_first in any::<bool>()) {
         let status = hyper::StatusCode::from_u16(status).unwrap();
         let kind = exchange::classify_answer(status, &headers, "id", is_first);
-        let echoed = headers.get("x-knapweedford-request-id");
-        let is_own = echoed.map_or(is_first, |echoed| echoed.as_bytes() == b"id");
-        prop_assert_eq!(kind == exchange::AnswerKind::OtherRequest, !is_own);
+        let values = |name| headers.get_all(name).iter().map(hyper::header::HeaderValue::as_bytes);
+        let names = values("x-knapweedford-request-id").collect::<Vec<_>>();
+        let is_named = !names.is_empty() && names.iter().all(|name| *name == b"id");
+        let states_not_run = headers.contains_key("x-knapweedford-not-executed");
+        match kind {
+            exchange::AnswerKind::Succeeded => {
+                let seals: Vec<_> = values("x-knapweedford-response-seal").collect();
+                prop_assert!(is_named && seals.len() == 1 && !seals[0].is_empty());
+            }
+            exchange::AnswerKind::Failed => prop_assert!(is_named && !status.is_success()),
+            exchange::AnswerKind::NotRun | exchange::AnswerKind::OtherServer => {
+                prop_assert!(is_named || (names.is_empty() && is_first && states_not_run));
+            }
+            exchange::AnswerKind::Defective(_) => {
+                prop_assert!(!is_named || status.is_success());
+            }
+        }
         let notice = exchange::server_notice(status, &headers);
         prop_assert!(notice.pause.is_none_or(|pause| pause.as_secs() <= 60));
         prop_assert!(notice.limit_per_s.is_none_or(|limit| limit.is_finite() && limit >= 0.0));
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -32,6 +32,7 @@
 mod failure_statuses;
 mod fairness;
 mod faults;
+mod foreign_answers;
 mod foreign_refusals;
 mod foreign_rows;
 mod frames;
