Log which engine answers for which rank

Change: `engine of a rank found in the registry` with the row's key, service and start, whenever an address is new, and `another rank answered`. Nothing else changes.

--- a/src/rank/agent.rs
+++ b/src/rank/agent.rs
@@ -228,6 +228,16 @@
             let other = entry.member.as_ref().filter(|other| other.group == member.group);
             if let Some(other) = other.filter(|other| other.rank < member.ranks) {
                 group.insert(other.rank, entry.address);
+                if self.state.borrow().group.get(&other.rank) != Some(&entry.address) {
+                    log::info!(
+                        rank = other.rank,
+                        engine:% = entry.address,
+                        server:% = entry.server,
+                        service:% = entry.service,
+                        started_ms = entry.started_ms;
+                        "engine of a rank found in the registry"
+                    );
+                }
             }
         }
         self.group_size.set(member.ranks as u32);
--- a/src/rank/ownership.rs
+++ b/src/rank/ownership.rs
@@ -250,6 +250,11 @@
             );
         }
         if let Some(status) = status {
+            let rank = status.member.as_ref().map(|member| member.rank);
+            if rank != Some(order.rank) {
+                let action = order.order.action.label();
+                log::warn!(rank = order.rank, action, answered_by:? = rank; "another rank answered");
+            }
             self.update_status(now, now, order.rank, status);
         }
         if let Some(change) = &mut self.change {
