Count a status only for the rank and group that it names

Cause: the owner stored the status in the reply to an order under the rank that the order was for. Where the address of that rank was another engine's, and its agent had been silent for 700 ms, the status of that engine counted as the rank's, and a pass was released although the rank had got no order. Heartbeats did not have to be of the same group.

Change: a status counts only for the rank and group that it names. A reply with another engine's status counts as a refusal, so that the change is tried again or undone. Heartbeats and polled statuses of another group are ignored. The line `another rank answered` is part of `order refused or not answered` now.

Tests: ownership::other_rank_answers and other_group_ignored fail with the checks switched off.

--- a/src/rank/actor.rs
+++ b/src/rank/actor.rs
@@ -159,7 +159,7 @@
             (Event::Heartbeats { heartbeats, from_self, reply }, Some(ownership)) => {
                 let first = heartbeats.first().and_then(|first| first.status.member.as_ref());
                 if let Some(member) = first.filter(|_| from_self) {
-                    ownership.set_own_rank(member.rank);
+                    ownership.set_own_member(member);
                 }
                 let mut want_placement = BTreeSet::new();
                 for heartbeat in heartbeats {
--- a/src/rank/ownership.rs
+++ b/src/rank/ownership.rs
@@ -7,7 +7,7 @@
 use std::{collections::BTreeMap, time};
 
 use super::{
-    OrderOutcome, Status,
+    Member, OrderOutcome, Status,
     change::{self, Change, End, Plan, Statuses},
     message::{Heartbeat, RankOrder},
     pass_times::PassTimes,
@@ -99,6 +99,8 @@
     /// Cost of passes, if the configuration states it.
     cost: Option<PassCost>,
     own_rank: Option<usize>,
+    /// Name of the group that the agent's own engine belongs to.
+    group: Option<String>,
     epoch: u64,
     ranks: BTreeMap<usize, Rank>,
     group_size: usize,
@@ -140,6 +142,7 @@
             shape,
             cost,
             own_rank: None,
+            group: None,
             epoch: 0,
             ranks: BTreeMap::new(),
             group_size: 0,
@@ -163,14 +166,25 @@
         }
     }
 
-    /// Sets the rank of the agent's own engine.
-    pub fn set_own_rank(&mut self, rank: usize) {
-        self.own_rank = Some(rank);
+    /// Sets the group and the rank of the agent's own engine.
+    pub fn set_own_member(&mut self, member: &Member) {
+        self.own_rank = Some(member.rank);
+        if self.group.as_deref() != Some(&member.group) {
+            self.group = Some(member.group.clone());
+            let is_in_group = |rank: &Rank| {
+                rank.status.member.as_ref().is_some_and(|other| other.group == member.group)
+            };
+            self.ranks.retain(|_, rank| is_in_group(rank));
+        }
     }
 
     /// Handles a heartbeat. Returns whether the next one of that rank is to include the placement.
     pub fn receive_heartbeat(&mut self, now: time::Duration, heartbeat: Heartbeat) -> bool {
         let Some(member) = heartbeat.status.member.clone() else { return false };
+        if self.group.as_ref().is_some_and(|group| *group != member.group) {
+            log::info!(group = member.group, rank = member.rank; "heartbeat of another group ignored");
+            return false;
+        }
         if member.epoch < self.epoch {
             return false;
         }
@@ -237,6 +251,13 @@
         outcome: Option<&OrderOutcome>,
         status: Option<Status>,
     ) {
+        // The address of a rank may be that of another one by now, whose answer says nothing.
+        let answered_by_other = status
+            .as_ref()
+            .filter(|status| self.is_of_other(status, order.rank))
+            .map(|status| OrderOutcome::Refused(format!("answered by {:?}", status.member)));
+        let status = status.filter(|_| answered_by_other.is_none());
+        let outcome = answered_by_other.as_ref().or(outcome);
         let why = match outcome {
             Some(OrderOutcome::Refused(why)) => Some(why.as_str()),
             Some(_) => None,
@@ -250,11 +271,6 @@
             );
         }
         if let Some(status) = status {
-            let rank = status.member.as_ref().map(|member| member.rank);
-            if rank != Some(order.rank) {
-                let action = order.order.action.label();
-                log::warn!(rank = order.rank, action, answered_by:? = rank; "another rank answered");
-            }
             self.update_status(now, now, order.rank, status);
         }
         if let Some(change) = &mut self.change {
@@ -262,6 +278,13 @@
         }
     }
 
+    /// Whether `status` is that of another engine than the one of `rank` in this group.
+    fn is_of_other(&self, status: &Status, rank: usize) -> bool {
+        status.member.as_ref().is_some_and(|member| {
+            member.rank != rank || self.group.as_ref().is_some_and(|group| *group != member.group)
+        })
+    }
+
     /// Drops the change under way and makes all statuses stale, after the process was stalled.
     pub fn reset_after_stall(&mut self) {
         for rank in self.ranks.values_mut() {
@@ -512,8 +535,8 @@
         self.maps.retain(|(map_epoch, _), _| *map_epoch >= epoch);
     }
 
-    /// Records the status of a rank as of `updated_at`, unless it is of another epoch or may be older
-    /// than the known one.
+    /// Records the status of a rank as of `updated_at`, unless it is of another engine or epoch or may
+    /// be older than the known one.
     fn update_status(
         &mut self,
         now: time::Duration,
@@ -522,7 +545,7 @@
         status: Status,
     ) {
         let epoch = status.member.as_ref().map(|member| member.epoch);
-        if epoch != Some(self.epoch) {
+        if epoch != Some(self.epoch) || self.is_of_other(&status, rank) {
             return;
         }
         match self.ranks.get_mut(&rank) {
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -5,7 +5,7 @@
 use knapweedford::{
     group::rebalance::SharedMap,
     rank::{
-        Action, Choices, Member, Order, Placement, Status,
+        Action, Choices, Member, Order, OrderOutcome, Placement, Status,
         message::{Heartbeat, RankOrder},
         ownership::Ownership,
     },
@@ -26,21 +26,24 @@
         expert_share: 0.85,
     };
     let mut ownership = Ownership::new(shape, None);
-    ownership.set_own_rank(0);
+    ownership.set_own_member(&member(1, 0));
     ownership
 }
 
+pub fn member(epoch: u64, rank: usize) -> Member {
+    Member { group: "g".into(), epoch, rank, ranks: RANKS, open: true }
+}
+
 fn status(rank: usize, now: Duration) -> Status {
     status_in(1, rank, now)
 }
 
 fn status_in(epoch: u64, rank: usize, now: Duration) -> Status {
-    let member = Member { group: "g".into(), epoch, rank, ranks: RANKS, open: true };
     Status {
         read_id: (rank as u64, now.as_millis() as u64),
         queued: 0,
         running: 4,
-        member: Some(member),
+        member: Some(member(epoch, rank)),
         pass: now.as_millis() as u64 / 50,
         map_version: 0,
         prepared: None,
@@ -169,7 +172,7 @@
 #[test]
 fn owner_frozen() {
     let mut ownership = ownership();
-    ownership.set_own_rank(1);
+    ownership.set_own_member(&member(1, 1));
     let experts = |rank: usize| vec![rank as u16, (rank + RANKS) as u16];
     ownership.remember_map(1, 0, SharedMap::new(vec![(0..RANKS).map(experts).collect()]));
     let mut now = Duration::ZERO;
@@ -248,3 +251,53 @@
         assert!(ownership.edit_search(now).is_none(), "{now:?}");
     }
 }
+
+/// The address of a rank may be that of another one, for example while its agent is down. Guards
+/// against a pass that is released because the status of one engine counts as that of another.
+#[test]
+fn other_rank_answers() {
+    let others = [member(1, 2), Member { group: "h".into(), ..member(1, 3) }];
+    for other in others {
+        let mut ownership = ownership();
+        let mut now = run_two_seconds(&mut ownership, Duration::ZERO, RANKS);
+        let orders = start_change(&mut ownership, now);
+        let version = prepared_version(&orders);
+        for RankOrder { rank, order } in &orders {
+            let answering = if *rank == 3 { other.clone() } else { member(1, *rank) };
+            let read_id = (answering.rank as u64, u64::MAX);
+            let status = Status { read_id, prepared: Some(version), ..status(*rank, now) };
+            let status = Status { member: Some(answering), ..status };
+            let order = RankOrder { rank: *rank, order: order.clone() };
+            ownership.receive_reply(now, &order, Some(&OrderOutcome::Applied), Some(status));
+        }
+        for _ in 0..10 {
+            now += Duration::from_millis(20);
+            for order in ownership.step(now, 0) {
+                let prepares = matches!(order.order.action, Action::Prepare { .. });
+                assert!(prepares && order.rank == 3, "{other:?} counts as rank 3: {order:?}");
+                ownership.receive_reply(now, &order, Some(&OrderOutcome::Applied), None);
+            }
+        }
+    }
+}
+
+/// Guards against an owner that takes ranks of another group for its own, or loses its state since
+/// that group has a later epoch.
+#[test]
+fn other_group_ignored() {
+    let mut ownership = ownership();
+    let now = run_two_seconds(&mut ownership, Duration::ZERO, RANKS);
+    for epoch in [1, 2] {
+        let status = Status {
+            read_id: (99, u64::MAX),
+            running: 1_000,
+            member: Some(Member { group: "h".into(), ..member(epoch, 1) }),
+            ..status(1, now)
+        };
+        let heartbeat = Heartbeat { status: status.clone(), choices: None, placement: None };
+        assert!(!ownership.receive_heartbeat(now, heartbeat));
+        ownership.receive_polled_status(now, status);
+    }
+    let requests = ownership.requests_by_rank().expect("the owner has lost its state");
+    assert!(requests.values().all(|requests| *requests < 1_000), "{requests:?}");
+}
