Take the engines of a group only from rows of its service

Cause: rank agents took engines from rows of any service, and their own group and rank from any row at the address of their engine. The row that started last won.

Evidence: `engine of a rank found in the registry rank=9 server=foreign-1 service=not-ours` right after the sound rows, with the engine of rank 3.

Change: the engine itself says which group and rank it is. Rows count if their service is that of the agent's settings, or without it one that the configuration names. Relays ignore heartbeats of other groups.

--- a/src/rank/agent.rs
+++ b/src/rank/agent.rs
@@ -18,14 +18,18 @@
 };
 
 use super::{
-    ExpertCounts,
+    ExpertCounts, Member,
     actor::{Event, OwnershipActor},
     message::Loads,
     ownership::Ownership,
     relay,
 };
 use crate::{
-    Result, daemon, http, http::client, metrics, peer, platform, settings::site, site::catalog,
+    Result, daemon, http,
+    http::client,
+    metrics, name, peer, platform,
+    settings::site,
+    site::{catalog, registry::Registration},
 };
 
 /// Timeout of an exchange with another agent.
@@ -88,6 +92,8 @@
 pub struct State {
     /// Shape of the group's experts, from the configuration.
     pub shape: Option<catalog::ExpertShape>,
+    /// Membership of the agent's own engine, as the engine last reported it.
+    pub member: Option<Member>,
     /// Engines of the group, by rank.
     pub group: BTreeMap<usize, net::SocketAddr>,
     /// Ranks whose agent did not answer, and the time until which it counts as unresponsive.
@@ -216,37 +222,78 @@
     /// Reads the group and its shape from the store; `true` once all of its ranks and its shape are
     /// known.
     async fn read_group(&self, store: &platform::Store) -> Result<bool> {
-        let mut entries = store.read_servers().await?;
+        let entries = store.read_servers().await?;
+        let services = self.read_services(store).await?;
+        // The engine itself says which rank it is; a row at its address may be of another writer.
+        let known = self.state.borrow().member.clone();
+        let member = match known {
+            Some(member) => Some(member),
+            None => self.engine_status(self.engine).await.and_then(|status| status.member),
+        };
+        let Some(member) = member else { return Ok(false) };
+        let group = self.find_engines(&member, &services, entries);
+        self.group_size.set(member.ranks as u32);
+        let complete = group.len() == member.ranks;
+        self.state.borrow_mut().group = group;
+        if complete && self.state.borrow().shape.is_none() {
+            self.read_shape(store).await?;
+        }
+        Ok(complete && self.state.borrow().shape.is_some())
+    }
+
+    /// Returns the engines by rank of the group that `member` belongs to, according to those
+    /// `entries` whose service is one of `services`.
+    fn find_engines(
+        &self,
+        member: &Member,
+        services: &BTreeSet<name::Service>,
+        mut entries: Vec<Registration>,
+    ) -> BTreeMap<usize, net::SocketAddr> {
         // Entries of incarnations that crashed remain for a while beside those of the next ones.
         entries.sort_by_key(|entry| entry.started_ms);
-        let own_entry = entries.iter().rfind(|entry| entry.address == self.engine);
-        let Some(member) = own_entry.and_then(|entry| entry.member.clone()) else {
-            return Ok(false);
-        };
-        let mut group = BTreeMap::new();
+        let mut engines = BTreeMap::new();
         for entry in &entries {
             let other = entry.member.as_ref().filter(|other| other.group == member.group);
-            if let Some(other) = other.filter(|other| other.rank < member.ranks) {
-                group.insert(other.rank, entry.address);
-                if self.state.borrow().group.get(&other.rank) != Some(&entry.address) {
-                    log::info!(
-                        rank = other.rank,
-                        engine:% = entry.address,
-                        server:% = entry.server,
-                        service:% = entry.service,
-                        started_ms = entry.started_ms;
-                        "engine of a rank found in the registry"
+            let Some(other) = other.filter(|other| other.rank < member.ranks) else { continue };
+            let (rank, engine) = (other.rank, entry.address);
+            let is_known = self.state.borrow().group.get(&rank) == Some(&engine);
+            match () {
+                () if !services.contains(&entry.service) => {
+                    log::warn!(
+                        row:? = entry.server.as_str(),
+                        rank,
+                        service:% = entry.service;
+                        "registry row ignored: it names a rank of this group for another service"
                     );
+                    continue;
                 }
+                () if !is_known => log::info!(
+                    rank,
+                    engine:%,
+                    server:% = entry.server,
+                    started_ms = entry.started_ms;
+                    "engine of a rank found in the registry"
+                ),
+                () => {}
             }
+            engines.insert(rank, engine);
         }
-        self.group_size.set(member.ranks as u32);
-        let complete = group.len() == member.ranks;
-        self.state.borrow_mut().group = group;
-        if complete && self.state.borrow().shape.is_none() {
-            self.read_shape(store).await?;
+        engines.insert(member.rank, self.engine);
+        engines
+    }
+
+    /// Returns the services that engines of this group may belong to: the one that the settings
+    /// name, otherwise all that the configuration names.
+    async fn read_services(&self, store: &platform::Store) -> Result<BTreeSet<name::Service>> {
+        match &self.cfg.role {
+            site::Role::Rank { service: Some(service), .. } => {
+                Ok(BTreeSet::from([service.clone()]))
+            }
+            _ => {
+                let catalog = store.read_operator_state().await?.catalog;
+                Ok(catalog.map(|catalog| catalog.named_services()).unwrap_or_default())
+            }
         }
-        Ok(complete && self.state.borrow().shape.is_some())
     }
 
     /// Reads the shape of the group's experts and the cost of its passes from the configuration.
--- a/src/rank/orders.rs
+++ b/src/rank/orders.rs
@@ -141,7 +141,7 @@
     }
 
     /// Reads the status of an engine; `None` if the engine does not answer.
-    async fn engine_status(&self, engine: net::SocketAddr) -> Option<Status> {
+    pub async fn engine_status(&self, engine: net::SocketAddr) -> Option<Status> {
         let status = self.read_status(engine).await;
         status
             .inspect_err(|failure| log::debug!("engine status not read: {}", failure.problem()))
--- a/src/rank/poll.rs
+++ b/src/rank/poll.rs
@@ -68,6 +68,7 @@
     /// Reads from the engine what the next heartbeat reports.
     async fn read_heartbeat(&self) -> Result<Heartbeat, client::Failure> {
         let status = self.read_status(self.engine).await?;
+        self.state.borrow_mut().member = status.member.clone();
         let shape = self.state.borrow().shape;
         let choices = match shape.filter(|_| self.are_choices_due()) {
             Some(shape) => {
@@ -178,10 +179,13 @@
 
     /// Accepts the heartbeat of another rank in this agent's section, to pass it on to the owner.
     pub fn relay(&self, heartbeat: Heartbeat) -> HeartbeatReply {
-        let Some(rank) = heartbeat.status.member.as_ref().map(|member| member.rank) else {
+        let state = &mut *self.state.borrow_mut();
+        let own_group = state.member.as_ref().map(|member| member.group.as_str());
+        let member = heartbeat.status.member.as_ref();
+        let Some(rank) = member.filter(|m| Some(&*m.group) == own_group).map(|m| m.rank) else {
+            log::info!(member:?; "heartbeat ignored: it is not of this group");
             return HeartbeatReply::default();
         };
-        let state = &mut *self.state.borrow_mut();
         if state.pending.add(rank, heartbeat) {
             self.relayed_change.notify_one();
         }
--- a/src/site/catalog.rs
+++ b/src/site/catalog.rs
@@ -1,6 +1,9 @@
 //! Operators' configuration in the form used on the request path: routes, services, workspaces.
 
-use std::{collections::BTreeMap, time};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time,
+};
 
 use crate::name;
 
@@ -184,6 +187,12 @@
         self.routes.values().map(Vec::len).sum()
     }
 
+    /// Returns the services that are defined, and those that routes lead to.
+    pub fn named_services(&self) -> BTreeSet<name::Service> {
+        let targets = self.routes.values().flatten().flat_map(|route| &route.targets);
+        self.services.keys().chain(targets.map(|target| &target.service)).cloned().collect()
+    }
+
     /// Returns the holder of the API key `key`; `None` if the request needs no key.
     ///
     /// # Errors
--- a/tests/foreign_rows.rs
+++ b/tests/foreign_rows.rs
@@ -125,3 +125,45 @@
     thread::sleep(READ_TIME);
     assert!(group.agents.iter_mut().all(|agent| agent.is_running()));
 }
+
+/// Returns the fields of a row that name a rank of `group`.
+fn member_fields(group: &str, rank: usize, ranks: usize) -> String {
+    let member = format!(r#"{{"name":"{group}","epoch":1,"rank":{rank},"state":"open"}}"#);
+    format!(r#","group":{member},"size":{ranks}"#)
+}
+
+/// Rows of a service that no configuration names, each with a later start than the servers.
+fn unnamed_row(addr: net::SocketAddr, more_fields: &str) -> String {
+    let row = gateways::row(addr, "ready", 3, more_fields);
+    row.replace(r#""service":"llm""#, r#""service":"not-ours""#)
+}
+
+/// Guards against passes with two maps, maps that never change and agents in the wrong group, because
+/// a row of another service names a rank of the group or the address of an engine.
+#[test]
+fn unnamed_engines() {
+    const RANKS: usize = 3;
+    let settings = ["service: llm\n", ""];
+    let rows: [fn(&Group) -> String; 5] = [
+        |group| unnamed_row(group.address(1), &member_fields("g", 2, RANKS)),
+        |group| unnamed_row(group.address(0), &member_fields("g", 2, RANKS)),
+        |group| unnamed_row(group.address(2), &member_fields("g", 1, RANKS)),
+        |group| unnamed_row(group.address(2), &member_fields("other", 0, 1)),
+        |_| unnamed_row(([127, 0, 0, 1], 9).into(), &member_fields("g", 2, RANKS)),
+    ];
+    thread::scope(|scope| {
+        for (n, row) in rows.into_iter().enumerate() {
+            scope.spawn(move || {
+                let store = Store::start();
+                let mut group = Group::start(&store, RANKS);
+                store.put("servers", "foreign", &row(&group));
+                group.start_agents_with(&store, settings[n % settings.len()]);
+                group.wait_for_change();
+                group.agents[2].kill();
+                group.wait_for_change();
+                group.wait_for_change();
+                assert!(group.mixed_passes().is_empty(), "row {n}: a pass began with two maps");
+            });
+        }
+    });
+}
--- a/tests/rank_agents.rs
+++ b/tests/rank_agents.rs
@@ -182,15 +182,25 @@
         Self { agents: Vec::new(), addresses, logs: Vec::new(), engines }
     }
 
+    /// Returns the address of the engine of `rank`.
+    pub fn address(&self, rank: usize) -> net::SocketAddr {
+        self.addresses[rank]
+    }
+
     /// Starts an agent next to each engine.
     pub fn start_agents(&mut self, store: &Store) {
+        self.start_agents_with(store, "service: llm\n");
+    }
+
+    /// Like [`start_agents`](Self::start_agents), with this line of the settings for the service.
+    pub fn start_agents_with(&mut self, store: &Store, service: &str) {
         for addr in &self.addresses {
             let ip = addr.ip();
             let dir = path::Path::new(env!("CARGO_TARGET_TMPDIR"));
             let base = dir.join(format!("rank-{}", ip.to_string().replace('.', "-")));
             let (settings, log) = (base.with_extension("yaml"), base.with_extension("log"));
             let text = format!(
-                "host: r-{ip}\nzone: z\nrole: rank\nengine: {addr}\nservice: llm\n\
+                "host: r-{ip}\nzone: z\nrole: rank\nengine: {addr}\n{service}\
                  operators: {ip}:7341\npeers: {ip}:7340\nstore: {}\n\
                  token: secret-of-the-tests\ngrace-s: 4\n",
                 store.addr
