Leave rows of services that no configuration names out of the gateways' registry

What callers saw: 503 for all requests, since a row of another writer, for a service that no configuration names, had the address of each server and a later start.

Cause: site::Registry looked for later incarnations at an address among rows of all services. Groups of engines and their loads were taken from such rows too.

Change: rows count while the configuration names their service, as a service or as the target of a route. They are kept, so that a new configuration puts them into use at once, and logged as `registry row ignored`.

Tests: foreign_rows::unnamed_service failed before (503 for 200, no backend server), and registry::unnamed_service fails with the check switched off.

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,7 +20,7 @@
     metrics, name, platform,
     rank::message,
     settings::{Machine, site},
-    site::{Catalog, Registry, catalog},
+    site::{Catalog, Registry, catalog, registry::Registration},
 };
 
 /// Longest pauses between events, one after the other, for which a group is silent before it counts
@@ -144,6 +144,11 @@
     }
 }
 
+fn log_ignored(row: &Registration) {
+    log::warn!(row:? = row.server.as_str(), problem = "no configuration names its service",
+        service:% = row.service; "registry row ignored");
+}
+
 /// Returns how long all streams of a group may be silent before it counts as stalled, for streams
 /// whose events are to be at most `max_event_gap` apart.
 fn max_silence(max_event_gap: time::Duration) -> time::Duration {
@@ -218,6 +223,8 @@
             );
             self.check_body_limit(&catalog);
             self.metrics.page.set_version(catalog.version);
+            state.registry.set_services(catalog.named_services());
+            state.registry.ignored().for_each(log_ignored);
             state.catalog = Some(rc::Rc::new(catalog));
             state.longest_deadlines.clear();
         }
@@ -243,11 +250,7 @@
     }
 
     /// Applies a complete read of the registry, made when the store was in `era`.
-    pub fn update_registry(
-        &self,
-        registrations: Vec<crate::site::registry::Registration>,
-        era: u64,
-    ) {
+    pub fn update_registry(&self, registrations: Vec<Registration>, era: u64) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let changes = state.registry.update(registrations, now, era);
@@ -262,6 +265,8 @@
                 log::info!(server:%, change; "registry changed");
             }
         }
+        let joined = state.registry.ignored().filter(|row| changes.joined.contains(&row.server));
+        joined.for_each(log_ignored);
         changes.gone.iter().for_each(|server| state.selector.remove(server));
         changes.joined.iter().for_each(|server| state.selector.clear_notices(server));
     }
--- a/src/site/registry.rs
+++ b/src/site/registry.rs
@@ -94,6 +94,8 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     servers: BTreeMap<name::Server, RegisteredServer>,
+    /// Services that the configuration names; `None` while there is no configuration.
+    services: Option<BTreeSet<name::Service>>,
     /// Servers that declared that they were leaving and are gone, each with the start of its
     /// incarnation and the time at which it was removed.
     departed: BTreeMap<name::Server, (u64, time::Duration)>,
@@ -124,6 +126,18 @@
             .is_some_and(|known| !std::mem::replace(&mut known.registration.leaving, true))
     }
 
+    /// Sets the services that the configuration names. Rows of other services describe no server, as
+    /// long as no configuration names their service.
+    pub fn set_services(&mut self, services: BTreeSet<name::Service>) {
+        self.services = Some(services);
+        self.mark_superseded();
+    }
+
+    /// Whether the configuration names the service of `registration`.
+    pub fn is_named(&self, registration: &Registration) -> bool {
+        self.services.as_ref().is_none_or(|services| services.contains(&registration.service))
+    }
+
     /// Replaces the registrations by those of a complete read at `now`, when the store was in
     /// `era`; returns the changes.
     pub fn update(
@@ -177,14 +191,14 @@
     /// Marks each server whose address a later incarnation uses.
     fn mark_superseded(&mut self) {
         let mut newest_starts: BTreeMap<net::SocketAddr, u64> = BTreeMap::new();
-        for RegisteredServer { registration, .. } in self.servers.values() {
+        for RegisteredServer { registration, .. } in self.servers() {
             let newest_ms = newest_starts.entry(registration.address).or_default();
             *newest_ms = registration.started_ms.max(*newest_ms);
         }
         for known in self.servers.values_mut() {
             let started_ms = known.registration.started_ms;
-            known.superseded =
-                started_ms > 0 && newest_starts[&known.registration.address] > started_ms;
+            let newest_ms = newest_starts.get(&known.registration.address).copied();
+            known.superseded = started_ms > 0 && newest_ms.is_some_and(|ms| ms > started_ms);
         }
     }
 
@@ -275,7 +289,7 @@
         &'a self,
         service: &'a name::Service,
     ) -> impl Iterator<Item = &'a RegisteredServer> {
-        self.servers.values().filter(move |known| {
+        self.servers().filter(move |known| {
             known.registration.service == *service
                 && !known.registration.leaving
                 && !known.superseded
@@ -283,9 +297,16 @@
         })
     }
 
-    /// Returns all servers, including those that are leaving or missing.
+    /// Returns all servers of the services that the configuration names, including those that are
+    /// leaving or missing.
     pub fn servers(&self) -> impl Iterator<Item = &RegisteredServer> {
-        self.servers.values()
+        self.servers.values().filter(|known| self.is_named(&known.registration))
+    }
+
+    /// Returns the rows whose service the configuration does not name.
+    pub fn ignored(&self) -> impl Iterator<Item = &Registration> {
+        let rows = self.servers.values().map(|known| &known.registration);
+        rows.filter(|registration| !self.is_named(registration))
     }
 
     /// Returns the server with the name `server`.
--- a/tests/foreign_rows.rs
+++ b/tests/foreign_rows.rs
@@ -138,6 +138,28 @@
     row.replace(r#""service":"llm""#, r#""service":"not-ours""#)
 }
 
+/// Guards against servers that get no requests since a row of an unknown service has their address.
+/// Once a configuration names the service, its servers are used without another read of the registry.
+#[test]
+fn unnamed_service() {
+    let site = Site::start(2, false);
+    for (n, server) in site.servers.iter().enumerate() {
+        site.store.put("servers", &format!("foreign-{n}"), &unnamed_row(server.addr, ""));
+    }
+    let decoy = Server::start("i-decoy");
+    site.store.put("servers", "i-decoy", &unnamed_row(decoy.addr, ""));
+    thread::sleep(READ_TIME);
+    assert_served(&site, &decoy, "unnamed");
+    assert_eq!(site.gateway.logs().matches("registry row ignored").count(), 3);
+    let named = gateways::config(2, "llm")
+        .replace(r#""services":["#, r#""services":[{"name":"not-ours","max_conns":100},"#);
+    site.store.put("op", "config", &named.replace(r#""service":"llm""#, r#""service":"not-ours""#));
+    wait_until("the servers of the service are used", || {
+        site.send("GET", "/read/a", "id");
+        (!decoy.requests().is_empty()).then_some(())
+    });
+}
+
 /// Guards against passes with two maps, maps that never change and agents in the wrong group, because
 /// a row of another service names a rank of the group or the address of an engine.
 #[test]
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -282,3 +282,29 @@
     );
     assert_eq!(available(&registry), ["i-new"], "the start time from an earlier read must be kept");
 }
+
+/// Guards against a row of another writer, at the address of a server and with a later start, that
+/// takes the server out of use; and against servers that are not used once their service is named.
+#[test]
+fn unnamed_service() {
+    let mut registry = Registry::default();
+    let foreign = Registration {
+        service: name::Service::new("other"),
+        ..registration("foreign", "ready", 9)
+    };
+    let rows = || vec![registration("i-1", "ready", 5), foreign.clone()];
+    let named = |names: &[&str]| names.iter().map(|name| name::Service::new(*name)).collect();
+    registry.set_services(named(&["llm"]));
+    registry.update(rows(), secs(1.0), 0);
+    assert_eq!(available(&registry), ["i-1"]);
+    assert_eq!(registry.servers().count(), 1);
+    assert_eq!(registry.ignored().count(), 1);
+    registry.set_services(named(&["llm", "other"]));
+    assert!(available(&registry).is_empty(), "a later server of a named service has the address");
+    let other = name::Service::new("other");
+    assert_eq!(registry.available_servers(&other).count(), 1);
+    registry.set_services(named(&["llm"]));
+    assert_eq!(available(&registry), ["i-1"]);
+    registry.update(rows(), secs(2.0), 0);
+    assert_eq!(available(&registry), ["i-1"]);
+}
