Take statuses of no final answer for no answer

Cause: the libraries pass on each number from 100 to 999, and nothing asked whether it is the status of a final answer. The sidecar counted a 101 as a complete answer.

--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -241,6 +241,12 @@
     }
 }
 
+/// Whether `status` is one of a final answer. HTTP libraries pass on others: 101, which no request
+/// here asks for, and those from 600 on.
+pub fn is_final(status: hyper::StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Size of the head of `req`, in bytes, without optional white space.
 fn head_bytes(req: &Request) -> usize {
     let uri = req.uri();
--- a/src/sidecar/backend.rs
+++ b/src/sidecar/backend.rs
@@ -5,7 +5,10 @@
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3;
 
-use crate::http::events::{self, EventSplitter};
+use crate::http::{
+    events::{self, EventSplitter},
+    is_final,
+};
 use crate::{config, name, settings, wire};
 
 /// Longest time to open a connection to the backend server.
@@ -122,6 +125,10 @@
         }
         let time_left = deadline.saturating_duration_since(time::Instant::now());
         let res = match self.send(call, time_left) {
+            Ok(res) if !is_final(res.status()) => {
+                let problem = format!("{} is no status of a final answer", res.status().as_u16());
+                return failed(wire::Ran::Unknown, &problem);
+            }
             Ok(res) => res,
             Err(err) => return failed(ran_after_error(&err), &err),
         };
--- a/tests/backends.rs
+++ b/tests/backends.rs
@@ -110,3 +110,20 @@
     let end = run_exchange(config::Kind::Plain, answer);
     assert!(failed_and_may_have_run(&end), "{end:?}");
 }
+
+/// Guards against an answer for the caller whose status is none of a final answer, or no status.
+#[test]
+fn impossible_statuses() {
+    for status in ["000", "099", "2x0", "101", "199", "600", "999"] {
+        for kind in [config::Kind::Plain, config::Kind::ModelGroup] {
+            let body = "data: 1\n\ndata: [DONE]\n\n";
+            let answer = format!(
+                "HTTP/1.1 {status} X\r\nContent-Type: text/event-stream\r\n\
+                 Content-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            let end = run_exchange(kind, answer);
+            assert!(failed_and_may_have_run(&end), "{status}: {end:?}");
+        }
+    }
+}
