--- a/tests/foreign_answers.rs
+++ b/tests/foreign_answers.rs
@@ -31,6 +31,8 @@
             "seal" => seal.into(),
             "two-ids" => format!("{id}X-Knapweedford-Request-Id: id-other\r\n{seal}"),
             "two-seals" => format!("{id}{seal}{seal}"),
+            "gzip" => format!("{id}{seal}Content-Encoding: gzip\r\n"),
+            "gzip-transfer" => format!("{id}{seal}Transfer-Encoding: gzip\r\n"),
             "empty-seal" => format!("{id}X-Knapweedford-Response-Seal: \r\n"),
             _ => id + seal,
         };
@@ -107,6 +109,18 @@
     }
 }
 
+/// Guards against an encoded body, which no client asks for, as the body of the server's answer.
+#[test]
+fn encoded_bodies() {
+    let gateway = raw_servers::start_gateway(&[start_server()]);
+    for identity in ["gzip", "gzip-transfer"] {
+        for statuses in [&SUCCESSES[..], &[404, 500]] {
+            let unexpected = unexpected_answers(&gateway, statuses, identity, is_own_failure);
+            assert!(unexpected.is_empty(), "{identity}: {unexpected:#?}");
+        }
+    }
+}
+
 /// Guards against an answer for a client whose status is none of a final answer, or no status at all.
 #[test]
 fn impossible_statuses() {
