Leave memory for other clients beside answers without end

What callers saw: while a faulty server sent bodies without end to 24 clients, 31 of 800 requests of other clients, for another service, were refused for want of memory.

Cause: answers could take all memory for bodies and answers, one that states too large a length reserved 16 MiB, and answers that found no room waited with what they held.

Change: an answer that states more than is served fails at once; large answers leave a quarter of the memory to others; the largest answer of unknown length fails when there is no room for it.

Tests: endless::others_served failed before (31 of 800) and passes now. More cases of endless, endless_reports and backends::endless_answers held before. crowds and client_limits pass.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -453,6 +453,7 @@
 
     /// Reads the body to its end. Fails if it has more than `limit` bytes.
     pub async fn read_to_end(&mut self, pool: &Pool, limit: usize) -> Result<Bytes, Failure> {
+        self.stated_length(limit)?;
         let mut buf = BytesMut::new();
         while let Some(data) = self.next(pool).await {
             buf.extend_from_slice(&data?);
@@ -473,9 +474,8 @@
     ) -> Result<Payload, Failure> {
         let no_memory = |err: NoMemory| Failure::Sent(err.to_string());
         let mut collector = Collector::new(client).map_err(no_memory)?;
-        let length = body::Body::size_hint(&self.body).exact();
-        if let Some(length) = length.and_then(|length| usize::try_from(length).ok()) {
-            collector.reserve_when_possible(length.min(limit)).await.map_err(no_memory)?;
+        if let Some(length) = self.stated_length(limit)? {
+            collector.reserve_when_possible(length).await.map_err(no_memory)?;
         }
         while let Some(data) = self.next(pool).await {
             let data = data?;
@@ -487,6 +487,13 @@
         Ok(collector.finish())
     }
 
+    /// Returns the length of the body if the head states it. Fails if it is more than `limit` bytes.
+    fn stated_length(&self, limit: usize) -> Result<Option<usize>, Failure> {
+        let Some(length) = body::Body::size_hint(&self.body).exact() else { return Ok(None) };
+        let length = usize::try_from(length).ok().filter(|length| *length <= limit);
+        length.map(Some).ok_or_else(|| Failure::Sent("the answer is too large".into()))
+    }
+
     /// Returns the next bytes, or `None` at the regular end, when the connection returns to
     /// `pool`.
     pub async fn next(&mut self, pool: &Pool) -> Option<Result<Bytes, Failure>> {
--- a/src/http/clients.rs
+++ b/src/http/clients.rs
@@ -35,6 +35,8 @@
 /// Shortest lag of a client that is asked to make room, so that one that has just connected can
 /// send its request.
 const MIN_LAG: time::Duration = time::Duration::from_millis(100);
+/// Fraction of the memory for bodies and answers that large answers leave to others.
+const LARGE_ANSWER_RESERVE: f64 = 0.25;
 /// Shortest time between two log lines about clients that make room or are refused.
 const LOG_INTERVAL: time::Duration = time::Duration::from_millis(200);
 /// Time after which an answer that found no room asks for it again.
@@ -285,7 +287,7 @@
     /// Fails if the client was asked to make room, or if no client that is slower than this one can
     /// make room.
     pub fn charge(self: &Arc<Self>, bytes: usize) -> Result<Charge, NoMemory> {
-        let mut charge = Charge { client: Arc::clone(self), bytes: 0 };
+        let mut charge = Charge { client: Arc::clone(self), bytes: 0, is_large: false };
         charge.resize(bytes)?;
         Ok(charge)
     }
@@ -346,6 +348,15 @@
         Some(self.receive_buffer_bytes.swap(0, Ordering::Relaxed)).filter(|bytes| *bytes > 0)
     }
 
+    /// Whether no other client that waits for or reads an answer holds more memory.
+    pub fn has_largest_answer(&self) -> bool {
+        let state = self.clients.lock();
+        let bytes = |holder: &Holder| holder.bytes;
+        let answering = state.holders.values().filter(|holder| holder.stage == Stage::Answer);
+        let largest = answering.map(bytes).max().unwrap_or_default();
+        state.holders.get(&self.id).map(bytes).unwrap_or_default() >= largest
+    }
+
     /// Returns whether the client was asked to make room.
     pub fn is_evicted(&self) -> bool {
         self.eviction.requested.load(Ordering::Relaxed)
@@ -411,6 +422,8 @@
 pub struct Charge {
     client: Arc<Client>,
     bytes: usize,
+    /// Whether it is for a large answer, which leaves memory to others.
+    is_large: bool,
 }
 
 impl Charge {
@@ -435,7 +448,13 @@
     pub fn split_off(&mut self, kept_bytes: usize) -> Self {
         let bytes = self.bytes.saturating_sub(kept_bytes);
         self.bytes -= bytes;
-        Self { client: Arc::clone(&self.client), bytes }
+        Self { client: Arc::clone(&self.client), bytes, is_large: self.is_large }
+    }
+
+    /// Sets whether the charge is for a large answer: it then leaves
+    /// a quarter of the memory to others.
+    pub fn set_large(&mut self, is_large: bool) {
+        self.is_large = is_large;
     }
 
     /// Adds `bytes`.
@@ -450,8 +469,10 @@
         let holder = state.holders.get(&id).filter(|holder| holder.bytes > 0).ok_or(NoMemory)?;
         let (port, lag) = (holder.port, holder.lag(now).unwrap_or_default());
         let cost = (holder.bytes + bytes) as f64 * lag.as_secs_f64();
-        let made_room =
-            clients.make_room(&mut state, bytes, clients.content_limit_bytes, cost, now);
+        let limit_bytes = clients.content_limit_bytes;
+        let reserve = if self.is_large { LARGE_ANSWER_RESERVE } else { 0.0 };
+        let limit_bytes = limit_bytes - (limit_bytes as f64 * reserve) as usize;
+        let made_room = clients.make_room(&mut state, bytes, limit_bytes, cost, now);
         if made_room.is_err() {
             clients.metrics.count_refused(port, "memory");
             if let Some(decisions) = state.log_turn(now) {
--- a/src/http/payload.rs
+++ b/src/http/payload.rs
@@ -11,6 +11,8 @@
 const SEGMENT_BYTES: usize = 16 << 10;
 /// Smallest size of a segment, in bytes.
 const MIN_SEGMENT_BYTES: usize = 1 << 10;
+/// Largest answer that may use the memory that larger ones leave free, in bytes.
+const MAX_SMALL_ANSWER_BYTES: usize = 64 << 10;
 
 /// A whole body. Clones share its memory, which counts until the last of them is dropped.
 #[derive(Clone, Debug, Default)]
@@ -140,6 +142,7 @@
     ///
     /// Fails if the client was asked to make room.
     pub async fn reserve_when_possible(&mut self, bytes: usize) -> Result<(), NoMemory> {
+        self.charge.set_large(bytes > MAX_SMALL_ANSWER_BYTES);
         self.charge.resize_when_possible(bytes.next_multiple_of(SEGMENT_BYTES)).await
     }
 
@@ -148,10 +151,16 @@
     ///
     /// # Errors
     ///
-    /// Fails if the client was asked to make room.
+    /// Fails if the client was asked to make room, or if there is none for a large body and no
+    /// other answer takes more: it may have no end.
     pub async fn push_when_possible(&mut self, mut data: &[u8]) -> Result<(), NoMemory> {
+        let is_large = self.len() + data.len() > MAX_SMALL_ANSWER_BYTES;
+        self.charge.set_large(is_large);
         while let Err(err) = self.push(&mut data) {
             let client = Arc::clone(self.charge.client());
+            if is_large && client.has_largest_answer() {
+                return Err(err);
+            }
             client.record_blocked();
             client.wait_for_room(err).await?;
             client.record_read(0);
