Refuse requests that may not end before a stopping gateway does

What callers saw: in a planned stop, requests that became complete late in the grace period were passed on and answered 502 at its end, also those that may not be repeated, and streams broke off.

Cause: nothing compared the time that a request may take with the time that the process has left.

Change: once the balancer has noticed the stop, a request is taken only if its time ends before the process aborts what is in flight. The check comes after the head and again before the first attempt.

Tests: late_stops::late_requests failed before (502 for five requests, which reached the server) and passes now; short_requests and early_requests held before.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -195,6 +195,9 @@
         let allowed = info.deadline.unwrap_or(DEFAULT_DEADLINE);
         let deadline = arrived + allowed;
         let timeout_at = arrived + allowed.min(route.timeout).max(time::Duration::from_millis(1));
+        if self.gateway.may_abort_before(timeout_at) {
+            return self.refuse(Refusal::Stopping, None, &mut request_log);
+        }
         let client = Arc::clone(body.client());
         let body = match body.read_to_end(catalog.limits.max_body_bytes, timeout_at).await {
             Ok(body) => body,
@@ -285,6 +288,7 @@
                             req.min_retry_after = Some(left);
                             Refusal::Quarantined
                         }
+                        ReserveError::Stopping => Refusal::Stopping,
                         _ if req.arrivals > 0 => Refusal::NotRun,
                         ReserveError::Full => Refusal::Full,
                         ReserveError::Slow => Refusal::SlowGroup,
@@ -356,9 +360,9 @@
             if waiting.as_ref().is_some_and(Waiting::is_displaced) {
                 return Err(ReserveError::Displaced);
             }
-            // The slots that aborted requests free are not for those that wait.
-            if waiting.is_some() && gateway.is_aborting() {
-                return Err(failure);
+            // A request that was not sent before is sent only if it ends before the process does.
+            if req.arrivals == 0 && gateway.may_abort_before(req.timeout_at) {
+                return Err(ReserveError::Stopping);
             }
             let mut allowed_at = None;
             if req.arrivals > 0 || gateway.has_turn(req, waiting.as_ref()) {
@@ -498,6 +502,10 @@
     /// Returns a randomized Retry-After, so that clients refused together do not retry together. It
     /// is never before the time at which a retry can succeed, if that is known.
     fn retry_after(&self, refusal: Refusal, req: Option<&RoutedRequest>) -> time::Duration {
+        if refusal == Refusal::Stopping {
+            // Another gateway takes the request at once.
+            return time::Duration::ZERO;
+        }
         let min_retry_after = req.and_then(|req| req.min_retry_after).unwrap_or_default();
         let remaining = req.map(|req| req.deadline.saturating_duration_since(Instant::now()));
         let remaining_s = remaining.map_or(DEFAULT_REMAINING_S, |left| left.as_secs_f64());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -98,12 +98,13 @@
     }
     log::info!(in_flight = gateway.in_flight(); "stopping");
     gateway.begin_stop();
-    let since = time::Instant::now();
+    let since = tokio::time::Instant::now();
+    let abort_at = since + grace.saturating_sub(ABORT_MARGIN);
     let lag = BALANCER_LAG.min(grace / 2);
     if tokio::time::timeout(lag, serving.as_mut()).await.is_err() {
+        gateway.refuse_late_requests(abort_at);
         stop.send_replace(true);
-        let left = (grace - ABORT_MARGIN).saturating_sub(since.elapsed());
-        if tokio::time::timeout(left, serving.as_mut()).await.is_err() {
+        if tokio::time::timeout_at(abort_at, serving.as_mut()).await.is_err() {
             log::warn!(
                 in_flight = gateway.in_flight();
                 "grace period ending; aborting the requests in flight"
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -45,6 +45,8 @@
     Limited,
     /// Servers keep crashing on requests like this one.
     Quarantined,
+    /// The process is stopping, and may end before the request does.
+    Stopping,
     /// No server accepted the request; it has not run.
     NotRun,
     /// A server ran the request and failed with a status which states that it did not run.
@@ -72,6 +74,7 @@
             | Self::Paused
             | Self::Limited
             | Self::Quarantined
+            | Self::Stopping
             | Self::NotRun => 503,
             Self::Malformed | Self::BodyIncomplete => 400,
             Self::NoRoute => 404,
@@ -104,6 +107,7 @@
             Self::Paused => "paused",
             Self::Limited => "limited",
             Self::Quarantined => "quarantined",
+            Self::Stopping => "stopping",
             Self::NotRun => "not-run",
             Self::Failed => "failed",
             Self::NoAnswer => "no-answer",
@@ -171,6 +175,7 @@
             Self::Quarantined => {
                 "Backend servers crash on requests like this one; it did not run; change it."
             }
+            Self::Stopping => "This process is stopping; it did not run; send it again.",
             Self::NotRun => "No backend server took it; it did not run; send it again later.",
             Self::Failed => "The backend server failed; it may have run.",
             Self::NoAnswer => "A backend server gave no whole answer; it may have run.",
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -72,6 +72,9 @@
     pub server_replaced: Notify,
     /// Whether requests in flight are to be answered at once, because the process ends.
     aborting: watch::Sender<bool>,
+    /// Time at which requests in flight will be aborted, once the process takes only those that end
+    /// before.
+    abort_at: cell::Cell<Option<Instant>>,
     /// Never borrowed across an `await`.
     pub(super) state: cell::RefCell<State>,
 }
@@ -102,6 +105,8 @@
     Slow,
     /// The request waited for a slot, and made room for a more urgent one.
     Displaced,
+    /// The process may end before the request does.
+    Stopping,
     /// No registered server may get the request.
     NoServer,
     /// The groups of all servers are stalled.
@@ -187,6 +192,7 @@
             slow_engines_reported: Notify::new(),
             server_replaced: Notify::new(),
             aborting: watch::Sender::new(false),
+            abort_at: cell::Cell::new(None),
             state: cell::RefCell::new(state),
         })
     }
@@ -430,6 +436,17 @@
         self.state.borrow().stopping
     }
 
+    /// From now on, takes only requests that end before `abort_at`.
+    pub fn refuse_late_requests(&self, abort_at: Instant) {
+        self.abort_at.set(Some(abort_at));
+        self.slot_freed.notify_waiters();
+    }
+
+    /// Whether a request that may take until `timeout_at` may be aborted before.
+    pub fn may_abort_before(&self, timeout_at: Instant) -> bool {
+        self.abort_at.get().is_some_and(|abort_at| abort_at < timeout_at)
+    }
+
     /// Ends the attempts of all requests, so that clients get an answer before the process ends.
     pub fn abort_requests(&self) {
         self.aborting.send_replace(true);
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -48,6 +48,7 @@
 mod host_settings;
 mod hostile;
 mod keyed;
+mod late_stops;
 mod leases;
 mod load;
 mod logs;
