Test heads of answers that are cut off

Report of other operators: a worker stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole (MIXED, ORDER). This cannot happen here: the HTTP libraries take a head for one only with its empty line.

--- a/tests/backends.rs
+++ b/tests/backends.rs
@@ -150,3 +150,24 @@
         assert!(failed_and_may_have_run(&end), "{first:?}: {end:?}");
     }
 }
+
+/// Guards against an empty or short body that looks complete, after a head that was cut off.
+#[test]
+fn cut_heads() {
+    let body = "data: 1\n\ndata: [DONE]\n\n";
+    let framings = [
+        (format!("Content-Length: {}\r\n", body.len()), body.into()),
+        ("Transfer-Encoding: chunked\r\n".into(), chunk(body) + &chunk("")),
+        (String::new(), String::new()),
+    ];
+    for (framing, body) in framings {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{framing}X-Last: 1\r\n\r\n"
+        );
+        let answer = head.clone() + &body;
+        for at in 0..head.len() {
+            let end = run_exchange(config::Kind::Plain, answer[..at].into());
+            assert!(failed_and_may_have_run(&end), "{:?}: {end:?}", &answer[..at]);
+        }
+    }
+}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -24,6 +24,7 @@
 mod configuration;
 mod crashing_prompts;
 mod crashing_requests;
+mod cut_heads;
 mod days;
 mod deaths;
 mod departures;
