Let the kernel receive large bodies ahead from their start

Cause: the receive buffer grew only once 64 KiB of a body had arrived. Until then the window was smaller than a segment of loopback or of a data centre, and the sender waited 0.2 s for each window probe.

Change: the larger buffer, which is charged to the client as before, is set before a body with a stated length above 8 KiB, and after 8 KiB of any other.

--- a/src/http/upload.rs
+++ b/src/http/upload.rs
@@ -7,12 +7,12 @@
 use tokio::time::Instant;
 
 use super::{
-    clients::{Client, LARGE_RECEIVE_BUFFER_BYTES, RECEIVE_BUFFER_BYTES},
+    clients::{Charge, Client, LARGE_RECEIVE_BUFFER_BYTES, RECEIVE_BUFFER_BYTES},
     payload::{Collector, Payload},
 };
 
-/// Bytes after which the kernel may receive more of a body ahead.
-const LARGE_BODY_BYTES: usize = 64 << 10;
+/// Size of a body, as far as it is known, from which the kernel may receive more of it ahead.
+const LARGE_BODY_BYTES: usize = 8 << 10;
 
 /// Reason why a body was not received.
 #[derive(Debug, thiserror::Error)]
@@ -81,6 +81,10 @@
     async fn collect(&mut self, max_bytes: usize) -> Result<Payload, UploadError> {
         let mut collector = Collector::new(&self.client).map_err(|_| self.refusal())?;
         let mut read_ahead = None;
+        let stated_bytes = self.body.size_hint().lower();
+        if stated_bytes > LARGE_BODY_BYTES as u64 {
+            read_ahead = Some(self.read_ahead());
+        }
         while let Some(frame) = pin::Pin::new(&mut self.body).frame().await {
             let Ok(data) = frame.map_err(UploadError::Broken)?.into_data() else { continue };
             if collector.len() + data.len() > max_bytes {
@@ -89,18 +93,23 @@
             self.client.record_received(data.len());
             collector.push(&mut &*data).map_err(|_| self.refusal())?;
             if read_ahead.is_none() && collector.len() > LARGE_BODY_BYTES {
-                // Without room for it, the body arrives more slowly.
-                read_ahead = Some(self.client.charge(LARGE_RECEIVE_BUFFER_BYTES).inspect(|_| {
-                    self.client.set_receive_buffer(LARGE_RECEIVE_BUFFER_BYTES);
-                }));
+                read_ahead = Some(self.read_ahead());
             }
         }
-        if read_ahead.is_some_and(|charged| charged.is_ok()) {
+        if read_ahead.flatten().is_some() {
             self.client.set_receive_buffer(RECEIVE_BUFFER_BYTES);
         }
         Ok(collector.finish())
     }
 
+    /// Lets the kernel receive more of the body ahead. Without room for it, the body arrives more
+    /// slowly.
+    fn read_ahead(&self) -> Option<Charge> {
+        let charge = self.client.charge(LARGE_RECEIVE_BUFFER_BYTES).ok()?;
+        self.client.set_receive_buffer(LARGE_RECEIVE_BUFFER_BYTES);
+        Some(charge)
+    }
+
     fn refusal(&self) -> UploadError {
         match self.client.is_evicted() {
             true => UploadError::TooSlow,
--- a/tests/crowds/calm.rs
+++ b/tests/crowds/calm.rs
@@ -2,6 +2,8 @@
 
 use crate::crowd::{MAX_BODY_BYTES, MAX_HEAD_BYTES, Site, exchange, head};
 
+/// Timeout of the shortest routes on the platform's pages.
+const TIMEOUT_MS: u32 = 800;
 /// Bytes of a body that is sent in chunks of one byte.
 const SMALL_CHUNKS: usize = 256 << 10;
 
@@ -22,13 +24,15 @@
 /// Guards against limits that refuse the largest body that the configuration allows.
 #[test]
 fn largest_body() {
-    let mut site = Site::start();
+    let mut site = Site::start_with_timeout(TIMEOUT_MS);
     let body = vec![b'x'; MAX_BODY_BYTES];
     let framing = format!("Content-Length: {MAX_BODY_BYTES}");
     assert_served(&site, &framing, vec![body], MAX_BODY_BYTES);
     let chunked = "Transfer-Encoding: chunked";
     let end = b"0\r\n\r\n".to_vec();
     assert_served(&site, chunked, vec![chunk(MAX_BODY_BYTES), end.clone()], MAX_BODY_BYTES);
+    let chunks = chunk(64 << 10).repeat(MAX_BODY_BYTES >> 16);
+    assert_served(&site, chunked, vec![chunks, end.clone()], MAX_BODY_BYTES);
     let chunks = chunk(16).repeat(MAX_BODY_BYTES / 16);
     assert_served(&site, chunked, vec![chunks, end.clone()], MAX_BODY_BYTES);
     let chunks = chunk(1).repeat(SMALL_CHUNKS);
@@ -48,7 +52,7 @@
 /// Guards against answers within what a server may send that do not reach a client who reads them.
 #[test]
 fn large_answer() {
-    let mut site = Site::start();
+    let mut site = Site::start_with_timeout(TIMEOUT_MS);
     let head = head("GET", "/read/large", "calm", "Connection: close\r\n\r\n").into_bytes();
     let answer = exchange(site.addr(), std::iter::once(head));
     assert!(answer.starts_with("HTTP/1.1 200 ") && answer.len() > 4 << 20, "{}", answer.len());
--- a/tests/crowds/crowd.rs
+++ b/tests/crowds/crowd.rs
@@ -50,6 +50,11 @@
 impl Site {
     /// Starts a gateway with the limits of the platform's pages, whose routes allow 20 seconds.
     pub fn start() -> Self {
+        Self::start_with_timeout(20_000)
+    }
+
+    /// Like [`start`](Self::start), with routes that allow `timeout_ms`.
+    pub fn start_with_timeout(timeout_ms: u32) -> Self {
         let turn = wait_turn();
         let store = Store::start();
         let addr = raw_servers::start(answer);
@@ -58,7 +63,7 @@
             store.put("servers", &format!("i-{n}"), &gateways::row(addr, "ready", 1, ""));
         }
         let config = gateways::config(1, "llm")
-            .replace(r#""timeout_ms":2000"#, r#""timeout_ms":20000"#)
+            .replace(r#""timeout_ms":2000"#, &format!(r#""timeout_ms":{timeout_ms}"#))
             .replace(r#""max_body_bytes":1000"#, &format!(r#""max_body_bytes":{MAX_BODY_BYTES}"#));
         store.put("op", "config", &config);
         let gateway = Gateway::start(store.addr);
