Undo a change of the map only on evidence that no older status can give

Cause: Change::undo took a rank for out of the change if its status showed nothing prepared, or another version armed. Both can be older than the order to arm, so that the pass was released while the rank was armed for it.

Change: the versions of a rank only rise. A rank is out of the change if it has prepared or armed a later version than all that are undone; each other rank is disarmed or superseded.

--- a/src/rank/change.rs
+++ b/src/rank/change.rs
@@ -509,9 +509,9 @@
         }
     }
 
-    /// Disarms every rank that is armed for one of `versions`. Each rank that could still be armed
-    /// for one of them is ordered to prepare the map in use under a newer version, which copies
-    /// nothing.
+    /// Disarms every rank that is armed for one of `versions`, or for an earlier one. Each other rank
+    /// that has prepared nothing later could still be armed for one of them, and is ordered to
+    /// prepare the map in use under a newer version, which copies nothing.
     fn undo(
         &mut self,
         now: time::Duration,
@@ -521,12 +521,15 @@
         out: &mut Vec<(usize, Order)>,
     ) {
         let mut out_of_change = 0;
+        // A status may be older than the orders to prepare and to arm: versions of a rank only rise, so
+        // that only a later one shows that the rank has left the change.
+        let newest = versions.last().copied();
         for (&rank, status) in statuses {
             match (status.armed, status.prepared) {
-                (Some(switch), _) if versions.contains(&switch.version) => {
+                (Some(switch), _) if Some(switch.version) <= newest => {
                     self.send(now, rank, |_| Action::Disarm { version: switch.version }, out);
                 }
-                (None, Some(prepared)) if versions.contains(&prepared) => {
+                (None, prepared) if newest.is_some() && prepared <= newest => {
                     let supersede = |change: &Self| Action::Prepare {
                         version: newer,
                         map: change.current_map.clone(),
--- a/tests/map_change.rs
+++ b/tests/map_change.rs
@@ -1,7 +1,10 @@
 //! Map changes of a group in which each engine switches on its own. No pass may start with two
 //! maps, although orders are lost, delayed or repeated and owners stop or act at the same time.
 
-use std::{collections::BTreeMap, time};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time,
+};
 
 use knapweedford::{
     group::rebalance::SharedMap,
@@ -14,6 +17,8 @@
 use rand_pcg::Pcg64;
 
 const RANKS: usize = 3;
+/// Number of reads after which a status is read once more, at most.
+const MAX_REPEATED_AFTER: usize = 10;
 const TICK: time::Duration = time::Duration::from_millis(10);
 
 #[derive(Clone, Default)]
@@ -151,6 +156,8 @@
     change: Option<Change>,
     last_held_pass: u64,
     maps: BTreeMap<u64, SharedMap>,
+    /// Last statuses of each rank.
+    earlier: BTreeMap<usize, VecDeque<Status>>,
 }
 
 impl Owner {
@@ -163,6 +170,7 @@
             change: None,
             last_held_pass: 0,
             maps,
+            earlier: BTreeMap::new(),
         }
     }
 
@@ -174,6 +182,22 @@
         self.statuses.insert(rank, group.status(rank, read));
     }
 
+    /// Like [`read_status`](Self::read_status), but a status of before may be read once more.
+    fn read_repeated(&mut self, rank: usize, group: &Group, read: u64, is_repeated: bool) {
+        self.read_status(rank, group, read);
+        let earlier = self.earlier.entry(rank).or_default();
+        let repeated = earlier.front().filter(|_| is_repeated).cloned();
+        match repeated {
+            Some(status) => {
+                self.statuses.insert(rank, status);
+            }
+            None => earlier.push_back(self.statuses[&rank].clone()),
+        }
+        if earlier.len() > MAX_REPEATED_AFTER {
+            earlier.pop_front();
+        }
+    }
+
     fn step(&mut self, now: time::Duration, rng: &mut Pcg64) -> Vec<(usize, Order)> {
         if self.statuses.len() < RANKS {
             return Vec::new();
@@ -224,8 +248,13 @@
     handovers: bool,
     /// Whether ranks crash.
     crashes: bool,
+    /// Percentage of statuses in whose place one of before is read once more.
+    repeated: u32,
 }
 
+const NONE: Faults =
+    Faults { lost: 0, late: 0, unanswered: 0, handovers: false, crashes: false, repeated: 0 };
+
 /// Runs one seed and returns the number of changes that took effect.
 fn run(seed: u64, faults: Faults) -> usize {
     let mut rng = Pcg64::seed_from_u64(seed);
@@ -265,7 +294,8 @@
         {
             for rank in 0..RANKS {
                 if rng.random_ratio(2, 3) {
-                    owner.read_status(rank, &group, read);
+                    let is_repeated = rng.random_ratio(faults.repeated, 100);
+                    owner.read_repeated(rank, &group, read, is_repeated);
                 }
             }
             let before = owner.change.as_ref().map(Change::version);
@@ -277,7 +307,8 @@
                 } else {
                     let outcome = group.apply(rank, &order);
                     trace.push(format!("{tick} rank {rank} {:?}: {outcome:?}", order.action));
-                    owner.read_status(rank, &group, read);
+                    let is_repeated = rng.random_ratio(faults.repeated, 100);
+                    owner.read_repeated(rank, &group, read, is_repeated);
                     answer = (!rng.random_ratio(faults.unanswered, 100)).then_some(outcome);
                 }
                 if let Some(change) = &mut owner.change {
@@ -295,7 +326,8 @@
 /// restarts now and then.
 #[test]
 fn changes_take_effect() {
-    let faults = Faults { lost: 0, late: 0, unanswered: 0, handovers: false, crashes: false };
+    let faults =
+        Faults { lost: 0, late: 0, unanswered: 0, handovers: false, crashes: false, ..NONE };
     let completed: usize = (0..20).map(|seed| run(seed, faults)).sum();
     assert!(completed > 20 * 5, "only {completed} changes took effect");
 }
@@ -303,7 +335,8 @@
 /// Orders that arrive after they were given up neither mix two maps nor stop all changes.
 #[test]
 fn late_orders() {
-    let faults = Faults { lost: 5, late: 35, unanswered: 5, handovers: false, crashes: false };
+    let faults =
+        Faults { lost: 5, late: 35, unanswered: 5, handovers: false, crashes: false, ..NONE };
     let completed: usize = (0..300).map(|seed| run(seed, faults)).sum();
     assert!(completed > 300, "only {completed} changes took effect");
 }
@@ -311,14 +344,27 @@
 /// A new owner acts while orders of the previous one are still under way.
 #[test]
 fn ownership_moves() {
-    let faults = Faults { lost: 5, late: 20, unanswered: 5, handovers: true, crashes: false };
+    let faults =
+        Faults { lost: 5, late: 20, unanswered: 5, handovers: true, crashes: false, ..NONE };
     (0..300).for_each(|seed| _ = run(seed, faults));
 }
 
 /// The group re-forms while orders of the previous epoch are still under way.
 #[test]
 fn ranks_crash() {
-    let faults = Faults { lost: 5, late: 20, unanswered: 5, handovers: true, crashes: true };
+    let faults =
+        Faults { lost: 5, late: 20, unanswered: 5, handovers: true, crashes: true, ..NONE };
+    (0..300).for_each(|seed| _ = run(seed, faults));
+}
+
+/// An engine writes a report once more, late. Guards against a change that is undone while the rank,
+/// which has prepared nothing according to that report, is armed.
+#[test]
+fn repeated_statuses() {
+    let faults = Faults { repeated: 5, ..NONE };
+    let completed: usize = (0..300).map(|seed| run(seed, faults)).sum();
+    assert!(completed > 300, "only {completed} changes took effect");
+    let faults = Faults { lost: 5, late: 20, unanswered: 5, handovers: true, ..faults };
     (0..300).for_each(|seed| _ = run(seed, faults));
 }
 
