Read rows for the service of a request, and log each rank's engine once

A request that is sent again may have a configuration that names a service which the present one does not; its servers are found again. Rows that a later start replaces are no longer logged as found.

--- a/src/rank/agent.rs
+++ b/src/rank/agent.rs
@@ -251,33 +251,36 @@
     ) -> BTreeMap<usize, net::SocketAddr> {
         // Entries of incarnations that crashed remain for a while beside those of the next ones.
         entries.sort_by_key(|entry| entry.started_ms);
-        let mut engines = BTreeMap::new();
+        let mut newest = BTreeMap::new();
         for entry in &entries {
             let other = entry.member.as_ref().filter(|other| other.group == member.group);
             let Some(other) = other.filter(|other| other.rank < member.ranks) else { continue };
-            let (rank, engine) = (other.rank, entry.address);
-            let is_known = self.state.borrow().group.get(&rank) == Some(&engine);
-            match () {
-                () if !services.contains(&entry.service) => {
-                    log::warn!(
-                        row:? = entry.server.as_str(),
-                        rank,
-                        service:% = entry.service;
-                        "registry row ignored: it names a rank of this group for another service"
-                    );
-                    continue;
+            match services.contains(&entry.service) {
+                true => {
+                    newest.insert(other.rank, entry);
                 }
-                () if !is_known => log::info!(
+                false => log::warn!(
+                    row:? = entry.server.as_str(),
+                    rank = other.rank,
+                    service:% = entry.service;
+                    "registry row ignored: it names a rank of this group for another service"
+                ),
+            }
+        }
+        let known = &self.state.borrow().group;
+        for (rank, entry) in &newest {
+            if known.get(rank) != Some(&entry.address) {
+                log::info!(
                     rank,
-                    engine:%,
+                    engine:% = entry.address,
                     server:% = entry.server,
                     started_ms = entry.started_ms;
                     "engine of a rank found in the registry"
-                ),
-                () => {}
+                );
             }
-            engines.insert(rank, engine);
         }
+        let mut engines: BTreeMap<_, _> =
+            newest.into_iter().map(|(rank, entry)| (rank, entry.address)).collect();
         engines.insert(member.rank, self.engine);
         engines
     }
--- a/src/rank/poll.rs
+++ b/src/rank/poll.rs
@@ -180,10 +180,11 @@
     /// Accepts the heartbeat of another rank in this agent's section, to pass it on to the owner.
     pub fn relay(&self, heartbeat: Heartbeat) -> HeartbeatReply {
         let state = &mut *self.state.borrow_mut();
-        let own_group = state.member.as_ref().map(|member| member.group.as_str());
+        let own_group = state.member.as_ref().map(|member| &member.group);
         let member = heartbeat.status.member.as_ref();
-        let Some(rank) = member.filter(|m| Some(&*m.group) == own_group).map(|m| m.rank) else {
-            log::info!(member:?; "heartbeat ignored: it is not of this group");
+        let is_own = |other: &&Member| own_group.is_none_or(|group| *group == other.group);
+        let Some(rank) = member.filter(is_own).map(|member| member.rank) else {
+            log::info!(member:?; "heartbeat of another group ignored");
             return HeartbeatReply::default();
         };
         if state.pending.add(rank, heartbeat) {
--- a/src/site/registry.rs
+++ b/src/site/registry.rs
@@ -284,12 +284,13 @@
         self.servers.values().filter_map(|known| known.gone_at).min()
     }
 
-    /// Returns the servers of `service` that may get new requests.
+    /// Returns the servers of `service` that may get new requests. The configuration of a request that
+    /// is sent again may be one before the present, and its service may no longer be named.
     pub fn available_servers<'a>(
         &'a self,
         service: &'a name::Service,
     ) -> impl Iterator<Item = &'a RegisteredServer> {
-        self.servers().filter(move |known| {
+        self.servers.values().filter(move |known| {
             known.registration.service == *service
                 && !known.registration.leaving
                 && !known.superseded
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -305,6 +305,7 @@
     assert_eq!(registry.available_servers(&other).count(), 1);
     registry.set_services(named(&["llm"]));
     assert_eq!(available(&registry), ["i-1"]);
+    assert_eq!(registry.available_servers(&other).count(), 1, "a request from before needs it");
     registry.update(rows(), secs(2.0), 0);
     assert_eq!(available(&registry), ["i-1"]);
 }
