Follow the agent's own group from its first report

An owner kept the epoch of another group that it had heard from first, or that its engine had been in before, and ignored the heartbeats of its own group if its epoch was lower. A function that nothing calls any more is gone.

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -452,11 +452,6 @@
         self.aborting.send_replace(true);
     }
 
-    /// Whether requests in flight are to be answered at once.
-    pub fn is_aborting(&self) -> bool {
-        *self.aborting.borrow()
-    }
-
     /// Waits until requests in flight are to be answered at once.
     pub async fn aborted(&self) {
         // Waiting fails only if the sender, which `self` holds, was dropped.
--- a/src/http/clients.rs
+++ b/src/http/clients.rs
@@ -451,8 +451,7 @@
         Self { client: Arc::clone(&self.client), bytes, is_large: self.is_large }
     }
 
-    /// Sets whether the charge is for a large answer: it then leaves
-    /// a quarter of the memory to others.
+    /// Sets whether the charge is for a large answer, which leaves a part of the memory to others.
     pub fn set_large(&mut self, is_large: bool) {
         self.is_large = is_large;
     }
@@ -469,9 +468,10 @@
         let holder = state.holders.get(&id).filter(|holder| holder.bytes > 0).ok_or(NoMemory)?;
         let (port, lag) = (holder.port, holder.lag(now).unwrap_or_default());
         let cost = (holder.bytes + bytes) as f64 * lag.as_secs_f64();
-        let limit_bytes = clients.content_limit_bytes;
-        let reserve = if self.is_large { LARGE_ANSWER_RESERVE } else { 0.0 };
-        let limit_bytes = limit_bytes - (limit_bytes as f64 * reserve) as usize;
+        let mut limit_bytes = clients.content_limit_bytes;
+        if self.is_large {
+            limit_bytes -= (limit_bytes as f64 * LARGE_ANSWER_RESERVE) as usize;
+        }
         let made_room = clients.make_room(&mut state, bytes, limit_bytes, cost, now);
         if made_room.is_err() {
             clients.metrics.count_refused(port, "memory");
--- a/src/rank/ownership.rs
+++ b/src/rank/ownership.rs
@@ -166,15 +166,13 @@
         }
     }
 
-    /// Sets the group and the rank of the agent's own engine.
+    /// Sets the group and the rank of the agent's own engine. What is known of another group, such as
+    /// its epoch, is dropped.
     pub fn set_own_member(&mut self, member: &Member) {
         self.own_rank = Some(member.rank);
         if self.group.as_deref() != Some(&member.group) {
             self.group = Some(member.group.clone());
-            let is_in_group = |rank: &Rank| {
-                rank.status.member.as_ref().is_some_and(|other| other.group == member.group)
-            };
-            self.ranks.retain(|_, rank| is_in_group(rank));
+            self.reset_for_epoch(member.epoch, member.ranks);
         }
     }
 
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -30,7 +30,7 @@
     ownership
 }
 
-pub fn member(epoch: u64, rank: usize) -> Member {
+fn member(epoch: u64, rank: usize) -> Member {
     Member { group: "g".into(), epoch, rank, ranks: RANKS, open: true }
 }
 
@@ -301,3 +301,16 @@
     let requests = ownership.requests_by_rank().expect("the owner has lost its state");
     assert!(requests.values().all(|requests| *requests < 1_000), "{requests:?}");
 }
+
+/// Guards against an agent that ignores its own group, because it first heard from one with a later
+/// epoch, or because its engine was in that group before.
+#[test]
+fn own_group_followed() {
+    let mut ownership = ownership();
+    for (name, epoch) in [("h", 7), ("g", 1)] {
+        ownership.set_own_member(&Member { group: name.into(), ..member(epoch, 0) });
+        assert!(ownership.requests_by_rank().is_none_or(|requests| requests.is_empty()));
+    }
+    let now = run_two_seconds(&mut ownership, Duration::ZERO, RANKS);
+    assert_eq!(start_change(&mut ownership, now).len(), RANKS);
+}
--- a/tests/slow_engines.rs
+++ b/tests/slow_engines.rs
@@ -151,7 +151,8 @@
             expert_share: 0.85,
         };
         let mut ownership = Ownership::new(shape, None);
-        ownership.set_own_member(&crate::ownership::member(1, 0));
+        let member = Member { group: "g".into(), epoch: 1, rank: 0, ranks: RANKS, open: true };
+        ownership.set_own_member(&member);
         let mut group = Self { ownership, paces: [1.0; RANKS], epoch: 1, now: Duration::ZERO };
         let experts = |rank: usize| vec![rank as u16, (rank + RANKS) as u16];
         let map = SharedMap::new(vec![(0..RANKS).map(experts).collect()]);
