Let late_stops::early_requests use servers that read each connection at once

By reading, the cause is the stand-in's HTTP library, as in waiting::burst_waits: of nine connections at once it reads some only after another one closes.

--- a/tests/late_stops.rs
+++ b/tests/late_stops.rs
@@ -11,10 +11,12 @@
 use crate::{
     gateways::{self, API_KEY, Behavior, HOST, Site},
     processes::wait_until,
+    raw_servers,
 };
 
 /// Time after SIGTERM at which requests arrive late.
 const LATE: Duration = Duration::from_millis(2_300);
+const EVENT: &str = "id: 1\ndata: x\n\n";
 const PATHS: [(&str, &str); 3] = [("POST", "/once/a"), ("GET", "/read/a"), ("POST", "/stream/a")];
 
 /// Bytes of a request that a client sends before SIGTERM, on a new connection or on one that has
@@ -145,9 +147,22 @@
 /// new connections and on kept ones.
 #[test]
 fn early_requests() {
-    let mut site = Site::start(1, false);
-    let at = site.gateway.process.address;
-    site.servers[0].set_behavior(Behavior::Paced(200));
+    let addr = raw_servers::start(|req, conn| {
+        if !req.id().ends_with("-before") {
+            thread::sleep(Duration::from_millis(600));
+        }
+        let kind = if req.streams() { "text/event-stream" } else { "text/plain" };
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nX-Knapweedford-Request-Id: {}\r\n\
+             X-Knapweedford-Response-Seal: seal\r\nContent-Type: {kind}\r\n\
+             Content-Length: {}\r\n\r\n{EVENT}",
+            req.id(),
+            EVENT.len()
+        );
+        conn.write_all(answer.as_bytes()).is_ok()
+    });
+    let mut gateway = raw_servers::start_gateway(&[addr]);
+    let at = gateway.process.address;
     let start = |round: usize| {
         // An answer while the gateway stops closes its connection.
         let kinds = if round == 0 { &[Sent::Nothing, Sent::Kept][..] } else { &[Sent::Nothing] };
@@ -161,14 +176,15 @@
     };
     let mut clients = start(0);
     thread::sleep(Duration::from_millis(100));
-    site.gateway.process.signal("TERM");
+    gateway.process.signal("TERM");
     thread::sleep(Duration::from_millis(100));
     clients.extend(start(1));
     for client in &mut clients {
         let answer = client.finish();
         assert!(answer.starts_with("HTTP/1.1 200"), "{}: {answer:?}", client.case);
-        let is_whole = answer.contains("by i-0") || answer.ends_with("x6\n\n\r\n0\r\n\r\n");
+        let is_whole =
+            answer.ends_with(EVENT) || answer.ends_with(&format!("{EVENT}\r\n0\r\n\r\n"));
         assert!(is_whole, "{}: {answer:?}", client.case);
     }
-    wait_until("the process ends", || (!site.gateway.process.is_running()).then_some(()));
+    wait_until("the process ends", || (!gateway.process.is_running()).then_some(()));
 }
