Log the phases of a map change, with the statuses that they follow from

Change: a line 'map change entered a phase' with the passes held, switches armed and versions copied by number of ranks, and the age of the oldest status; 'order refused or not answered' names version and pass.

--- a/src/rank/change.rs
+++ b/src/rank/change.rs
@@ -244,6 +244,11 @@
         self.phase == Phase::Prepare
     }
 
+    /// Returns the name of the phase, for logs.
+    pub fn phase(&self) -> &'static str {
+        self.phase.label()
+    }
+
     /// Returns the newest pass that was held.
     pub fn last_held_pass(&self) -> u64 {
         self.last_held_pass
@@ -581,7 +586,7 @@
 }
 
 /// Returns the newest pass that any rank has started.
-fn newest_pass(statuses: &Statuses) -> u64 {
+pub fn newest_pass(statuses: &Statuses) -> u64 {
     statuses.values().map(|status| status.pass).max().unwrap_or_default()
 }
 
--- a/src/rank/ownership.rs
+++ b/src/rank/ownership.rs
@@ -262,9 +262,14 @@
             None => Some("no answer"),
         };
         if let Some(why) = why {
-            let action = order.order.action.label();
+            let action = &order.order.action;
             log::info!(
-                rank = order.rank, action, epoch = order.order.epoch, why;
+                rank = order.rank,
+                action = action.label(),
+                version:? = action.version(),
+                pass:? = action.pass(),
+                epoch = order.order.epoch,
+                why;
                 "order refused or not answered"
             );
         }
@@ -389,7 +394,12 @@
             self.undo_leftover(now, &statuses, random);
         }
         let Some(change) = &mut self.change else { return Vec::new() };
+        let phase = change.phase();
         let orders = change.step(now, &statuses);
+        if change.phase() != phase {
+            self.log_phase(now, &statuses);
+        }
+        let Some(change) = &mut self.change else { return Vec::new() };
         self.last_held_pass = self.last_held_pass.max(change.last_held_pass());
         if let Some(end) = change.end().cloned() {
             self.finish_change(now, &end);
@@ -649,6 +659,23 @@
         map.map(SharedMap::new)
     }
 
+    /// Logs the phase that the change under way has come to, with the statuses that it follows from.
+    fn log_phase(&self, now: time::Duration, statuses: &Statuses) {
+        let Some(change) = &self.change else { return };
+        let oldest = self.ranks.values().map(|rank| rank.updated_at).min().unwrap_or_default();
+        log::info!(
+            epoch = self.epoch,
+            version = change.version(),
+            phase = change.phase(),
+            newest_pass = change::newest_pass(statuses),
+            held:? = count_ranks(statuses, |status| status.held),
+            armed:? = count_ranks(statuses, |status| status.armed.map(|s| (s.version, s.pass))),
+            prepared:? = count_ranks(statuses, |status| status.prepared),
+            oldest_status_ms = now.saturating_sub(oldest).as_millis() as u64;
+            "map change entered a phase"
+        );
+    }
+
     /// Logs how the change under way ended and drops it.
     fn finish_change(&mut self, now: time::Duration, end: &End) {
         let Some(change) = self.change.take() else { return };
@@ -674,6 +701,18 @@
     }
 }
 
+/// Returns the number of ranks with each value that `field` returns.
+fn count_ranks<T: Ord>(
+    statuses: &Statuses,
+    field: impl Fn(&Status) -> Option<T>,
+) -> BTreeMap<T, usize> {
+    let mut counts = BTreeMap::new();
+    for value in statuses.values().filter_map(field) {
+        *counts.entry(value).or_default() += 1;
+    }
+    counts
+}
+
 /// Formats the time that each phase of a change took, in milliseconds, for the log.
 fn format_phases(change: &Change, now: time::Duration) -> String {
     let phases = change.phases(now).into_iter();
--- a/src/rank/state.rs
+++ b/src/rank/state.rs
@@ -194,6 +194,24 @@
             Self::Release { .. } => "go",
         }
     }
+
+    /// Version of the map that the action is about.
+    pub fn version(&self) -> Option<u64> {
+        match self {
+            Self::Prepare { version, .. } | Self::Disarm { version } => Some(*version),
+            Self::Arm(switch) => Some(switch.version),
+            Self::Hold { .. } | Self::Release { .. } => None,
+        }
+    }
+
+    /// Pass that the action is about.
+    pub fn pass(&self) -> Option<u64> {
+        match self {
+            Self::Arm(switch) => Some(switch.pass),
+            Self::Hold { pass } | Self::Release { pass } => Some(*pass),
+            Self::Prepare { .. } | Self::Disarm { .. } => None,
+        }
+    }
 }
 
 /// An order to an engine.
