Hold no pass that a previous owner may have held

Cause: arming rests on a single hold, which is safe if no release of that pass is under way. An owner knew only the passes that it had held itself. In an idle group the next owner, or the same after a restart, held the same pass again, and a late release of the previous one freed it while ranks were being armed.

Change: owners hold passes at most MAX_HOLD_AHEAD_PASSES ahead of the newest one; one that takes over skips all passes within that distance. A change that can hold no pass yet isn't begun.

--- a/src/rank/change.rs
+++ b/src/rank/change.rs
@@ -19,8 +19,9 @@
 //!   since a release from the previous owner may still be on its way to that owner's rank. The
 //!   owner releases these holds only after the change is undone. This guards against a pass that
 //!   starts when some ranks are disarmed and others are still armed for it.
-//! - No owner holds a pass twice, so a release that arrives late finds nothing to release. This
-//!   guards against a late release of an earlier hold that would let a pass start too early. A hold
+//! - A change holds a pass that no owner has held before, so that a release that arrives late finds
+//!   nothing to release. Owners hold passes up to [`MAX_HOLD_AHEAD_PASSES`] ahead only; one that
+//!   takes over skips all passes that earlier ones may have held, see [`last_reachable_pass`]. A hold
 //!   that arrives late shows in the rank's status and is undone like a leftover change.
 //!
 //! This module does no I/O: [`Change::step`] returns the orders to send.
@@ -41,6 +42,8 @@
 /// Passes added to [`HOLD_AHEAD_PASSES`] after an order went unanswered, so that the group waits
 /// less at the held pass for orders that are sent again.
 const EXTRA_HOLD_AHEAD_PASSES: u64 = 3;
+/// Largest distance from the newest known pass to a pass that an owner holds.
+pub const MAX_HOLD_AHEAD_PASSES: u64 = HOLD_AHEAD_PASSES + EXTRA_HOLD_AHEAD_PASSES + 1;
 /// Longest time to arm all ranks, after which the change is undone. It allows for sending an order
 /// five times.
 const ARM_TIMEOUT: time::Duration = time::Duration::from_millis(1_250);
@@ -144,7 +147,7 @@
     phase: Phase,
     /// Phases so far and the time at which each started.
     phase_starts: Vec<(&'static str, time::Duration)>,
-    /// Newest pass that was held or released.
+    /// Newest pass that any owner may have held.
     last_held_pass: u64,
     /// Time from which each rank may get the next order; `None` while an order is under way.
     next_order_at: BTreeMap<usize, Option<time::Duration>>,
@@ -173,7 +176,7 @@
     pub current_map: SharedMap,
     /// Expected time to copy the new experts of a rank.
     pub copy_time: time::Duration,
-    /// Newest pass of the epoch that was held.
+    /// Newest pass of the epoch that any owner may have held.
     pub last_held_pass: u64,
 }
 
@@ -249,7 +252,7 @@
         self.phase.label()
     }
 
-    /// Returns the newest pass that was held.
+    /// Returns the newest pass that any owner may have held.
     pub fn last_held_pass(&self) -> u64 {
         self.last_held_pass
     }
@@ -363,8 +366,8 @@
                 }
             }
         }
-        if ready == self.ranks {
-            self.phase = Phase::Hold { pass: self.pass_to_hold(statuses) };
+        if let Some(pass) = self.pass_to_hold(statuses).filter(|_| ready == self.ranks) {
+            self.phase = Phase::Hold { pass };
         }
     }
 
@@ -381,7 +384,8 @@
             // Nothing was armed, so there is nothing to undo.
             Some(_) => self.phase = Phase::Ended(End::Undone("another pass is held")),
             None if newest_pass(statuses) >= pass => {
-                self.phase = Phase::Hold { pass: self.pass_to_hold(statuses) };
+                let next = self.pass_to_hold(statuses);
+                self.phase = next.map_or(Phase::Prepare, |pass| Phase::Hold { pass });
             }
             None if self.refused_too_often(self.own_rank) => {
                 self.phase = Phase::Ended(End::Undone("refused to hold"));
@@ -560,9 +564,11 @@
     }
 
     /// Returns the pass to hold: ahead of the newest one, and later than all that were held before.
-    fn pass_to_hold(&self, statuses: &Statuses) -> u64 {
+    /// `None` until the group has made more passes, as a pass must not be too far ahead.
+    fn pass_to_hold(&self, statuses: &Statuses) -> Option<u64> {
         let extra = if self.had_unanswered { EXTRA_HOLD_AHEAD_PASSES } else { 0 };
-        (newest_pass(statuses) + HOLD_AHEAD_PASSES + extra).max(self.last_held_pass + 1)
+        let pass = (newest_pass(statuses) + HOLD_AHEAD_PASSES + extra).max(self.last_held_pass + 1);
+        (pass <= last_reachable_pass(statuses)).then_some(pass)
     }
 
     /// Adds an order with the action that `action` returns, unless an order to `rank` is under way
@@ -585,6 +591,17 @@
     }
 }
 
+/// Returns the last pass that an owner with these statuses could hold. One that takes over has to take
+/// it for the newest pass that was held.
+pub fn last_reachable_pass(statuses: &Statuses) -> u64 {
+    newest_pass(statuses) + MAX_HOLD_AHEAD_PASSES
+}
+
+/// Whether a change can hold a pass that has not been held, the newest of which is `last_held_pass`.
+pub fn can_hold(last_held_pass: u64, statuses: &Statuses) -> bool {
+    last_held_pass < last_reachable_pass(statuses)
+}
+
 /// Returns the newest pass that any rank has started.
 pub fn newest_pass(statuses: &Statuses) -> u64 {
     statuses.values().map(|status| status.pass).max().unwrap_or_default()
--- a/src/rank/ownership.rs
+++ b/src/rank/ownership.rs
@@ -111,9 +111,10 @@
     /// Newest version that this process used in this epoch. Statuses do not show a version that a
     /// rank is still copying.
     last_version: u64,
-    /// Newest pass that was held in this epoch. No pass is held twice, so that a release that
-    /// arrives late finds nothing to release.
+    /// Newest pass of this epoch that any owner may have held.
     last_held_pass: u64,
+    /// Whether `last_held_pass` covers what previous owners may have held.
+    knows_held_passes: bool,
     /// Skew expected after the change under way.
     expected_skew: f64,
     /// Whether choices were received since the change under way was last checked against them.
@@ -152,6 +153,7 @@
             pause_until: time::Duration::ZERO,
             last_version: 0,
             last_held_pass: 0,
+            knows_held_passes: false,
             expected_skew: 1.0,
             has_new_choices: false,
             failed_search: None,
@@ -414,6 +416,9 @@
             return None;
         }
         let statuses = self.statuses_to_act_on(now)?;
+        if !change::can_hold(self.last_held_pass, &statuses) {
+            return None;
+        }
         if !statuses.values().all(|status| status.member.as_ref().is_some_and(|m| m.open)) {
             return None;
         }
@@ -586,7 +591,10 @@
                 // This process acted so recently that any other owner is still in its takeover
                 // delay.
                 true if self.lost_at.is_some_and(|at| now < at + MAX_STATUS_AGE) => {}
-                true => self.may_act_from = now + TAKEOVER_DELAY,
+                true => {
+                    self.may_act_from = now + TAKEOVER_DELAY;
+                    self.knows_held_passes = false;
+                }
                 false => self.lost_at = (now >= self.may_act_from).then_some(now),
             }
             log::info!(
@@ -599,8 +607,15 @@
             log::warn!(epoch = self.epoch; "map change dropped: ownership lost");
         }
         let complete = self.ranks.len() == self.group_size;
-        (is_owner && complete && now >= self.may_act_from)
-            .then(|| self.ranks.iter().map(|(rank, known)| (*rank, known.status.clone())).collect())
+        if !is_owner || !complete || now < self.may_act_from {
+            return None;
+        }
+        let statuses =
+            self.ranks.iter().map(|(rank, known)| (*rank, known.status.clone())).collect();
+        if !std::mem::replace(&mut self.knows_held_passes, true) {
+            self.last_held_pass = self.last_held_pass.max(change::last_reachable_pass(&statuses));
+        }
+        Some(statuses)
     }
 
     /// Whether popularity has jumped since the change under way was planned, while ranks still only
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -54,6 +54,8 @@
 mod load;
 mod logs;
 mod map_change;
+mod map_group;
+mod map_orders;
 mod maps;
 mod maps_fuzz;
 mod notices;
--- /dev/null
+++ b/tests/map_orders.rs
@@ -0,0 +1,76 @@
+//! Orders to engines that are late, lost or carried out twice, and owners that end, in every phase of a
+//! change of the map. No pass may start with two maps, and the group must go on.
+
+use std::time;
+
+use knapweedford::rank::{Action, Order};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+use crate::map_group::{Group, Owner, RANKS, TICK};
+
+/// Steps an owner and carries out its orders, except those for which `carries_out` is false: they get
+/// no answer. Returns the orders.
+fn step_owner(
+    owner: &mut Owner,
+    group: &mut Group,
+    now: time::Duration,
+    carries_out: impl Fn(&Order) -> bool,
+) -> Vec<(usize, Order)> {
+    (0..RANKS).for_each(|rank| owner.read_status(rank, group, now.as_millis() as u64));
+    let orders = owner.step(now, &mut Pcg64::seed_from_u64(now.as_millis() as u64));
+    for (rank, order) in &orders {
+        let outcome = carries_out(order).then(|| group.apply(*rank, order));
+        if let Some(change) = &mut owner.change {
+            change.receive_reply(now, *rank, order, outcome.as_ref());
+        }
+    }
+    orders
+}
+
+fn order(action: Action) -> Order {
+    Order { epoch: 1, action }
+}
+
+/// An owner ends after it has undone a change, in an idle group; its release of the pass is late.
+/// Guards against a next owner that holds the same pass: the release would free it while ranks are
+/// being armed.
+#[test]
+fn late_release() {
+    let mut group = Group::new();
+    let mut first = Owner::new(0);
+    let mut now = TICK;
+    let mut held = None;
+    for step in 0..100 {
+        now += TICK;
+        if step < 2 {
+            group.start_pass(&[]);
+        }
+        let orders = step_owner(&mut first, &mut group, now, |_| true);
+        held = orders.iter().find_map(|(_, order)| match order.action {
+            Action::Hold { pass } => Some(pass),
+            _ => None,
+        });
+        if held.is_some() {
+            break;
+        }
+    }
+    let held = held.expect("the first owner held no pass");
+    group.apply(0, &order(Action::Release { pass: held }));
+    let mut next = Owner::new(1);
+    for step in 0..600 {
+        now += TICK;
+        // The last rank does not get the orders to arm it.
+        let orders =
+            step_owner(&mut next, &mut group, now, |order| !matches!(order.action, Action::Arm(_)));
+        let arms = orders.iter().filter(|(_, order)| matches!(order.action, Action::Arm(_)));
+        for (rank, arm) in arms.filter(|(rank, _)| rank + 1 < RANKS) {
+            group.apply(*rank, arm);
+            group.apply(1, &order(Action::Release { pass: held }));
+            (0..3).for_each(|_| group.start_pass(&[]));
+        }
+        if step % 40 == 39 {
+            group.start_pass(&[]);
+        }
+    }
+}
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -5,7 +5,7 @@
 use knapweedford::{
     group::rebalance::SharedMap,
     rank::{
-        Action, Choices, Member, Order, OrderOutcome, Placement, Status,
+        Action, Choices, Member, Order, OrderOutcome, Placement, Status, change,
         message::{Heartbeat, RankOrder},
         ownership::Ownership,
     },
@@ -314,3 +314,38 @@
     let now = run_two_seconds(&mut ownership, Duration::ZERO, RANKS);
     assert_eq!(start_change(&mut ownership, now).len(), RANKS);
 }
+
+/// An owner that takes over does not know which passes the previous one has held, and a release may
+/// still be under way. Guards against a change that holds one of them, also in an idle group.
+#[test]
+fn held_passes_skipped() {
+    let mut ownership = ownership();
+    let mut now = Duration::ZERO;
+    let mut beat = |ownership: &mut Ownership, pass, prepared| {
+        now += Duration::from_millis(50);
+        for rank in 0..RANKS {
+            let experts = vec![vec![rank as u16, (rank + RANKS) as u16]];
+            let placement = Some(Placement { epoch: 1, version: 0, experts, prepared: None });
+            let choices =
+                Some(Choices { epoch: 1, sets: vec![(100, vec![255, 9, 9, 9, 9, 9, 9, 9])] });
+            let status = Status { pass, prepared, ..status(rank, now) };
+            ownership.receive_heartbeat(now, Heartbeat { status, choices, placement });
+        }
+        (now, ownership.step(now, 0))
+    };
+    for _ in 0..40 {
+        beat(&mut ownership, 10, None);
+    }
+    let (now, _) = beat(&mut ownership, 10, None);
+    assert!(ownership.edit_search(now).is_none(), "a change would hold a pass of before");
+    let (now, _) = beat(&mut ownership, 11, None);
+    let orders = start_change(&mut ownership, now);
+    let version = prepared_version(&orders);
+    for order in &orders {
+        ownership.receive_reply(now, order, Some(&OrderOutcome::Applied), None);
+    }
+    let (_, orders) = beat(&mut ownership, 11, Some(version));
+    let reachable = 10 + change::MAX_HOLD_AHEAD_PASSES;
+    let hold = Order { epoch: 1, action: Action::Hold { pass: reachable + 1 } };
+    assert_eq!(orders, [RankOrder { rank: 0, order: hold }]);
+}
