Undo a change that waits behind a hold of an earlier pass

Cause: the owner waits for pass Q, all ranks armed; a late order holds an earlier pass P. await_switch looked for holds of Q only, without a time limit, and leftovers are undone only between changes.

Evidence: record.txt: three ranks hold P, all are armed for Q, nothing begins from then on.

Change: a hold of any pass up to Q counts. A hold of Q at the owner's rank, while all ranks are armed, is the change's own order carried out twice, and is released again instead of undoing the change.

Measured: map_orders::late_hold failed before (0 passes in 2 s) and passes; 11 tests of map_change and map_orders pass.

--- a/src/rank/change.rs
+++ b/src/rank/change.rs
@@ -50,7 +50,7 @@
 /// Refusals by one rank in one phase that end a change while it prepares, places its hold or places
 /// a guard. A change that is being undone tries a newer version instead.
 const MAX_REFUSALS: u32 = 4;
-/// Time for which the switch may be delayed because another rank holds the released pass.
+/// Time for which the switch may be delayed because a rank holds a pass that the change did not hold.
 const FOREIGN_HOLD_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 /// Delay before an order that had no effect is sent again; it covers a few exchanges.
 const RESEND_DELAY: time::Duration = time::Duration::from_millis(15);
@@ -443,14 +443,23 @@
         let all = statuses.len() == self.ranks;
         let switched =
             statuses.values().filter(|status| status.map_version == self.version).count();
-        let held_elsewhere = statuses.values().any(|status| status.held == Some(pass));
+        let newest = newest_pass(statuses);
+        let is_delayed =
+            |status: &Status| status.held.is_some_and(|held| newest < held && held <= pass);
+        let is_held_again =
+            statuses.get(&self.own_rank).is_some_and(|status| status.held == Some(pass));
+        let switch = MapSwitch { version: self.version, pass };
         let armed = statuses.values().any(|status| status.armed.is_some());
         match () {
             () if all && switched == self.ranks => self.phase = Phase::Ended(End::Changed),
             () if all && switched == 0 && !armed && newest_pass(statuses) >= pass => {
                 self.phase = Phase::Ended(End::Undone("by another owner"));
             }
-            () if held_elsewhere && now > since + FOREIGN_HOLD_TIMEOUT => {
+            // The order to hold was carried out once more.
+            () if is_held_again && common_armed_switch(statuses, self.ranks) == Some(switch) => {
+                self.phase = Phase::Release { pass };
+            }
+            () if statuses.values().any(is_delayed) && now > since + FOREIGN_HOLD_TIMEOUT => {
                 self.phase = self.guard_phase(statuses)
             }
             () => {}
--- a/tests/map_orders.rs
+++ b/tests/map_orders.rs
@@ -3,7 +3,7 @@
 
 use std::time;
 
-use knapweedford::rank::{Action, Order};
+use knapweedford::rank::{Action, Order, OrderOutcome, change::Change};
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 
@@ -74,3 +74,47 @@
         }
     }
 }
+
+/// The order to hold a pass for a change that was undone is carried out while the next change waits for
+/// a later pass. Guards against an owner that waits for ever, and against a change that is undone
+/// although its own order to hold was carried out twice.
+#[test]
+fn late_hold() {
+    for (rank, is_earlier) in [(0, true), (1, true), (2, true), (0, false)] {
+        let mut group = Group::new();
+        let mut owner = Owner::new(0);
+        let mut now = TICK;
+        group.start_pass(&[]);
+        let mut released = None;
+        for _ in 0..100 {
+            now += TICK;
+            let orders = step_owner(&mut owner, &mut group, now, |_| true);
+            released = orders.iter().find_map(|(_, order)| match order.action {
+                Action::Release { pass } => Some(pass),
+                _ => None,
+            });
+            if released.is_some() {
+                break;
+            }
+            if owner.change.is_none() {
+                group.start_pass(&[]);
+            }
+        }
+        let pass = released.expect("no change released its pass");
+        owner.begins_changes = false;
+        let late = if is_earlier { group.pass + 1 } else { pass };
+        assert_eq!(group.apply(rank, &order(Action::Hold { pass: late })), OrderOutcome::Applied);
+        let (before, version) = (group.pass, owner.change.as_ref().map(Change::version));
+        for _ in 0..50 {
+            for _ in 0..4 {
+                now += TICK;
+                step_owner(&mut owner, &mut group, now, |_| true);
+            }
+            group.start_pass(&[]);
+        }
+        let passes = group.pass - before;
+        assert!(passes > 20, "{passes} passes in 2 s, pass {late} was held at rank {rank}");
+        let is_changed = Some(group.engines[0].map.0) == version;
+        assert!(is_changed || is_earlier, "the change was undone");
+    }
+}
