Guard the pass of a change by holds that no late release ends

What callers saw: nothing reported; a pass could start with two maps while a change was undone.

Cause: the guard was placed at the earliest pass armed or held. A late hold of an earlier pass drew it to a pass whose releases may be under way to every rank; and where all ranks held some pass, a single hold was taken for a guard, although the release of its owner may be under way.

Evidence: the test, with late releases as soon as the first rank is disarmed.

Change: the guard is placed at the earliest pass for which a rank is armed, at two ranks at least, and is checked while the change is undone. Holds that nothing armed depends on make room for it. Holds seen are released once all ranks have left all versions seen.

--- a/src/rank/change.rs
+++ b/src/rank/change.rs
@@ -13,16 +13,17 @@
 //!   therefore left the change for good, and a change is undone once all ranks have left it. This
 //!   guards against an arm order that arrives after the change was undone and makes a single rank
 //!   switch.
-//! - An owner disarms ranks and supersedes their prepared version only while a pass is held that is
-//!   not after the pass of the change and that no other owner releases. For its own change this is
-//!   the pass that it holds itself. For a leftover change it is a guard, a hold at every rank,
-//!   since a release from the previous owner may still be on its way to that owner's rank. The
-//!   owner releases these holds only after the change is undone. This guards against a pass that
-//!   starts when some ranks are disarmed and others are still armed for it.
 //! - A change holds a pass that no owner has held before, so that a release that arrives late finds
 //!   nothing to release. Owners hold passes up to [`MAX_HOLD_AHEAD_PASSES`] ahead only; one that
-//!   takes over skips all passes that earlier ones may have held, see [`last_reachable_pass`]. A hold
-//!   that arrives late shows in the rank's status and is undone like a leftover change.
+//!   takes over skips all passes that earlier ones may have held, see [`last_reachable_pass`]. While
+//!   ranks are being armed, no release of the pass is under way.
+//! - An owner disarms ranks only while the earliest pass for which a rank is armed is held by a hold
+//!   that no release under way can end. Until all ranks are armed this is the hold at the owner's
+//!   rank. Afterwards a release may be under way to that rank, also from a previous owner, so the
+//!   pass is held at two ranks or more. This guards against a pass that starts when some ranks are
+//!   disarmed and others are still armed for it.
+//!
+//! A hold that arrives late shows in the rank's status and is undone like a leftover change.
 //!
 //! This module does no I/O: [`Change::step`] returns the orders to send.
 
@@ -44,6 +45,8 @@
 const EXTRA_HOLD_AHEAD_PASSES: u64 = 3;
 /// Largest distance from the newest known pass to a pass that an owner holds.
 pub const MAX_HOLD_AHEAD_PASSES: u64 = HOLD_AHEAD_PASSES + EXTRA_HOLD_AHEAD_PASSES + 1;
+/// Number of ranks at which a pass has to be held so that releases to one rank cannot start it.
+const MIN_GUARDS: usize = 2;
 /// Longest time to arm all ranks, after which the change is undone. It allows for sending an order
 /// five times.
 const ARM_TIMEOUT: time::Duration = time::Duration::from_millis(1_250);
@@ -94,26 +97,35 @@
         pass: u64,
         since: time::Duration,
     },
-    /// `pass` is to be held at every rank, so that a leftover change can be undone meanwhile.
+    /// `pass` is to be held at every rank, so that ranks can be disarmed meanwhile.
     Guard {
-        pass: u64,
-    },
-    /// Ranks that are armed for one of `versions`, or could still be, leave the change while `pass`
-    /// is held. `newer` is the version that supersedes theirs.
-    Undo {
         why: &'static str,
         pass: u64,
-        versions: BTreeSet<u64>,
-        newer: u64,
     },
-    /// The change is undone, so `pass` is released at every rank.
+    /// All ranks leave the changes that are under way.
+    Undo(Undo),
+    /// The changes are undone, so all `passes` are released at every rank.
     ReleaseUndone {
         why: &'static str,
-        pass: u64,
+        passes: BTreeSet<u64>,
     },
     Ended(End),
 }
 
+/// Ranks that are armed for a version up to `newest`, or could still be, leave that change.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Undo {
+    why: &'static str,
+    /// Highest version that a rank had copied or was armed for.
+    newest: u64,
+    /// Version that supersedes those of the ranks.
+    newer: u64,
+    /// Pass that the owner's rank has held from before the first rank was armed.
+    own_hold: Option<u64>,
+    /// Passes that were held.
+    held: BTreeSet<u64>,
+}
+
 impl Phase {
     /// Name of the phase, for logs.
     fn label(&self) -> &'static str {
@@ -124,7 +136,7 @@
             Self::Release { .. } => "release",
             Self::Await { .. } => "await",
             Self::Guard { .. } => "guard",
-            Self::Undo { .. } => "undo",
+            Self::Undo(_) => "undo",
             Self::ReleaseUndone { .. } => "release-undone",
             Self::Ended(_) => "over",
         }
@@ -215,7 +227,8 @@
     /// the leftover change instead, as an order to disarm a rank may still be under way.
     pub fn undo_leftover(now: time::Duration, plan: Plan, statuses: &Statuses) -> Self {
         let mut change = Self::new(now, plan);
-        change.phase = change.guard_phase(statuses);
+        change.phase = change.undo_phase("left behind", None, statuses);
+        change.phase_starts = vec![(change.phase.label(), now)];
         change
     }
 
@@ -320,20 +333,13 @@
                 self.arm(now, MapSwitch { version: self.version, pass }, since, statuses, out);
             }
             Phase::Release { pass } => {
-                if self.release(now, pass, &[self.own_rank], statuses, out) {
-                    self.phase = Phase::Await { pass, since: now };
-                }
+                self.release(now, pass, statuses, out);
             }
             Phase::Await { pass, since } => self.await_switch(now, pass, since, statuses),
-            Phase::Guard { pass } => self.place_guard(now, pass, statuses, out),
-            Phase::Undo { why, pass, versions, newer } => {
-                self.undo(now, (why, pass, newer), &versions, statuses, out);
-            }
-            Phase::ReleaseUndone { why, pass } => {
-                let all: Vec<usize> = (0..self.ranks).collect();
-                if self.release(now, pass, &all, statuses, out) {
-                    self.phase = Phase::Ended(End::Undone(why));
-                }
+            Phase::Guard { why, pass } => self.place_guard(now, why, pass, statuses, out),
+            Phase::Undo(undo) => self.undo(now, undo, statuses, out),
+            Phase::ReleaseUndone { why, passes } => {
+                self.release_undone(now, why, &passes, statuses, out);
             }
             Phase::Ended(_) => {}
         }
@@ -411,7 +417,9 @@
             |status: &&Status| status.armed.is_none() && status.prepared != Some(switch.version);
         let why = match () {
             // Without the hold at the owner's rank, nothing may be undone before a guard is placed.
-            () if held != Some(switch.pass) => return self.phase = self.guard_phase(statuses),
+            () if held != Some(switch.pass) => {
+                return self.phase = Phase::Guard { why: "the hold was lost", pass: switch.pass };
+            }
             () if statuses.values().any(|status| has_lost_copy(&status)) => Some("a copy was lost"),
             () if statuses
                 .values()
@@ -423,9 +431,7 @@
             () => None,
         };
         if let Some(why) = why {
-            let versions = BTreeSet::from([switch.version]);
-            let newer = highest_version(statuses).max(switch.version) + 1;
-            return self.phase = Phase::Undo { why, pass: switch.pass, versions, newer };
+            return self.phase = self.undo_phase(why, Some(switch.pass), statuses);
         }
         for (&rank, _) in statuses.iter().filter(|(_, status)| status.armed.is_none()) {
             self.send(now, rank, |_| Action::Arm(switch), out);
@@ -460,96 +466,108 @@
                 self.phase = Phase::Release { pass };
             }
             () if statuses.values().any(is_delayed) && now > since + FOREIGN_HOLD_TIMEOUT => {
-                self.phase = self.guard_phase(statuses)
+                self.phase = Phase::Guard { why: "another pass is held", pass };
             }
             () => {}
         }
     }
 
-    /// Releases `pass` at those of the ranks in `at` that hold it. Returns `true` once none does.
+    /// Releases `pass` at the owner's rank, as all ranks are armed.
     fn release(
         &mut self,
         now: time::Duration,
         pass: u64,
-        at: &[usize],
         statuses: &Statuses,
         out: &mut Vec<(usize, Order)>,
-    ) -> bool {
-        let holds = |rank: &&usize| statuses.get(rank).is_none_or(|s| s.held == Some(pass));
-        let holding: Vec<usize> = at.iter().filter(holds).copied().collect();
-        for rank in &holding {
-            self.send(now, *rank, |_| Action::Release { pass }, out);
+    ) {
+        match statuses.get(&self.own_rank).is_some_and(|status| status.held != Some(pass)) {
+            true => self.phase = Phase::Await { pass, since: now },
+            false => self.send(now, self.own_rank, |_| Action::Release { pass }, out),
         }
-        holding.is_empty()
     }
 
-    /// Returns the phase that starts to undo what is armed or held: it guards the earliest of those
-    /// passes. Nothing needs to be undone if there is none or if that pass has started.
-    fn guard_phase(&self, statuses: &Statuses) -> Phase {
-        let armed = statuses.values().filter_map(|status| Some(status.armed?.pass));
-        let held = statuses.values().filter_map(|status| status.held);
-        match armed.chain(held).min() {
-            Some(pass) if pass > newest_pass(statuses) => Phase::Guard { pass },
-            Some(_) => Phase::Ended(End::Undone("the pass has begun")),
-            None => Phase::Ended(End::Undone("nothing was left behind")),
+    /// Returns the phase that starts to undo all that is armed or held, under a guard if a rank is
+    /// armed and nothing else keeps its pass from starting. `own_hold` is a pass that the owner's rank
+    /// holds and that was never released.
+    fn undo_phase(&self, why: &'static str, own_hold: Option<u64>, statuses: &Statuses) -> Phase {
+        if let Some(pass) = unguarded_pass(self.own_rank, own_hold, statuses) {
+            return Phase::Guard { why, pass };
         }
+        let versions = statuses
+            .values()
+            .flat_map(|status| [status.prepared, status.armed.map(|switch| switch.version)]);
+        let newest = versions.flatten().max().unwrap_or_default();
+        let newest = own_hold.map_or(newest, |_| newest.max(self.version));
+        let newer = highest_version(statuses).max(self.version) + 1;
+        let held = statuses.values().filter_map(|status| status.held).chain(own_hold).collect();
+        Phase::Undo(Undo { why, newest, newer, own_hold, held })
     }
 
-    /// Holds `pass` at every rank that holds no pass, then starts to undo the leftover change.
+    /// Holds `pass` at every rank, then starts to undo what is armed.
     fn place_guard(
         &mut self,
         now: time::Duration,
+        why: &'static str,
         pass: u64,
         statuses: &Statuses,
         out: &mut Vec<(usize, Order)>,
     ) {
-        // A rank holds one pass at a time, so one that holds a later pass cannot hold this one too.
-        let free: Vec<usize> =
-            statuses.iter().filter(|(_, s)| s.held.is_none()).map(|(rank, _)| *rank).collect();
-        let placed = statuses.values().any(|status| status.held == Some(pass));
+        let ranks_with = |held: Option<u64>| {
+            statuses.iter().filter(move |(_, status)| status.held == held).map(|(rank, _)| *rank)
+        };
+        let free: Vec<usize> = ranks_with(None).collect();
+        let is_guarded = ranks_with(Some(pass)).count() >= MIN_GUARDS.min(self.ranks);
         match () {
             () if newest_pass(statuses) >= pass => {
                 self.phase = Phase::Ended(End::Undone("the guard came too late"));
             }
-            () if free.is_empty() && placed => {
-                let armed = statuses.values().filter_map(|status| Some(status.armed?.version));
-                let prepared = statuses.values().filter_map(|status| status.prepared);
-                let versions = armed.chain(prepared).collect();
-                let newer = highest_version(statuses).max(self.version) + 1;
-                self.phase = Phase::Undo { why: "left behind", pass, versions, newer };
+            () if is_guarded && free.is_empty() => {
+                self.phase = self.undo_phase(why, None, statuses);
             }
-            () if free.is_empty() || free.iter().any(|rank| self.refused_too_often(*rank)) => {
-                self.phase = Phase::Ended(End::Undone("the guard was refused"));
+            () if free.iter().any(|rank| self.refused_too_often(*rank)) => {
+                self.phase = Phase::Ended(End::Undone("the guard was not placed"));
             }
             () => {
-                free.iter().for_each(|rank| self.send(now, *rank, |_| Action::Hold { pass }, out))
+                free.iter().for_each(|rank| self.send(now, *rank, |_| Action::Hold { pass }, out));
             }
         }
+        // A rank holds one pass at a time. A hold that nothing armed depends on makes room.
+        let is_needed = |held: u64| {
+            held == pass
+                || statuses.values().any(|status| status.armed.is_some_and(|s| s.pass == held))
+        };
+        let in_the_way = statuses.iter().find_map(|(rank, status)| {
+            status.held.filter(|held| !is_needed(*held)).map(|held| (*rank, held))
+        });
+        if let Some((rank, held)) = in_the_way.filter(|_| free.is_empty() && !is_guarded) {
+            self.send(now, rank, |_| Action::Release { pass: held }, out);
+        }
     }
 
-    /// Disarms every rank that is armed for one of `versions`, or for an earlier one. Each other rank
-    /// that has prepared nothing later could still be armed for one of them, and is ordered to
-    /// prepare the map in use under a newer version, which copies nothing.
+    /// Disarms every rank that is armed for a version up to the newest one. Each other rank that has
+    /// prepared nothing later could still be armed for one of them, and is ordered to prepare the map
+    /// in use under a newer version, which copies nothing.
     fn undo(
         &mut self,
         now: time::Duration,
-        (why, pass, newer): (&'static str, u64, u64),
-        versions: &BTreeSet<u64>,
+        undo: Undo,
         statuses: &Statuses,
         out: &mut Vec<(usize, Order)>,
     ) {
+        if let Some(pass) = unguarded_pass(self.own_rank, undo.own_hold, statuses) {
+            return self.phase = Phase::Guard { why: undo.why, pass };
+        }
         let mut out_of_change = 0;
         // A status may be older than the orders to prepare and to arm: versions of a rank only rise, so
         // that only a later one shows that the rank has left the change.
-        let newest = versions.last().copied();
         for (&rank, status) in statuses {
             match (status.armed, status.prepared) {
-                (Some(switch), _) if Some(switch.version) <= newest => {
+                (Some(switch), _) if switch.version <= undo.newest => {
                     self.send(now, rank, |_| Action::Disarm { version: switch.version }, out);
                 }
-                (None, prepared) if newest.is_some() && prepared <= newest => {
+                (None, prepared) if prepared.unwrap_or_default() <= undo.newest => {
                     let supersede = |change: &Self| Action::Prepare {
-                        version: newer,
+                        version: undo.newer,
                         map: change.current_map.clone(),
                     };
                     self.send(now, rank, supersede, out);
@@ -558,16 +576,39 @@
             }
         }
         match () {
-            () if out_of_change == self.ranks => self.phase = Phase::ReleaseUndone { why, pass },
-            // Another owner has prepared a higher version meanwhile.
+            () if out_of_change == self.ranks => {
+                self.phase = Phase::ReleaseUndone { why: undo.why, passes: undo.held };
+            }
+            // A rank is still copying a higher version.
             () if (0..self.ranks).any(|rank| self.refused_too_often(rank)) => {
-                let newer = highest_version(statuses).max(newer) + 1;
-                self.phase = Phase::Undo { why, pass, versions: versions.clone(), newer };
+                let newer = highest_version(statuses).max(undo.newer) + 1;
+                self.phase = Phase::Undo(Undo { newer, ..undo });
             }
             () => {}
         }
     }
 
+    /// Releases those of `passes` that are held at any rank.
+    fn release_undone(
+        &mut self,
+        now: time::Duration,
+        why: &'static str,
+        passes: &BTreeSet<u64>,
+        statuses: &Statuses,
+        out: &mut Vec<(usize, Order)>,
+    ) {
+        let holds = statuses.iter().filter_map(|(rank, status)| Some((*rank, status.held?)));
+        let holds: Vec<(usize, u64)> = holds.filter(|(_, pass)| passes.contains(pass)).collect();
+        match () {
+            () if holds.is_empty() => self.phase = Phase::Ended(End::Undone(why)),
+            () => {
+                for (rank, pass) in holds {
+                    self.send(now, rank, |_| Action::Release { pass }, out);
+                }
+            }
+        }
+    }
+
     fn refused_too_often(&self, rank: usize) -> bool {
         self.refusals.get(&rank).is_some_and(|refusals| *refusals >= MAX_REFUSALS)
     }
@@ -611,6 +652,28 @@
     last_held_pass < last_reachable_pass(statuses)
 }
 
+/// Whether a change has left a rank armed, or a pass held, that has not started.
+pub fn has_leftover(statuses: &Statuses) -> bool {
+    let newest = newest_pass(statuses);
+    let is_ahead = |status: &Status| {
+        status.armed.is_some_and(|switch| switch.pass > newest)
+            || status.held.is_some_and(|held| held > newest)
+    };
+    statuses.values().any(is_ahead)
+}
+
+/// Returns the earliest pass for which a rank is armed, unless a hold that no release under way can end
+/// keeps it from starting. `own_hold` is a pass that `own_rank` holds and that was never released.
+fn unguarded_pass(own_rank: usize, own_hold: Option<u64>, statuses: &Statuses) -> Option<u64> {
+    let newest = newest_pass(statuses);
+    let armed = statuses.values().filter_map(|status| Some(status.armed?.pass));
+    let pass = armed.filter(|pass| *pass > newest).min()?;
+    let holds = |status: &&Status| status.held == Some(pass);
+    let is_own = own_hold == Some(pass) && statuses.get(&own_rank).as_ref().is_some_and(holds);
+    let guards = statuses.values().filter(holds).count();
+    (!is_own && guards < MIN_GUARDS.min(statuses.len())).then_some(pass)
+}
+
 /// Returns the newest pass that any rank has started.
 pub fn newest_pass(statuses: &Statuses) -> u64 {
     statuses.values().map(|status| status.pass).max().unwrap_or_default()
--- a/src/rank/ownership.rs
+++ b/src/rank/ownership.rs
@@ -498,9 +498,10 @@
 
     /// Starts to undo a change that another owner left armed or held, if there is one.
     fn undo_leftover(&mut self, now: time::Duration, statuses: &Statuses, random: u64) {
-        let leftover =
-            statuses.values().any(|status| status.armed.is_some() || status.held.is_some());
-        let Some(map) = self.map_in_use().filter(|_| leftover) else { return };
+        if !change::has_leftover(statuses) {
+            return;
+        }
+        let Some(map) = self.map_in_use() else { return };
         let Some(plan) =
             self.plan(statuses, SharedMap::clone(&map), map, time::Duration::ZERO, random)
         else {
--- a/tests/map_group.rs
+++ b/tests/map_group.rs
@@ -239,8 +239,7 @@
         }
         let reachable = change::last_reachable_pass(&self.statuses);
         let last_held_pass = *self.last_held_pass.get_or_insert(reachable);
-        let has_leftover = |status: &Status| status.armed.is_some() || status.held.is_some();
-        let leftover = self.statuses.values().any(has_leftover);
+        let leftover = change::has_leftover(&self.statuses);
         let can_begin = self.begins_changes && change::can_hold(last_held_pass, &self.statuses);
         if self.change.is_none() && (leftover || can_begin) {
             let version = change::highest_version(&self.statuses) + 1 + rng.random_range(0..1000);
--- a/tests/map_orders.rs
+++ b/tests/map_orders.rs
@@ -3,11 +3,11 @@
 
 use std::time;
 
-use knapweedford::rank::{Action, Order, OrderOutcome, change::Change};
+use knapweedford::rank::{Action, MapSwitch, Order, OrderOutcome, change::Change};
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 
-use crate::map_group::{Group, Owner, RANKS, TICK};
+use crate::map_group::{Group, Owner, RANKS, TICK, map_with};
 
 /// Steps an owner and carries out its orders, except those for which `carries_out` is false: they get
 /// no answer. Returns the orders.
@@ -15,12 +15,12 @@
     owner: &mut Owner,
     group: &mut Group,
     now: time::Duration,
-    carries_out: impl Fn(&Order) -> bool,
+    carries_out: impl Fn(usize, &Order) -> bool,
 ) -> Vec<(usize, Order)> {
     (0..RANKS).for_each(|rank| owner.read_status(rank, group, now.as_millis() as u64));
     let orders = owner.step(now, &mut Pcg64::seed_from_u64(now.as_millis() as u64));
     for (rank, order) in &orders {
-        let outcome = carries_out(order).then(|| group.apply(*rank, order));
+        let outcome = carries_out(*rank, order).then(|| group.apply(*rank, order));
         if let Some(change) = &mut owner.change {
             change.receive_reply(now, *rank, order, outcome.as_ref());
         }
@@ -32,6 +32,16 @@
     Order { epoch: 1, action }
 }
 
+/// Returns a group in which each rank is armed for a version at `pass`, as after a release.
+fn armed_group(version: u64, pass: u64) -> Group {
+    let mut group = Group::new();
+    for rank in 0..RANKS {
+        group.apply(rank, &order(Action::Prepare { version, map: map_with(1) }));
+        group.apply(rank, &order(Action::Arm(MapSwitch { version, pass })));
+    }
+    group
+}
+
 /// An owner ends after it has undone a change, in an idle group; its release of the pass is late.
 /// Guards against a next owner that holds the same pass: the release would free it while ranks are
 /// being armed.
@@ -46,7 +56,7 @@
         if step < 2 {
             group.start_pass(&[]);
         }
-        let orders = step_owner(&mut first, &mut group, now, |_| true);
+        let orders = step_owner(&mut first, &mut group, now, |_, _| true);
         held = orders.iter().find_map(|(_, order)| match order.action {
             Action::Hold { pass } => Some(pass),
             _ => None,
@@ -61,8 +71,9 @@
     for step in 0..600 {
         now += TICK;
         // The last rank does not get the orders to arm it.
-        let orders =
-            step_owner(&mut next, &mut group, now, |order| !matches!(order.action, Action::Arm(_)));
+        let orders = step_owner(&mut next, &mut group, now, |_, order| {
+            !matches!(order.action, Action::Arm(_))
+        });
         let arms = orders.iter().filter(|(_, order)| matches!(order.action, Action::Arm(_)));
         for (rank, arm) in arms.filter(|(rank, _)| rank + 1 < RANKS) {
             group.apply(*rank, arm);
@@ -88,7 +99,7 @@
         let mut released = None;
         for _ in 0..100 {
             now += TICK;
-            let orders = step_owner(&mut owner, &mut group, now, |_| true);
+            let orders = step_owner(&mut owner, &mut group, now, |_, _| true);
             released = orders.iter().find_map(|(_, order)| match order.action {
                 Action::Release { pass } => Some(pass),
                 _ => None,
@@ -108,7 +119,7 @@
         for _ in 0..50 {
             for _ in 0..4 {
                 now += TICK;
-                step_owner(&mut owner, &mut group, now, |_| true);
+                step_owner(&mut owner, &mut group, now, |_, _| true);
             }
             group.start_pass(&[]);
         }
@@ -118,3 +129,51 @@
         assert!(is_changed || is_earlier, "the change was undone");
     }
 }
+
+/// An owner undoes a change for which all ranks are armed, and at first a single rank is disarmed.
+/// Guards against a guard that late releases end: they may be under way for a pass that was held
+/// before, to any rank, and for the pass of the change to the rank of the owner that released it.
+#[test]
+fn late_releases_of_guard() {
+    struct Case {
+        /// Pass of the change.
+        pass: u64,
+        /// Passes that the ranks hold.
+        held: [Option<u64>; RANKS],
+        /// Ranks and passes of the late releases.
+        late: &'static [(usize, u64)],
+    }
+    const EVERY_RANK: &[(usize, u64)] = &[(0, 2), (1, 2), (2, 2)];
+    let cases = [
+        Case { pass: 4, held: [None, Some(2), None], late: EVERY_RANK },
+        Case { pass: 4, held: [Some(2); RANKS], late: EVERY_RANK },
+        Case { pass: 2, held: [Some(2), Some(4), Some(4)], late: &[(0, 2)] },
+        Case { pass: 2, held: [Some(2), Some(4), Some(5)], late: &[(0, 2)] },
+    ];
+    for Case { pass, held, late } in cases {
+        let mut group = armed_group(7, pass);
+        for (rank, held) in held.into_iter().enumerate() {
+            group.engines[rank].held = held;
+        }
+        let mut owner = Owner::new(1);
+        owner.begins_changes = false;
+        let mut first_disarm = None;
+        for step in 0..400 {
+            let is_first = |rank| rank == 0 || first_disarm.is_some_and(|first| step > first + 10);
+            let orders = step_owner(&mut owner, &mut group, TICK * step, |rank, order| {
+                is_first(rank) || !matches!(order.action, Action::Disarm { .. })
+            });
+            let disarms = orders.iter().any(|(_, o)| matches!(o.action, Action::Disarm { .. }));
+            if disarms && first_disarm.is_none() {
+                first_disarm = Some(step);
+                for (rank, pass) in late {
+                    group.apply(*rank, &order(Action::Release { pass: *pass }));
+                }
+            }
+            if first_disarm.is_some() {
+                group.start_pass(&[]);
+            }
+        }
+        assert!(group.pass > 10, "the group stopped before pass {}", group.pass + 1);
+    }
+}
