Ignore answers to orders of an earlier change

What callers saw: nothing reported; a change could end because engines had refused orders of the one before.

Cause: receive_reply took each answer for one to an order of the change under way; answers take up to 0.8 s through a relay.

Evidence: four refusals of an order that the change never sent ended it.

Change: a change compares each answer with the order that is under way to that rank.

Measured: map_orders::earlier_answers failed before and passes; 28 tests of map_change, map_orders, ownership pass.

--- a/src/rank/change.rs
+++ b/src/rank/change.rs
@@ -173,8 +173,10 @@
     last_held_pass: u64,
     /// Newest pass that a status showed, and when it was first seen.
     newest_pass: (u64, time::Duration),
-    /// Time from which each rank may get the next order; `None` while an order is under way.
-    next_order_at: BTreeMap<usize, Option<time::Duration>>,
+    /// Order that is under way to each rank.
+    under_way: BTreeMap<usize, Order>,
+    /// Time from which each rank may get an order again.
+    next_order_at: BTreeMap<usize, time::Duration>,
     /// Ranks that have started to copy, and when.
     copy_started: BTreeMap<usize, time::Duration>,
     /// Number of refusals by each rank in this phase.
@@ -229,6 +231,7 @@
             phase_starts: vec![(Phase::Prepare.label(), now)],
             last_held_pass,
             newest_pass: (0, now),
+            under_way: BTreeMap::new(),
             next_order_at: BTreeMap::new(),
             copy_started: BTreeMap::new(),
             refusals: BTreeMap::new(),
@@ -294,7 +297,8 @@
     }
 
     /// Records the answer to the order at `rank`; `outcome` is `None` if there was none. The next
-    /// [`step`](Self::step) goes by the statuses read after the order.
+    /// [`step`](Self::step) goes by the statuses read after the order. An answer to an order of an
+    /// earlier change is ignored.
     pub fn receive_reply(
         &mut self,
         now: time::Duration,
@@ -302,7 +306,11 @@
         order: &Order,
         outcome: Option<&OrderOutcome>,
     ) {
-        self.next_order_at.insert(rank, Some(now + RESEND_DELAY));
+        if self.under_way.get(&rank) != Some(order) {
+            return;
+        }
+        self.under_way.remove(&rank);
+        self.next_order_at.insert(rank, now + RESEND_DELAY);
         self.had_unanswered |= outcome.is_none();
         match (outcome, &order.action) {
             (Some(OrderOutcome::Refused(_)), _) => *self.refusals.entry(rank).or_default() += 1,
@@ -330,7 +338,7 @@
             self.phase_starts.push((self.phase.label(), now));
             self.refusals.clear();
             // The first orders of a new phase are sent without a delay.
-            self.next_order_at.retain(|_, next| next.is_none());
+            self.next_order_at.clear();
         }
     }
 
@@ -692,14 +700,17 @@
         action: impl FnOnce(&Self) -> Action,
         out: &mut Vec<(usize, Order)>,
     ) {
-        if self.next_order_at.get(&rank).is_none_or(|next| next.is_some_and(|at| at <= now)) {
-            let action = action(self);
-            self.next_order_at.insert(rank, None);
-            if let Action::Hold { pass } | Action::Release { pass } = action {
-                self.last_held_pass = self.last_held_pass.max(pass);
-            }
-            out.push((rank, Order { epoch: self.epoch, action }));
+        let is_due = self.next_order_at.get(&rank).is_none_or(|at| *at <= now);
+        if !is_due || self.under_way.contains_key(&rank) {
+            return;
+        }
+        let action = action(self);
+        if let Action::Hold { pass } | Action::Release { pass } = action {
+            self.last_held_pass = self.last_held_pass.max(pass);
         }
+        let order = Order { epoch: self.epoch, action };
+        self.under_way.insert(rank, order.clone());
+        out.push((rank, order));
     }
 }
 
--- a/tests/map_orders.rs
+++ b/tests/map_orders.rs
@@ -207,3 +207,20 @@
         }
     }
 }
+
+/// Guards against answers to orders of an earlier change that end the one under way.
+#[test]
+fn earlier_answers() {
+    let mut group = Group::new();
+    let mut owner = Owner::new(0);
+    step_owner(&mut owner, &mut group, TICK, |_, _| false);
+    group.start_pass(&[]);
+    for _ in 0..10 {
+        step_owner(&mut owner, &mut group, TICK, |_, _| false);
+        let Some(change) = &mut owner.change else { panic!("no change, or it ended") };
+        let earlier = order(Action::Prepare { version: 1, map: map_with(1) });
+        change.receive_reply(TICK, 1, &earlier, Some(&OrderOutcome::Refused("old".into())));
+    }
+    let change = owner.change.expect("answers to earlier orders ended the change");
+    assert!(change.is_preparing());
+}
