Use different versions at the agents of different ranks

What callers saw: nothing reported; two owners could use one version for two maps, and a pass start with both.

Cause: a version was drawn at random from 4,096 above the highest that statuses show, and those show neither versions whose order is under way nor ones that are being copied.

Change: a version is a multiple of 4,096 plus the rank of the owner's engine; this holds for versions that supersede others, too, and the owner remembers those it used.

Measured: ownership::versions_differ failed before (1 and 1) and passes; 30 tests of map_change, map_orders, ownership and rank agents pass.

--- a/src/rank/change.rs
+++ b/src/rank/change.rs
@@ -46,6 +46,11 @@
 const EXTRA_HOLD_AHEAD_PASSES: u64 = 3;
 /// Largest distance from the newest known pass to a pass that an owner holds.
 pub const MAX_HOLD_AHEAD_PASSES: u64 = HOLD_AHEAD_PASSES + EXTRA_HOLD_AHEAD_PASSES + 1;
+/// Number of versions between two that the agent of one rank may use: no group has more ranks.
+const VERSION_STRIDE: u64 = 1 << 12;
+/// Largest number of strides from the highest version to that of the next change. It is chosen at
+/// random, as an agent that was restarted does not know which versions it has used.
+const MAX_VERSION_STRIDES: u64 = 1 << 12;
 /// Number of ranks at which a pass has to be held so that releases to one rank cannot start it.
 const MIN_GUARDS: usize = 2;
 /// Time limit of a phase in which ranks are held, armed or released. It allows for sending an order
@@ -171,6 +176,8 @@
     phase_starts: Vec<(&'static str, time::Duration)>,
     /// Newest pass that any owner may have held.
     last_held_pass: u64,
+    /// Newest version that the change used.
+    last_version: u64,
     /// Newest pass that a status showed, and when it was first seen.
     newest_pass: (u64, time::Duration),
     /// Order that is under way to each rank.
@@ -230,6 +237,7 @@
             phase: Phase::Prepare,
             phase_starts: vec![(Phase::Prepare.label(), now)],
             last_held_pass,
+            last_version: version,
             newest_pass: (0, now),
             under_way: BTreeMap::new(),
             next_order_at: BTreeMap::new(),
@@ -286,6 +294,11 @@
         self.last_held_pass
     }
 
+    /// Returns the newest version that the change used, also to supersede others.
+    pub fn last_version(&self) -> u64 {
+        self.last_version
+    }
+
     /// Returns the phases so far, each with the time that it took.
     pub fn phases(&self, now: time::Duration) -> Vec<(&'static str, time::Duration)> {
         let ends = self.phase_starts.iter().skip(1).map(|(_, start)| *start).chain([now]);
@@ -561,7 +574,7 @@
             .flat_map(|status| [status.prepared, status.armed.map(|switch| switch.version)]);
         let newest = versions.flatten().max().unwrap_or_default();
         let newest = own_hold.map_or(newest, |_| newest.max(self.version));
-        let newer = highest_version(statuses).max(self.version) + 1;
+        let newer = next_version(highest_version(statuses).max(self.version), self.own_rank, 0);
         let held = statuses.values().filter_map(|status| status.held).chain(own_hold).collect();
         Phase::Undo(Undo { why, newest, newer, own_hold, held })
     }
@@ -645,7 +658,8 @@
             }
             // A rank is still copying a higher version.
             () if (0..self.ranks).any(|rank| self.refused_too_often(rank)) => {
-                let newer = highest_version(statuses).max(undo.newer) + 1;
+                let highest = highest_version(statuses).max(undo.newer);
+                let newer = next_version(highest, self.own_rank, MAX_VERSION_STRIDES - 1);
                 self.phase = Phase::Undo(Undo { newer, ..undo });
             }
             () if self.has_lasted(now, UNDO_TIMEOUT) => {
@@ -705,8 +719,12 @@
             return;
         }
         let action = action(self);
-        if let Action::Hold { pass } | Action::Release { pass } = action {
-            self.last_held_pass = self.last_held_pass.max(pass);
+        match action {
+            Action::Hold { pass } | Action::Release { pass } => {
+                self.last_held_pass = self.last_held_pass.max(pass);
+            }
+            Action::Prepare { version, .. } => self.last_version = self.last_version.max(version),
+            Action::Arm(_) | Action::Disarm { .. } => {}
         }
         let order = Order { epoch: self.epoch, action };
         self.under_way.insert(rank, order.clone());
@@ -752,6 +770,13 @@
     statuses.values().map(|status| status.pass).max().unwrap_or_default()
 }
 
+/// Returns a version above `highest` that the agents of other ranks do not use. `random` is a random
+/// number.
+pub fn next_version(highest: u64, own_rank: usize, random: u64) -> u64 {
+    let strides = highest / VERSION_STRIDE + 1 + random % MAX_VERSION_STRIDES;
+    strides * VERSION_STRIDE + own_rank as u64 % VERSION_STRIDE
+}
+
 /// Returns the highest version that any rank reports as in use, prepared or armed.
 pub fn highest_version(statuses: &Statuses) -> u64 {
     let versions = statuses.values().flat_map(|status| {
--- a/src/rank/ownership.rs
+++ b/src/rank/ownership.rs
@@ -47,9 +47,6 @@
 /// Pause after a change that was undone, so that two owners do not keep undoing each other's
 /// changes.
 const PAUSE_AFTER_UNDO: time::Duration = time::Duration::from_millis(400);
-/// Size of the range from which the increment of a version is drawn at random, so that two owners
-/// are unlikely to use the same version.
-const VERSION_INCREMENT_RANGE: u64 = 1 << 12;
 
 /// Time between two comparisons of the ranks' paces.
 const PACE_PERIOD: time::Duration = time::Duration::from_millis(100);
@@ -403,6 +400,7 @@
         }
         let Some(change) = &mut self.change else { return Vec::new() };
         self.last_held_pass = self.last_held_pass.max(change.last_held_pass());
+        self.last_version = self.last_version.max(change.last_version());
         if let Some(end) = change.end().cloned() {
             self.finish_change(now, &end);
         }
@@ -521,13 +519,13 @@
         copy_time: time::Duration,
         random: u64,
     ) -> Option<Plan> {
+        let own_rank = self.own_rank?;
+        let highest = change::highest_version(statuses).max(self.last_version);
         Some(Plan {
             epoch: self.epoch,
-            own_rank: self.own_rank?,
+            own_rank,
             ranks: self.group_size,
-            version: change::highest_version(statuses).max(self.last_version)
-                + 1
-                + random % VERSION_INCREMENT_RANGE,
+            version: change::next_version(highest, own_rank, random),
             new_map,
             current_map,
             copy_time,
--- a/tests/map_group.rs
+++ b/tests/map_group.rs
@@ -182,6 +182,8 @@
     pub begins_changes: bool,
     /// Newest pass that any owner may have held; `None` before the first step.
     last_held_pass: Option<u64>,
+    /// Newest version that the process has used.
+    last_version: u64,
     maps: BTreeMap<u64, SharedMap>,
     /// Last statuses of each rank.
     earlier: BTreeMap<usize, VecDeque<Status>>,
@@ -198,6 +200,7 @@
             change: None,
             begins_changes: true,
             last_held_pass: None,
+            last_version: 0,
             maps,
             earlier: BTreeMap::new(),
         }
@@ -242,7 +245,9 @@
         let leftover = change::has_leftover(&self.statuses);
         let can_begin = self.begins_changes && change::can_hold(last_held_pass, &self.statuses);
         if self.change.is_none() && (leftover || can_begin) {
-            let version = change::highest_version(&self.statuses) + 1 + rng.random_range(0..1000);
+            let highest = change::highest_version(&self.statuses).max(self.last_version);
+            let version = change::next_version(highest, self.own_rank, rng.random());
+            self.last_version = version;
             let version_in_use = self.statuses[&0].map_version;
             let Some(current_map) = self.maps.get(&version_in_use).cloned() else {
                 return Vec::new();
@@ -265,6 +270,7 @@
         let Some(change) = &mut self.change else { return Vec::new() };
         let orders = change.step(now, &self.statuses);
         self.last_held_pass = self.last_held_pass.max(Some(change.last_held_pass()));
+        self.last_version = self.last_version.max(change.last_version());
         if change.end().is_some() {
             self.change = None;
         }
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -349,3 +349,16 @@
     let hold = Order { epoch: 1, action: Action::Hold { pass: reachable + 1 } };
     assert_eq!(orders, [RankOrder { rank: 0, order: hold }]);
 }
+
+/// Guards against two owners, one of which does not know of the other's orders yet, that use one version
+/// for different maps: a rank that has copied one of them accepts the order to arm for the other.
+#[test]
+fn versions_differ() {
+    let first_version = |own_rank| {
+        let mut ownership = ownership();
+        ownership.set_own_member(&member(1, own_rank));
+        let now = run_two_seconds(&mut ownership, Duration::ZERO, RANKS);
+        prepared_version(&start_change(&mut ownership, now))
+    };
+    assert_ne!(first_version(0), first_version(1));
+}
