Wait for the takeover delay where another owner may act

What callers saw: nothing reported; two owners could act at the same time for 0.2 s.

Cause: an owner that regained the heartbeats of most ranks within 0.7 s of losing them acted at once. Another process may have received them for 0.7 s when the loss is noticed, and acts 0.5 s later.

Evidence: by the constants, and the test.

Change: the limit is the takeover delay less the maximum age of a status.

Measured: ownership::regained_late failed before (after 1350 ms) and passes; 15 tests of ownership.

--- a/src/rank/ownership.rs
+++ b/src/rank/ownership.rs
@@ -29,6 +29,9 @@
 /// heartbeats to one process at a time, so a previous owner stops acting within [`MAX_STATUS_AGE`].
 /// The rest of the delay is for its last exchanges to end.
 const TAKEOVER_DELAY: time::Duration = time::Duration::from_millis(1_200);
+/// Time after losing ownership within which an owner that regains it may act at once. Another process
+/// may have received the heartbeats of most ranks from up to [`MAX_STATUS_AGE`] before the loss.
+const MAX_REGAIN_DELAY: time::Duration = TAKEOVER_DELAY.saturating_sub(MAX_STATUS_AGE);
 /// Time for which an edit of the map is expected to pay: popularity jumps every three to four
 /// seconds at the users' sites.
 const EDIT_HORIZON: time::Duration = time::Duration::from_millis(2_500);
@@ -589,7 +592,7 @@
             match is_owner {
                 // This process acted so recently that any other owner is still in its takeover
                 // delay.
-                true if self.lost_at.is_some_and(|at| now < at + MAX_STATUS_AGE) => {}
+                true if self.lost_at.is_some_and(|at| now < at + MAX_REGAIN_DELAY) => {}
                 true => {
                     self.may_act_from = now + TAKEOVER_DELAY;
                     self.knows_held_passes = false;
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -362,3 +362,19 @@
     };
     assert_ne!(first_version(0), first_version(1));
 }
+
+/// An owner loses the heartbeats of most ranks and regains them. Another process may have received them
+/// since before the loss was noticed, and act by now. Guards against two owners at the same time.
+#[test]
+fn regained_late() {
+    for (silent_ms, may_act) in [(1_100, true), (1_350, false)] {
+        let mut ownership = ownership();
+        let now = run_two_seconds(&mut ownership, Duration::ZERO, RANKS);
+        let lost = now + Duration::from_millis(750);
+        ownership.step(lost, 0);
+        let regained = now + Duration::from_millis(silent_ms);
+        send_heartbeats(&mut ownership, regained, RANKS);
+        ownership.step(regained, 0);
+        assert_eq!(ownership.edit_search(regained).is_some(), may_act, "after {silent_ms} ms");
+    }
+}
