--- a/tests/map_change.rs
+++ b/tests/map_change.rs
@@ -188,6 +188,15 @@
     assert!(completed > 2_000, "only {completed} changes took effect");
 }
 
+/// A previous owner wakes and acts beside the next one, at first on the statuses of before.
+#[test]
+fn owners_overlap() {
+    let faults = Faults { lost: 5, late: 30, unanswered: 5, handovers: true, ..NONE };
+    for (overlap, idle) in [(1, false), (30, false), (1, true), (30, true)] {
+        (0..500).for_each(|seed| _ = run(seed, Faults { overlap, idle, ..faults }));
+    }
+}
+
 /// The group re-forms while orders of the previous epoch are still under way.
 #[test]
 fn ranks_crash() {
--- a/tests/map_orders.rs
+++ b/tests/map_orders.rs
@@ -4,10 +4,156 @@
 use std::time;
 
 use knapweedford::rank::{Action, MapSwitch, Order, OrderOutcome, change::Change};
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
-use crate::map_group::{Group, Owner, RANKS, TICK, map_with};
+use crate::{
+    fuzz,
+    map_group::{Group, Owner, RANKS, TICK, map_with},
+};
+
+/// Time between two steps; a pass takes two of them while there are requests.
+const STEP: time::Duration = time::Duration::from_millis(25);
+/// Steps of a run.
+const STEPS: usize = 200;
+/// Last step in which an owner ends or an order is late.
+const LAST_FAULT: usize = 60;
+/// Steps from the end of an owner until the next one acts.
+const TAKEOVER: usize = 5;
+/// Steps at the end of a run in which passes are counted, and the least number of them.
+const LAST_PASSES: (usize, u64) = (40, 8);
+
+/// When the group has requests: the steps at which it becomes busy and idle in turn.
+const LOADS: [&[usize]; 3] = [&[0], &[0, 16, 40, 50, 70], &[0, 6, 20, 26, 45, 51, 70]];
+
+/// What happens to an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fate {
+    /// It is carried out so many steps later, without an answer.
+    Late(usize),
+    /// It is carried out at once and once more so many steps later, without an answer.
+    Twice(usize),
+    /// It is never carried out.
+    Lost,
+}
+
+/// The faults of one run.
+#[derive(Clone, Debug, Default)]
+struct Schedule {
+    load: usize,
+    /// Numbers of the orders that something happens to.
+    fates: Vec<(usize, Option<Fate>)>,
+    /// Steps at which the owner ends; the agent of the next rank takes over.
+    ends: Vec<usize>,
+}
+
+/// Runs a schedule. Returns what is wrong, if anything, and otherwise the number of orders that were
+/// sent up to the last fault.
+fn run(schedule: &Schedule) -> Result<usize, String> {
+    let mut rng = Pcg64::seed_from_u64(1);
+    let mut group = Group::new();
+    let (mut owner, mut acts_from) = (Owner::new(0), 0);
+    let mut late: Vec<(usize, usize, Order)> = Vec::new();
+    let (mut sent, mut sent_in_time, mut pass_before) = (0, 0, 0);
+    for step in 0..STEPS {
+        late.retain(|(due, rank, order)| {
+            if *due <= step {
+                group.apply(*rank, order);
+            }
+            *due > step
+        });
+        let is_busy = LOADS[schedule.load].iter().filter(|at| **at <= step).count() % 2 == 1;
+        if is_busy && step % 2 == 0 {
+            group.try_start_pass()?;
+        }
+        if schedule.ends.contains(&step) {
+            owner = Owner::new((owner.own_rank + 1) % RANKS);
+            acts_from = step + TAKEOVER;
+        }
+        if step + LAST_PASSES.0 == STEPS {
+            pass_before = group.pass;
+        }
+        if step < acts_from {
+            continue;
+        }
+        (0..RANKS).for_each(|rank| owner.read_status(rank, &group, step as u64));
+        let now = STEP * step as u32;
+        for (rank, order) in owner.step(now, &mut rng) {
+            let fate = schedule.fates.iter().find(|(number, _)| *number == sent);
+            let fate = fate.and_then(|(_, fate)| *fate).filter(|_| step < LAST_FAULT);
+            sent += 1;
+            if let Some(Fate::Late(delay) | Fate::Twice(delay)) = fate {
+                late.push((step + delay, rank, order.clone()));
+            }
+            let outcome = match fate {
+                Some(Fate::Late(_) | Fate::Lost) => None,
+                Some(Fate::Twice(_)) | None => Some(group.apply(rank, &order)),
+            };
+            if let Some(change) = &mut owner.change {
+                change.receive_reply(
+                    now,
+                    rank,
+                    &order,
+                    outcome.filter(|_| fate.is_none()).as_ref(),
+                );
+            }
+        }
+        if step < LAST_FAULT {
+            sent_in_time = sent;
+        }
+    }
+    let passes = group.pass - pass_before;
+    match passes < LAST_PASSES.1 {
+        true => Err(format!("only {passes} passes at the end")),
+        false => Ok(sent_in_time),
+    }
+}
+
+fn check(schedule: &Schedule) -> usize {
+    run(schedule).unwrap_or_else(|problem| panic!("{problem}: {schedule:?}"))
+}
+
+/// Each order of each owner is late by each of some times, with owners that end at each step, once or
+/// twice, in busy groups and in groups that are idle at times.
+#[test]
+fn each_order_late() {
+    for load in 0..LOADS.len() {
+        for first_end in 0..50 {
+            for ends in [vec![first_end], vec![first_end, first_end + 10]] {
+                let schedule = Schedule { load, ends, fates: Vec::new() };
+                for number in 0..check(&schedule) {
+                    for delay in [2, 8, 25, 50] {
+                        let fates = vec![(number, Some(Fate::Late(delay)))];
+                        check(&Schedule { fates, ..schedule.clone() });
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Several orders are late, lost or carried out twice, and up to three owners end.
+#[test]
+fn several_orders_late() {
+    let mut rng = Pcg64::seed_from_u64(fuzz::env_or("KNAPWEEDFORD_SEED", fuzz::SEED));
+    for _ in 0..fuzz::env_or("KNAPWEEDFORD_CASES", 40_000) {
+        let load = rng.random_range(0..LOADS.len());
+        let ends = (0..rng.random_range(0..4)).map(|_| rng.random_range(0..LAST_FAULT)).collect();
+        let share = rng.random_range(5..70);
+        let fate = |number, rng: &mut Pcg64| {
+            let delay = rng.random_range(1..60);
+            let fate = match rng.random_range(0..100) {
+                roll if roll >= share => None,
+                roll if roll % 10 == 0 => Some(Fate::Lost),
+                roll if roll % 10 < 3 => Some(Fate::Twice(delay)),
+                _ => Some(Fate::Late(delay)),
+            };
+            (number, fate)
+        };
+        let fates = (0..150).map(|number| fate(number, &mut rng)).collect();
+        check(&Schedule { load, ends, fates });
+    }
+}
 
 /// Steps an owner and carries out its orders, except those for which `carries_out` is false: they get
 /// no answer. Returns the orders.
