--- a/src/rank/change.rs
+++ b/src/rank/change.rs
@@ -604,19 +604,29 @@
             () if is_overdue || free.iter().any(|rank| self.refused_too_often(*rank)) => {
                 self.phase = Phase::Ended(End::Undone("the guard was not placed"));
             }
+            () if free.is_empty() => self.make_room(now, pass, statuses, out),
             () => {
                 free.iter().for_each(|rank| self.send(now, *rank, |_| Action::Hold { pass }, out));
             }
         }
-        // A rank holds one pass at a time. A hold that nothing armed depends on makes room.
-        let is_needed = |held: u64| {
-            held == pass
-                || statuses.values().any(|status| status.armed.is_some_and(|s| s.pass == held))
-        };
+    }
+
+    /// Releases a hold on which nothing armed depends, so that its rank can hold `pass`: a rank holds
+    /// one pass at a time.
+    fn make_room(
+        &mut self,
+        now: time::Duration,
+        pass: u64,
+        statuses: &Statuses,
+        out: &mut Vec<(usize, Order)>,
+    ) {
+        let is_armed_for =
+            |pass| statuses.values().any(|status| status.armed.is_some_and(|s| s.pass == pass));
         let in_the_way = statuses.iter().find_map(|(rank, status)| {
-            status.held.filter(|held| !is_needed(*held)).map(|held| (*rank, held))
+            let held = status.held.filter(|held| *held != pass && !is_armed_for(*held));
+            held.map(|held| (*rank, held))
         });
-        if let Some((rank, held)) = in_the_way.filter(|_| free.is_empty() && !is_guarded) {
+        if let Some((rank, held)) = in_the_way {
             self.send(now, rank, |_| Action::Release { pass: held }, out);
         }
     }
