Keep the time limit of a phase that is repeated

What callers saw: nothing; a change that is undone went on for good while an engine refused its orders.

Cause: a new version or pass within a phase counted as a new phase, so its limit began anew.

Evidence: map_orders::orders_ignored with refusals: 'undo' every 70 ms for 12 s.

Change: the limit runs from the first of equal phases. A hold of a pass that has started, as an old status shows it, no longer ends a change that prepares.

--- a/src/rank/change.rs
+++ b/src/rank/change.rs
@@ -348,7 +348,10 @@
             if self.phase == before {
                 return out;
             }
-            self.phase_starts.push((self.phase.label(), now));
+            // A phase that is repeated with another pass or version keeps its time limit.
+            if self.phase_starts.last().is_none_or(|(label, _)| *label != self.phase.label()) {
+                self.phase_starts.push((self.phase.label(), now));
+            }
             self.refusals.clear();
             // The first orders of a new phase are sent without a delay.
             self.next_order_at.clear();
@@ -421,7 +424,7 @@
             }
         }
         match self.pass_to_hold(statuses) {
-            _ if statuses.values().any(|status| status.held.is_some()) => {
+            _ if statuses.values().any(|status| status.held > Some(newest_pass(statuses))) => {
                 self.phase = Phase::Ended(End::Undone("another pass is held"));
             }
             Some(pass) if ready == self.ranks => self.phase = Phase::Hold { pass },
@@ -440,8 +443,9 @@
         out: &mut Vec<(usize, Order)>,
     ) {
         let held = |rank: &usize| statuses.get(rank).and_then(|status| status.held);
+        let newest = newest_pass(statuses);
         let is_held_elsewhere =
-            (0..self.ranks).any(|rank| rank != self.own_rank && held(&rank).is_some());
+            (0..self.ranks).any(|rank| rank != self.own_rank && held(&rank) > Some(newest));
         match held(&self.own_rank) {
             // Nothing was armed, so there is nothing to undo.
             _ if is_held_elsewhere => {
@@ -452,7 +456,7 @@
             None if self.is_prepare_overdue(now) => {
                 self.phase = Phase::Ended(End::Undone("holding took too long"));
             }
-            None if newest_pass(statuses) >= pass => {
+            None if newest >= pass => {
                 let next = self.pass_to_hold(statuses);
                 self.phase = next.map_or(Phase::Prepare, |pass| Phase::Hold { pass });
             }
--- a/tests/map_orders.rs
+++ b/tests/map_orders.rs
@@ -324,36 +324,53 @@
     }
 }
 
-/// Guards against phases without a time limit: orders of one kind are never carried out, in a busy or
-/// an idle group.
+/// Guards against phases without a time limit: orders of one kind are never carried out, without an
+/// answer or refused, in a busy or an idle group.
 #[test]
 fn orders_ignored() {
-    /// No phase takes longer.
-    const LIMIT: time::Duration = time::Duration::from_secs(12);
     for ignored in ["prepare", "hold", "arm", "go", "disarm", "none"] {
-        for (is_busy, is_armed) in [(true, false), (false, false), (true, true), (false, true)] {
-            let mut group = if is_armed { armed_group(7, 5) } else { Group::new() };
-            group.start_pass(&[]);
-            let mut owner = Owner::new(0);
-            let (mut version, mut since) = (None, time::Duration::ZERO);
-            for step in 0..4_000 {
-                let now = TICK * step;
-                step_owner(&mut owner, &mut group, now, |_, order| order.action.label() != ignored);
-                let present = owner.change.as_ref().map(Change::version);
-                if present != version || present.is_none() {
-                    (version, since) = (present, now);
-                }
-                let phases = owner.change.as_ref().map(|change| change.phases(now));
-                let context = format!("{ignored} ignored, busy {is_busy}, armed {is_armed}");
-                assert!(now < since + LIMIT, "{context}: {phases:?}");
-                if is_busy && step % 4 == 0 {
-                    group.start_pass(&[]);
-                }
+        for is_refused in [false, true] {
+            for (is_busy, is_armed) in [(true, false), (false, false), (true, true), (false, true)]
+            {
+                check_phase_limits(ignored, is_refused, is_busy, is_armed);
             }
         }
     }
 }
 
+/// Checks that no change takes long while the orders of one kind are ignored. At first the group is
+/// `is_armed` for a change that was left behind, or not.
+fn check_phase_limits(ignored: &str, is_refused: bool, is_busy: bool, is_armed: bool) {
+    const LIMIT: time::Duration = time::Duration::from_secs(12);
+    let mut group = if is_armed { armed_group(7, 5) } else { Group::new() };
+    group.start_pass(&[]);
+    let mut owner = Owner::new(0);
+    let (mut version, mut since) = (None, time::Duration::ZERO);
+    for step in 0..4_000 {
+        let now = TICK * step;
+        (0..RANKS).for_each(|rank| owner.read_status(rank, &group, u64::from(step)));
+        for (rank, order) in owner.step(now, &mut Pcg64::seed_from_u64(u64::from(step))) {
+            let outcome = match order.action.label() == ignored {
+                true => is_refused.then(|| OrderOutcome::Refused("ignored".into())),
+                false => Some(group.apply(rank, &order)),
+            };
+            if let Some(change) = &mut owner.change {
+                change.receive_reply(now, rank, &order, outcome.as_ref());
+            }
+        }
+        let present = owner.change.as_ref().map(Change::version);
+        if present != version || present.is_none() {
+            (version, since) = (present, now);
+        }
+        let phases = owner.change.as_ref().map(|change| change.phases(now));
+        let context = format!("{ignored} refused {is_refused}, busy {is_busy}, armed {is_armed}");
+        assert!(now < since + LIMIT, "{context}: {phases:?}");
+        if is_busy && step % 4 == 0 {
+            group.start_pass(&[]);
+        }
+    }
+}
+
 /// Guards against answers to orders of an earlier change that end the one under way.
 #[test]
 fn earlier_answers() {
