Include restarted owners and a longer idle time in the search of late orders

Change: an owner that ends is followed by the agent of any rank, also of its own; a fourth load leaves the group idle for 38 steps.

--- a/tests/map_orders.rs
+++ b/tests/map_orders.rs
@@ -24,7 +24,7 @@
 const LAST_PASSES: (usize, u64) = (40, 8);
 
 /// When the group has requests: the steps at which it becomes busy and idle in turn.
-const LOADS: [&[usize]; 3] = [&[0], &[0, 16, 40, 50, 70], &[0, 6, 20, 26, 45, 51, 70]];
+const LOADS: [&[usize]; 4] = [&[0], &[0, 16, 40, 50, 70], &[0, 6, 20, 26, 45, 51, 70], &[0, 8, 46]];
 
 /// What happens to an order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -43,8 +43,9 @@
     load: usize,
     /// Numbers of the orders that something happens to.
     fates: Vec<(usize, Option<Fate>)>,
-    /// Steps at which the owner ends; the agent of the next rank takes over.
-    ends: Vec<usize>,
+    /// Steps at which the owner ends, each with the rank whose agent takes over: the same one if it
+    /// was restarted.
+    ends: Vec<(usize, usize)>,
 }
 
 /// Runs a schedule. Returns what is wrong, if anything, and otherwise the number of orders that were
@@ -66,8 +67,8 @@
         if is_busy && step % 2 == 0 {
             group.try_start_pass()?;
         }
-        if schedule.ends.contains(&step) {
-            owner = Owner::new((owner.own_rank + 1) % RANKS);
+        if let Some((_, next)) = schedule.ends.iter().find(|(end, _)| *end == step) {
+            owner = Owner::new(*next);
             acts_from = step + TAKEOVER;
         }
         if step + LAST_PASSES.0 == STEPS {
@@ -113,13 +114,14 @@
     run(schedule).unwrap_or_else(|problem| panic!("{problem}: {schedule:?}"))
 }
 
-/// Each order of each owner is late by each of some times, with owners that end at each step, once or
-/// twice, in busy groups and in groups that are idle at times.
+/// Each order of each owner is late by each of some times, with owners that end at each step, restart
+/// or hand over and back, in busy groups and in groups that are idle at times.
 #[test]
 fn each_order_late() {
     for load in 0..LOADS.len() {
         for first_end in 0..50 {
-            for ends in [vec![first_end], vec![first_end, first_end + 10]] {
+            let second_end = first_end + 10;
+            for ends in [vec![(first_end, 0)], vec![(first_end, 1), (second_end, 0)]] {
                 let schedule = Schedule { load, ends, fates: Vec::new() };
                 for number in 0..check(&schedule) {
                     for delay in [2, 8, 25, 50] {
@@ -132,13 +134,15 @@
     }
 }
 
-/// Several orders are late, lost or carried out twice, and up to three owners end.
+/// Several orders are late, lost or carried out twice, and up to three owners end or are restarted.
 #[test]
 fn several_orders_late() {
     let mut rng = Pcg64::seed_from_u64(fuzz::env_or("KNAPWEEDFORD_SEED", fuzz::SEED));
     for _ in 0..fuzz::env_or("KNAPWEEDFORD_CASES", 40_000) {
         let load = rng.random_range(0..LOADS.len());
-        let ends = (0..rng.random_range(0..4)).map(|_| rng.random_range(0..LAST_FAULT)).collect();
+        let ends = (0..rng.random_range(0..4))
+            .map(|_| (rng.random_range(0..LAST_FAULT), rng.random_range(0..RANKS)))
+            .collect();
         let share = rng.random_range(5..70);
         let fate = |number, rng: &mut Pcg64| {
             let delay = rng.random_range(1..60);
