Use one loop for a step of an owner in the tests of map changes

Reading, stepping, carrying out orders and passing on the answers stood four times in map_change and map_orders; Owner::act does it, and pass_ordered finds the pass of an order. late_release and late_releases_of_guard now also assert that a rank was armed or disarmed: without that they could pass without playing their fault. No assertion is loosened.

--- a/tests/map_change.rs
+++ b/tests/map_change.rs
@@ -225,13 +225,9 @@
     let mut owner = Owner::new(0);
     let mut rng = Pcg64::seed_from_u64(1);
     for tick in 1..100_u32 {
-        (0..RANKS).for_each(|rank| owner.read_status(rank, &group, u64::from(tick)));
-        for (rank, order) in owner.step(TICK * tick, &mut rng) {
-            let outcome = group.apply(rank, &order);
-            if let Some(change) = &mut owner.change {
-                change.receive_reply(TICK * tick, rank, &order, Some(&outcome));
-            }
-        }
+        owner.act(&mut group, TICK * tick, &mut rng, |group, rank, order| {
+            Some(group.apply(rank, order))
+        });
         if group.engines[2].held.is_none() {
             return;
         }
--- a/tests/map_group.rs
+++ b/tests/map_group.rs
@@ -164,7 +164,7 @@
     }
 }
 
-/// Returns a map that contains `number`, so that maps can be told apart.
+/// Returns a map that differs for each `number`.
 pub fn map_with(number: u16) -> SharedMap {
     SharedMap::new(vec![(0..RANKS as u16).map(|rank| vec![rank, number]).collect()])
 }
@@ -276,4 +276,24 @@
         }
         orders
     }
+
+    /// Reads all statuses, makes a step, and passes its orders to `carry_out`, which returns the answer
+    /// if there is one. Returns the orders.
+    pub fn act(
+        &mut self,
+        group: &mut Group,
+        now: time::Duration,
+        rng: &mut Pcg64,
+        mut carry_out: impl FnMut(&mut Group, usize, &Order) -> Option<OrderOutcome>,
+    ) -> Vec<(usize, Order)> {
+        (0..RANKS).for_each(|rank| self.read_status(rank, group, now.as_millis() as u64));
+        let orders = self.step(now, rng);
+        for (rank, order) in &orders {
+            let outcome = carry_out(group, *rank, order);
+            if let Some(change) = &mut self.change {
+                change.receive_reply(now, *rank, order, outcome.as_ref());
+            }
+        }
+        orders
+    }
 }
--- a/tests/map_orders.rs
+++ b/tests/map_orders.rs
@@ -77,28 +77,22 @@
         if step < acts_from {
             continue;
         }
-        (0..RANKS).for_each(|rank| owner.read_status(rank, &group, step as u64));
-        let now = STEP * step as u32;
-        for (rank, order) in owner.step(now, &mut rng) {
+        owner.act(&mut group, STEP * step as u32, &mut rng, |group, rank, order| {
             let fate = schedule.fates.iter().find(|(number, _)| *number == sent);
             let fate = fate.and_then(|(_, fate)| *fate).filter(|_| step < LAST_FAULT);
             sent += 1;
             if let Some(Fate::Late(delay) | Fate::Twice(delay)) = fate {
                 late.push((step + delay, rank, order.clone()));
             }
-            let outcome = match fate {
+            match fate {
                 Some(Fate::Late(_) | Fate::Lost) => None,
-                Some(Fate::Twice(_)) | None => Some(group.apply(rank, &order)),
-            };
-            if let Some(change) = &mut owner.change {
-                change.receive_reply(
-                    now,
-                    rank,
-                    &order,
-                    outcome.filter(|_| fate.is_none()).as_ref(),
-                );
+                Some(Fate::Twice(_)) => {
+                    group.apply(rank, order);
+                    None
+                }
+                None => Some(group.apply(rank, order)),
             }
-        }
+        });
         if step < LAST_FAULT {
             sent_in_time = sent;
         }
@@ -167,15 +161,15 @@
     now: time::Duration,
     carries_out: impl Fn(usize, &Order) -> bool,
 ) -> Vec<(usize, Order)> {
-    (0..RANKS).for_each(|rank| owner.read_status(rank, group, now.as_millis() as u64));
-    let orders = owner.step(now, &mut Pcg64::seed_from_u64(now.as_millis() as u64));
-    for (rank, order) in &orders {
-        let outcome = carries_out(*rank, order).then(|| group.apply(*rank, order));
-        if let Some(change) = &mut owner.change {
-            change.receive_reply(now, *rank, order, outcome.as_ref());
-        }
-    }
-    orders
+    let mut rng = Pcg64::seed_from_u64(now.as_millis() as u64);
+    owner.act(group, now, &mut rng, |group, rank, order| {
+        carries_out(rank, order).then(|| group.apply(rank, order))
+    })
+}
+
+/// Returns the pass that the first of `orders` with this label is about.
+fn pass_ordered(orders: &[(usize, Order)], label: &str) -> Option<u64> {
+    orders.iter().find(|(_, order)| order.action.label() == label)?.1.action.pass()
 }
 
 fn order(action: Action) -> Order {
@@ -207,10 +201,7 @@
             group.start_pass(&[]);
         }
         let orders = step_owner(&mut first, &mut group, now, |_, _| true);
-        held = orders.iter().find_map(|(_, order)| match order.action {
-            Action::Hold { pass } => Some(pass),
-            _ => None,
-        });
+        held = pass_ordered(&orders, "hold");
         if held.is_some() {
             break;
         }
@@ -218,6 +209,7 @@
     let held = held.expect("the first owner held no pass");
     group.apply(0, &order(Action::Release { pass: held }));
     let mut next = Owner::new(1);
+    let mut was_armed = false;
     for step in 0..600 {
         now += TICK;
         // The last rank does not get the orders to arm it.
@@ -229,11 +221,13 @@
             group.apply(*rank, arm);
             group.apply(1, &order(Action::Release { pass: held }));
             (0..3).for_each(|_| group.start_pass(&[]));
+            was_armed = true;
         }
         if step % 40 == 39 {
             group.start_pass(&[]);
         }
     }
+    assert!(was_armed, "the next owner armed no rank");
 }
 
 /// The order to hold a pass for a change that was undone is carried out while the next change waits for
@@ -250,10 +244,7 @@
         for _ in 0..100 {
             now += TICK;
             let orders = step_owner(&mut owner, &mut group, now, |_, _| true);
-            released = orders.iter().find_map(|(_, order)| match order.action {
-                Action::Release { pass } => Some(pass),
-                _ => None,
-            });
+            released = pass_ordered(&orders, "go");
             if released.is_some() {
                 break;
             }
@@ -324,6 +315,7 @@
                 group.start_pass(&[]);
             }
         }
+        assert!(first_disarm.is_some(), "no rank was disarmed");
         assert!(group.pass > 10, "the group stopped before pass {}", group.pass + 1);
     }
 }
@@ -352,16 +344,13 @@
     let (mut version, mut since) = (None, time::Duration::ZERO);
     for step in 0..4_000 {
         let now = TICK * step;
-        (0..RANKS).for_each(|rank| owner.read_status(rank, &group, u64::from(step)));
-        for (rank, order) in owner.step(now, &mut Pcg64::seed_from_u64(u64::from(step))) {
-            let outcome = match order.action.label() == ignored {
+        let mut rng = Pcg64::seed_from_u64(u64::from(step));
+        owner.act(&mut group, now, &mut rng, |group, rank, order| {
+            match order.action.label() == ignored {
                 true => is_refused.then(|| OrderOutcome::Refused("ignored".into())),
-                false => Some(group.apply(rank, &order)),
-            };
-            if let Some(change) = &mut owner.change {
-                change.receive_reply(now, rank, &order, outcome.as_ref());
+                false => Some(group.apply(rank, order)),
             }
-        }
+        });
         let present = owner.change.as_ref().map(Change::version);
         if present != version || present.is_none() {
             (version, since) = (present, now);
