Start the pass of the change at once in late_releases_of_guard

The owner could place its guard again before the pass started, so that the test passed with a guard of one hold. Now the pass is reached before the owner can act.

--- a/tests/map_orders.rs
+++ b/tests/map_orders.rs
@@ -310,6 +310,8 @@
                 for (rank, pass) in late {
                     group.apply(*rank, &order(Action::Release { pass: *pass }));
                 }
+                // The pass of the change is reached before the owner can act.
+                (0..pass).for_each(|_| group.start_pass(&[]));
             }
             if first_disarm.is_some() {
                 group.start_pass(&[]);
