Keep the port of refused connections in tests

Cause: the test closed a listener and connected to its port. Until the connection, the port is free, and the listeners of the tests that run beside it ask for any free port. `tool::unreachable_process` did the same.

Change: the socket stays bound and doesn't listen, so that the kernel refuses connections and gives the port to nobody. The check is the same, and prints the failure.

--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -8,6 +8,8 @@
 use knapweedford::peer::{self, pool};
 use tokio::sync::watch;
 
+use crate::processes;
+
 /// Time for which a call keeps running after the server has been asked to stop.
 const CALL_DURATION: time::Duration = time::Duration::from_millis(300);
 
@@ -44,12 +46,10 @@
 fn connection_refused() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     let failure = tokio::task::LocalSet::new().block_on(&runtime, async {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        drop(listener);
+        let (_socket, address) = processes::refusing_address();
         peer::Pool::new("token").exchange(address, "/call", &7u32).await.err().unwrap()
     });
-    assert!(matches!(failure, pool::Failure::Unsent(_)));
+    assert!(matches!(failure, pool::Failure::Unsent(_)), "{failure:?}");
 }
 
 #[test]
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -17,6 +17,15 @@
 /// Time between two checks of a condition.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
+/// Returns an address that refuses connections as long as the socket is kept, so that no listener of
+/// another test gets its port.
+pub fn refusing_address() -> (tokio::net::TcpSocket, net::SocketAddr) {
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind(net::SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let address = socket.local_addr().unwrap();
+    (socket, address)
+}
+
 /// A running process, which is killed when the value is dropped.
 pub struct Process {
     child: process::Child,
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -7,6 +7,8 @@
 
 use knapweedford::{Error, operators, tool};
 
+use crate::processes;
+
 const TOKEN: &str = "0123456789abcdef";
 
 /// A request that the stand-in received.
@@ -220,7 +222,7 @@
 
 #[test]
 fn unreachable_process() {
-    let address = net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (_socket, address) = processes::refusing_address();
     let err = run_at(address, "status").unwrap_err();
     assert_eq!(tool::Exit::for_error(&err), tool::Exit::Unreachable);
     assert!(err.to_string().contains("Check that the process is running"));
