Probe quarantined requests, so that sound ones are served again

Twelve clients are the first to ask for a kind of request; a third of a second later the four servers of a zone go down for 4.5 s. All gateways refuse the kind for an hour and more, 0 of 70 requests are served, while other kinds are.

Cause: the part that the prompts share is in four crashes and was never answered. That servers which fail together look like a request that crashes them can't be helped: such requests end several servers at once, too. But nothing could disprove the verdict, since quarantined requests are not sent, and each refusal prolonged it. Stalled groups, limits and ejected servers are probed; the quarantine was not.

Evidence: `crashing_prompts::servers_fail_together` failed before ("sound prompts are refused still" after 15 s). The log had four crashes, each once, within milliseconds.

Change: a gateway that refuses a quarantined request when a probe is due claims the probe by a conditional write of the quarantine's row, and sends the request. The first probe is due after 5 s; each crash of a request that was sent after an earlier crash makes the delay four times longer. An answer ends the quarantine at all gateways, and earlier crashes no longer count. Retry-After names the next probe. The stand-in of the store enforces preconditions.

--- a/src/balance/crash_note.rs
+++ b/src/balance/crash_note.rs
@@ -1,6 +1,6 @@
 //! What gateways tell each other about crashes of backend servers.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -34,6 +34,10 @@
         /// Fingerprints of the requests of that gateway that had just begun there.
         #[serde(rename = "parts")]
         fingerprints: BTreeSet<name::Fingerprint>,
+        /// Number of crashes with a fingerprint, one after the other, that the gateway knew of when
+        /// it sent the request with it; fingerprints without any are left out.
+        #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+        recurrences: BTreeMap<name::Fingerprint, u32>,
     },
     /// Requests with a fingerprint are refused.
     Quarantine {
@@ -41,6 +45,13 @@
         #[serde(rename = "part")]
         fingerprint: name::Fingerprint,
     },
+    /// A request with a fingerprint was answered while it was quarantined: earlier crashes had
+    /// another cause.
+    Cleared {
+        /// Fingerprint of the request.
+        #[serde(rename = "part")]
+        fingerprint: name::Fingerprint,
+    },
 }
 
 impl Note {
@@ -50,7 +61,14 @@
             Self::Crash { server, started_ms, gateway, .. } => {
                 format!("crash/{server}/{started_ms}/{gateway}")
             }
-            Self::Quarantine { fingerprint } => format!("part/{fingerprint}"),
+            Self::Quarantine { fingerprint } | Self::Cleared { fingerprint } => {
+                fingerprint_key(fingerprint)
+            }
         }
     }
 }
+
+/// Returns the key of the note on the quarantine of requests with `fingerprint`.
+pub fn fingerprint_key(fingerprint: &name::Fingerprint) -> String {
+    format!("part/{fingerprint}")
+}
--- a/src/balance/quarantine.rs
+++ b/src/balance/quarantine.rs
@@ -7,7 +7,10 @@
 //! requests that had just begun there; the notes are shared through the store. A gateway that hears
 //! from the server afterwards withdraws the note: only a connection was lost. A fingerprint that
 //! keeps turning up in crashes, and with which no request is answered, is quarantined: requests
-//! with it are refused by all gateways.
+//! with it are refused by all gateways, but for probes. Servers that fail together count as well,
+//! since crashes that a request causes may come as close together. Probes tell the two apart: an
+//! answer ends the quarantine, and a crash prolongs the delay to the next probe, as does each crash
+//! of a request that was sent after an earlier crash.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -16,7 +19,8 @@
 
 use super::{
     ClearedFingerprints,
-    crash_note::{Incarnation, Note},
+    crash_note::{self, Incarnation, Note},
+    probe::{self, Probe},
 };
 use crate::name;
 
@@ -40,6 +44,8 @@
 const MIN_REQUEST_CRASH_AGE: time::Duration = time::Duration::from_millis(500);
 /// Time for which a crash may be disproved before it counts.
 const SETTLE_TIME: time::Duration = time::Duration::from_secs(1);
+/// Time within which servers go down that fail together.
+const MAX_JOINT_FAILURE_TIME: time::Duration = time::Duration::from_millis(200);
 /// Time for which a note counts. A quarantine begins anew with each refused request.
 const NOTE_LIFETIME: time::Duration = time::Duration::from_secs(3600);
 /// Number of notes kept; the oldest crashes are dropped first.
@@ -67,7 +73,10 @@
 pub struct Quarantine {
     host: name::Host,
     notes: BTreeMap<String, KnownNote>,
-    quarantined: BTreeSet<name::Fingerprint>,
+    /// Quarantined fingerprints, each with the start of its quarantine or the time of its latest
+    /// probe, by whichever gateway.
+    quarantined: BTreeMap<name::Fingerprint, time::Duration>,
+    probe: Option<Probe>,
     /// Parts of prompts that were answered recently.
     cleared_parts: ClearedFingerprints,
     /// Whole requests that were answered recently: kept apart, since there are far more of them.
@@ -84,7 +93,8 @@
         Self {
             host: host.clone(),
             notes: BTreeMap::new(),
-            quarantined: BTreeSet::new(),
+            quarantined: BTreeMap::new(),
+            probe: None,
             cleared_parts: ClearedFingerprints::default(),
             cleared_requests: ClearedFingerprints::default(),
             outdated_keys: BTreeSet::new(),
@@ -99,17 +109,28 @@
 
     /// Returns the quarantined fingerprints.
     pub fn fingerprints(&self) -> impl Iterator<Item = &name::Fingerprint> {
-        self.quarantined.iter()
+        self.quarantined.keys()
     }
 
-    /// Records that a request with `fingerprints` was answered, at least for the most part.
-    pub fn record_answer(&mut self, fingerprints: &[name::Fingerprint], now: time::Duration) {
+    /// Records that a request with `fingerprints` was answered, at least for the most part; ends
+    /// their quarantines. Returns whether there is a note to write.
+    pub fn record_answer(
+        &mut self,
+        fingerprints: &[name::Fingerprint],
+        now: time::Duration,
+    ) -> bool {
+        let mut has_ended = false;
         for fingerprint in fingerprints {
             match fingerprint.is_of_request() {
                 true => self.cleared_requests.insert(fingerprint, now),
                 false => self.cleared_parts.insert(fingerprint, now),
             }
+            if self.quarantined.contains_key(fingerprint) {
+                self.insert(Note::Cleared { fingerprint: fingerprint.clone() }, None, true, now);
+                has_ended = true;
+            }
         }
+        has_ended
     }
 
     /// Returns whether a request with `fingerprint` was answered recently.
@@ -121,11 +142,12 @@
     }
 
     /// Records that `server` seems to have crashed while it began to answer a request with
-    /// `fingerprints`. Returns whether there is a note to write.
+    /// `fingerprints` that was sent at `sent_at`. Returns whether there is a note to write.
     pub fn record_crash(
         &mut self,
         server: &Incarnation<'_>,
         fingerprints: &[name::Fingerprint],
+        sent_at: time::Duration,
         now: time::Duration,
     ) -> bool {
         let uncleared =
@@ -135,22 +157,38 @@
         if suspects.is_empty() {
             return false;
         }
+        let recurrences = suspects
+            .iter()
+            .map(|suspect| (suspect.clone(), self.count_recurrences(suspect, server, sent_at)));
         let note = Note::Crash {
             server: server.server.clone(),
             started_ms: server.started_ms,
             group: server.group.map(str::to_owned),
             gateway: self.host.clone(),
+            recurrences: recurrences.filter(|(_, recurrence)| *recurrence > 0).collect(),
             fingerprints: suspects,
         };
-        match (self.notes.get_mut(&note.key()), &note) {
-            (Some(known), Note::Crash { fingerprints, .. }) => {
-                known.add_fingerprints(fingerprints, true)
-            }
-            _ => self.insert(note, None, true, now),
+        match self.notes.get_mut(&note.key()) {
+            Some(known) => known.merge_crash(&note, true),
+            None => self.insert(note, None, true, now),
         }
         true
     }
 
+    /// Returns the number of crashes with `fingerprint`, one after the other, that were known well
+    /// before `sent_at`, other than that of `server`.
+    fn count_recurrences(
+        &self,
+        fingerprint: &name::Fingerprint,
+        server: &Incarnation<'_>,
+        sent_at: time::Duration,
+    ) -> u32 {
+        let earlier = self.crashes_with(fingerprint).filter(|crash| {
+            crash.server != *server && crash.known_since + MAX_JOINT_FAILURE_TIME <= sent_at
+        });
+        earlier.map(|crash| crash.recurrence(fingerprint) + 1).max().unwrap_or_default()
+    }
+
     /// Records that `server` sent something. Withdraws the notes of crashes that this disproves, and
     /// returns whether there were any: the server itself, or a rank of the same group, was alive
     /// after it seemed to have crashed.
@@ -186,8 +224,15 @@
                 Some(known) => {
                     known.stored_version = Some(version);
                     known.expires_at = now + NOTE_LIFETIME;
-                    if let Note::Crash { fingerprints, .. } = &note {
-                        known.add_fingerprints(fingerprints, false);
+                    match (&known.note, &note) {
+                        (Note::Crash { .. }, _) => known.merge_crash(&note, false),
+                        // The row is written again when a probe is claimed.
+                        (Note::Quarantine { fingerprint }, Note::Quarantine { .. }) => {
+                            self.quarantined.insert(fingerprint.clone(), now);
+                        }
+                        (Note::Cleared { .. }, _) if known.is_pending => {}
+                        (Note::Cleared { .. }, Note::Cleared { .. }) => {}
+                        _ => self.insert(note, Some(version), false, now),
                     }
                 }
                 None if self.outdated_keys.contains(&key) => {}
@@ -211,53 +256,166 @@
     }
 
     /// Returns the time for which requests with `fingerprints` will be refused; `None` if none of them
-    /// is quarantined, or about to be. A refusal prolongs the quarantine.
+    /// is quarantined, or about to be, or if this request may be sent as a probe. A refusal prolongs
+    /// the quarantine, and asks for a probe if one is due.
     pub fn refusal_time(
         &mut self,
         fingerprints: &[name::Fingerprint],
         now: time::Duration,
     ) -> Option<time::Duration> {
+        if self.probe.as_ref().is_some_and(|probe| probe.is_expired(now)) {
+            self.drop_probe(now);
+        }
         let suspects = fingerprints.iter().filter(|fingerprint| !self.is_cleared(fingerprint, now));
         let suspects: Vec<&name::Fingerprint> = suspects.collect();
         for fingerprint in &suspects {
-            if !self.quarantined.contains(*fingerprint)
+            if !self.quarantined.contains_key(*fingerprint)
                 && self.explains_crashes(fingerprint, SETTLE_TIME, now)
             {
                 self.quarantine(fingerprint, now);
             }
         }
-        if let Some(fingerprint) =
-            suspects.iter().find(|fingerprint| self.quarantined.contains(**fingerprint))
-        {
-            let key = Note::Quarantine { fingerprint: (*fingerprint).clone() }.key();
-            let known = self.notes.get_mut(&key)?;
-            if known.expires_at < now + NOTE_LIFETIME / 2 {
-                known.expires_at = now + NOTE_LIFETIME;
-                known.is_pending = true;
-            }
-            return Some(known.expires_at.saturating_sub(now));
+        let (quarantined, others): (Vec<_>, Vec<_>) = suspects
+            .into_iter()
+            .partition(|fingerprint| self.quarantined.contains_key(*fingerprint));
+        let is_probe = self.probe.as_ref().is_some_and(|probe| probe.permits(&quarantined, now));
+        if !quarantined.is_empty() && !is_probe {
+            quarantined.iter().for_each(|fingerprint| self.prolong(fingerprint, now));
+            return Some(self.request_probe(&quarantined, now).max(SETTLE_TIME));
         }
-        let is_suspect = |fingerprint: &&name::Fingerprint| {
+        let is_suspect = |fingerprint: &name::Fingerprint| {
             let min_age = match fingerprint.is_of_request() {
                 true => MIN_REQUEST_CRASH_AGE,
                 false => time::Duration::ZERO,
             };
             self.explains_crashes(fingerprint, min_age, now)
         };
-        suspects.into_iter().any(|fingerprint| is_suspect(&fingerprint)).then_some(SETTLE_TIME)
+        others.into_iter().any(is_suspect).then_some(SETTLE_TIME)
+    }
+
+    /// Prolongs the quarantine of `fingerprint`, which is still in demand.
+    fn prolong(&mut self, fingerprint: &name::Fingerprint, now: time::Duration) {
+        let key = crash_note::fingerprint_key(fingerprint);
+        if let Some(known) = self.notes.get_mut(&key)
+            && known.expires_at < now + NOTE_LIFETIME / 2
+        {
+            known.expires_at = now + NOTE_LIFETIME;
+            known.is_pending = true;
+        }
+    }
+
+    /// Asks for a probe with the quarantined `fingerprints` if one is due; returns the time until
+    /// then.
+    fn request_probe(
+        &mut self,
+        fingerprints: &[&name::Fingerprint],
+        now: time::Duration,
+    ) -> time::Duration {
+        let due_times = fingerprints.iter().filter_map(|fingerprint| {
+            let since = self.quarantined.get(*fingerprint)?;
+            Some(*since + probe::delay(self.recurrence(fingerprint)))
+        });
+        let due_at = due_times.max().unwrap_or_default();
+        if due_at <= now && self.probe.is_none() {
+            let fingerprints = fingerprints.iter().copied().cloned().collect();
+            self.probe = Some(Probe::new(fingerprints, now));
+        }
+        due_at.saturating_sub(now)
+    }
+
+    /// Returns the number of crashes with `fingerprint` that followed each other.
+    fn recurrence(&self, fingerprint: &name::Fingerprint) -> u32 {
+        let recurrences = self.crashes_with(fingerprint).map(|crash| crash.recurrence(fingerprint));
+        recurrences.max().unwrap_or_default()
+    }
+
+    /// Begins to claim the probe that was asked for, if any. Returns the notes to write to the store
+    /// for it, all or none of them, each with the version that its row must still have there: 0 if
+    /// there must be none.
+    pub fn begin_claim(&mut self, now: time::Duration) -> Vec<(Note, u64)> {
+        let wanted = self.probe.as_mut().filter(|probe| probe.is_wanted());
+        let Some(probe) = wanted.filter(|probe| !probe.is_expired(now)) else {
+            return Vec::new();
+        };
+        probe.begin_claim();
+        let mut claimed = Vec::new();
+        for fingerprint in probe.fingerprints() {
+            if let Some(known) = self.notes.get_mut(&crash_note::fingerprint_key(fingerprint)) {
+                known.may_be_stored = true;
+                claimed.push((known.note.clone(), known.stored_version.unwrap_or_default()));
+            }
+        }
+        if claimed.is_empty() {
+            self.probe = None;
+        }
+        claimed
+    }
+
+    /// Records whether the claim under way succeeded. If it failed, another gateway may have claimed
+    /// the probe.
+    pub fn end_claim(&mut self, is_claimed: bool, now: time::Duration) {
+        match &mut self.probe {
+            Some(probe) if is_claimed => probe.record_claim(),
+            _ => self.drop_probe(now),
+        }
+    }
+
+    /// Gives up the probe, if there is one; the next one is as late as after a probe that was sent.
+    fn drop_probe(&mut self, now: time::Duration) {
+        let probe = self.probe.take();
+        for fingerprint in probe.iter().flat_map(Probe::fingerprints) {
+            if let Some(probed_at) = self.quarantined.get_mut(fingerprint) {
+                *probed_at = now;
+            }
+        }
+    }
+
+    /// Returns the time for which a request with `fingerprints` that was refused may have to wait
+    /// until it is known whether it may be sent as a probe; `None` if it may not.
+    pub fn claim_time(
+        &self,
+        fingerprints: &[name::Fingerprint],
+        now: time::Duration,
+    ) -> Option<time::Duration> {
+        let is_quarantined =
+            |fingerprint: &&name::Fingerprint| self.quarantined.contains_key(*fingerprint);
+        let quarantined: Vec<_> = fingerprints.iter().filter(is_quarantined).collect();
+        self.probe.as_ref()?.claim_time(&quarantined, now)
+    }
+
+    /// Records that a request with `fingerprints` is sent to a server: it is the probe if any of them
+    /// is quarantined.
+    pub fn record_attempt(&mut self, fingerprints: &[name::Fingerprint], now: time::Duration) {
+        let mut is_probe = false;
+        for fingerprint in fingerprints {
+            if !self.is_cleared(fingerprint, now)
+                && let Some(probed_at) = self.quarantined.get_mut(fingerprint)
+            {
+                *probed_at = now;
+                is_probe = true;
+                log::info!(fingerprint:%; "sending a quarantined request as a probe");
+            }
+        }
+        if is_probe {
+            self.probe = None;
+        }
     }
 
     /// Returns whether a request with `fingerprints` that broke off may be sent again.
     pub fn may_resend(&mut self, fingerprints: &[name::Fingerprint], now: time::Duration) -> bool {
         fingerprints.iter().all(|fingerprint| {
             self.is_cleared(fingerprint, now)
-                || self.crashes_with(fingerprint, time::Duration::ZERO, now).len() < RESEND_CRASHES
+                || self.crashed_servers(fingerprint, time::Duration::ZERO, now).len()
+                    < RESEND_CRASHES
         })
     }
 
-    /// Returns whether notes are to be written to the store, or removed from it.
+    /// Returns whether notes are to be written to the store or removed from it, or a probe is to be
+    /// claimed.
     pub fn has_pending(&self) -> bool {
-        !self.outdated_keys.is_empty() || self.notes.values().any(|known| known.is_pending)
+        !self.outdated_keys.is_empty()
+            || self.notes.values().any(|known| known.is_pending)
+            || self.probe.as_ref().is_some_and(Probe::is_wanted)
     }
 
     /// Returns up to `limit` notes to write to the store, and keys of notes to remove from it. They
@@ -296,12 +454,20 @@
         is_pending: bool,
         now: time::Duration,
     ) {
-        if let Note::Quarantine { fingerprint } = &note {
-            log::warn!(
-                fingerprint:%, from_store = stored_version.is_some();
-                "requests are quarantined: servers keep crashing on them"
-            );
-            self.quarantined.insert(fingerprint.clone());
+        let from_store = stored_version.is_some();
+        match &note {
+            Note::Quarantine { fingerprint } => {
+                log::warn!(
+                    fingerprint:%, from_store, recurrence = self.recurrence(fingerprint);
+                    "requests are quarantined: servers keep crashing on them"
+                );
+                self.quarantined.insert(fingerprint.clone(), now);
+            }
+            Note::Cleared { fingerprint } => {
+                log::info!(fingerprint:%, from_store; "quarantine ended: a request was answered");
+                self.quarantined.remove(fingerprint);
+            }
+            Note::Crash { .. } => {}
         }
         let known = KnownNote {
             note,
@@ -340,27 +506,34 @@
         keys.iter().for_each(|key| self.remove(key));
     }
 
-    /// Returns the crashes with `fingerprint` that are at least `min_age` old, each once also if
-    /// several gateways saw it.
-    fn crashes_with(
+    /// Returns the crashes with `fingerprint` since a request with it was answered under quarantine.
+    fn crashes_with(&self, fingerprint: &name::Fingerprint) -> impl Iterator<Item = Crash<'_>> {
+        let note = self.notes.get(&crash_note::fingerprint_key(fingerprint));
+        let cleared = note.filter(|known| matches!(known.note, Note::Cleared { .. }));
+        let cleared_at = cleared.map(|known| known.known_since);
+        let crashes = self.notes.values().filter_map(KnownNote::crash);
+        crashes.filter(move |crash| {
+            crash.fingerprints.contains(fingerprint) && Some(crash.known_since) > cleared_at
+        })
+    }
+
+    /// Returns the servers of the crashes with `fingerprint` that are at least `min_age` old, each
+    /// once also if several gateways saw it crash.
+    fn crashed_servers(
         &self,
         fingerprint: &name::Fingerprint,
         min_age: time::Duration,
         now: time::Duration,
     ) -> BTreeSet<Incarnation<'_>> {
-        let crashes = self.notes.values().filter_map(KnownNote::crash);
+        let crashes = self.crashes_with(fingerprint);
         let settled = crashes.filter(|crash| crash.known_since + min_age <= now);
-        let with_fingerprint = settled.filter(|crash| crash.fingerprints.contains(fingerprint));
-        with_fingerprint.map(|crash| crash.server).collect()
+        settled.map(|crash| crash.server).collect()
     }
 
     /// Quarantines `fingerprint`. All gateways come to this conclusion; those that saw a crash write
     /// it.
     fn quarantine(&mut self, fingerprint: &name::Fingerprint, now: time::Duration) {
-        let crashes = self.notes.values().filter_map(KnownNote::crash);
-        let is_witness = crashes
-            .filter(|crash| crash.fingerprints.contains(fingerprint))
-            .any(|crash| *crash.gateway == self.host);
+        let is_witness = self.crashes_with(fingerprint).any(|crash| *crash.gateway == self.host);
         self.insert(Note::Quarantine { fingerprint: fingerprint.clone() }, None, is_witness, now);
     }
 
@@ -372,17 +545,17 @@
         min_age: time::Duration,
         now: time::Duration,
     ) -> bool {
-        let with_fingerprint = self.crashes_with(fingerprint, min_age, now);
+        let with_fingerprint = self.crashed_servers(fingerprint, min_age, now);
         if with_fingerprint.len() < QUARANTINE_CRASHES {
             return false;
         }
         let crashes = || self.notes.values().filter_map(KnownNote::crash);
-        let with_fingerprint_since = crashes()
-            .filter(|crash| crash.fingerprints.contains(fingerprint))
-            .map(|crash| crash.known_since);
+        let with_fingerprint_since = self.crashes_with(fingerprint).map(|crash| crash.known_since);
         let first = with_fingerprint_since.min().unwrap_or_default();
+        let is_quarantined =
+            |fingerprint: &name::Fingerprint| self.quarantined.contains_key(fingerprint);
         let explained: BTreeSet<Incarnation<'_>> = crashes()
-            .filter(|crash| !crash.fingerprints.is_disjoint(&self.quarantined))
+            .filter(|crash| crash.fingerprints.iter().any(is_quarantined))
             .map(|crash| crash.server)
             .collect();
         let groups: BTreeSet<Option<&str>> =
@@ -401,28 +574,58 @@
     server: Incarnation<'a>,
     gateway: &'a name::Host,
     fingerprints: &'a BTreeSet<name::Fingerprint>,
+    recurrences: &'a BTreeMap<name::Fingerprint, u32>,
     known_since: time::Duration,
 }
 
+impl Crash<'_> {
+    /// Returns the number of crashes with `fingerprint`, one after the other, that were known when
+    /// the request was sent.
+    fn recurrence(&self, fingerprint: &name::Fingerprint) -> u32 {
+        self.recurrences.get(fingerprint).copied().unwrap_or_default()
+    }
+}
+
 impl KnownNote {
-    /// Adds fingerprints to the note of a crash; `is_new` if the store may lack them.
-    fn add_fingerprints(&mut self, added: &BTreeSet<name::Fingerprint>, is_new: bool) {
-        let Note::Crash { fingerprints, .. } = &mut self.note else { return };
+    /// Adds what another note of the same crash says; `is_new` if the store may lack it.
+    fn merge_crash(&mut self, other: &Note, is_new: bool) {
+        let (
+            Note::Crash { fingerprints, recurrences, .. },
+            Note::Crash { fingerprints: added, recurrences: added_recurrences, .. },
+        ) = (&mut self.note, other)
+        else {
+            return;
+        };
         let room = MAX_FINGERPRINTS_PER_NOTE.saturating_sub(fingerprints.len());
         let missing: Vec<_> = added.difference(fingerprints).take(room).cloned().collect();
-        self.is_pending |= is_new && !missing.is_empty();
+        let mut has_changed = !missing.is_empty();
         fingerprints.extend(missing);
+        for (fingerprint, added) in added_recurrences {
+            if fingerprints.contains(fingerprint) {
+                let recurrence = recurrences.entry(fingerprint.clone()).or_default();
+                has_changed |= *added > *recurrence;
+                *recurrence = (*recurrence).max(*added);
+            }
+        }
+        self.is_pending |= is_new && has_changed;
     }
 
     fn crash(&self) -> Option<Crash<'_>> {
         match &self.note {
-            Note::Crash { server, started_ms, group, gateway, fingerprints } => Some(Crash {
-                server: Incarnation { server, started_ms: *started_ms, group: group.as_deref() },
-                gateway,
-                fingerprints,
-                known_since: self.known_since,
-            }),
-            Note::Quarantine { .. } => None,
+            Note::Crash { server, started_ms, group, gateway, fingerprints, recurrences } => {
+                Some(Crash {
+                    server: Incarnation {
+                        server,
+                        started_ms: *started_ms,
+                        group: group.as_deref(),
+                    },
+                    gateway,
+                    fingerprints,
+                    recurrences,
+                    known_since: self.known_since,
+                })
+            }
+            Note::Quarantine { .. } | Note::Cleared { .. } => None,
         }
     }
 }
--- a/src/gateway/crash_notes.rs
+++ b/src/gateway/crash_notes.rs
@@ -52,7 +52,8 @@
     }
 }
 
-/// Writes this gateway's notes to the store, and removes those that no longer hold.
+/// Writes this gateway's notes to the store, removes those that no longer hold, and claims probes of
+/// quarantined requests.
 pub async fn write(store: Store, gateway: rc::Rc<Gateway>) {
     let mut backoff = Backoff::new("own notes of crashes");
     loop {
@@ -76,5 +77,13 @@
             }
             backoff.record(&gateway, written).await;
         }
+        let claim = gateway.begin_probe_claim();
+        if !claim.is_empty() {
+            let claimed = store.claim_crash_notes(&claim).await;
+            let is_claimed = matches!(claimed, Ok(true));
+            log::info!(is_claimed; "claim of a probe of quarantined requests");
+            gateway.end_probe_claim(is_claimed);
+            backoff.record(&gateway, claimed).await;
+        }
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -357,6 +357,7 @@
         let mut failure = ReserveError::Full;
         loop {
             let slot_freed = gateway.slot_freed.notified();
+            let probe_claim_ended = gateway.probe_claim_ended.notified();
             if waiting.as_ref().is_some_and(Waiting::is_displaced) {
                 return Err(ReserveError::Displaced);
             }
@@ -376,6 +377,17 @@
                     Err(err @ ReserveError::Limited(left)) => {
                         (failure, allowed_at) = (err, Some(Instant::now() + left));
                     }
+                    Err(err @ ReserveError::Quarantined(_)) => {
+                        let Some(claim_time) = gateway.probe_claim_time(&req.fingerprints) else {
+                            return Err(err);
+                        };
+                        let wait_until = req.timeout_at.min(Instant::now() + claim_time);
+                        tokio::select! {
+                            () = probe_claim_ended => continue,
+                            () = tokio::time::sleep_until(wait_until) => return Err(err),
+                            () = gateway.aborted() => return Err(err),
+                        }
+                    }
                     Err(err) => return Err(err),
                 }
             }
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -2,7 +2,10 @@
 
 use std::{net, rc, time};
 
-use super::{forward::RoutedRequest, state::Gateway};
+use super::{
+    forward::RoutedRequest,
+    state::{Gateway, State},
+};
 use crate::{
     balance::{crash_note, quarantine, selector},
     http::client,
@@ -78,7 +81,7 @@
         self.record_activity();
         let state = &mut *self.gateway.state.borrow_mut();
         if previous < quarantine::ANSWERED_EVENTS && events >= quarantine::ANSWERED_EVENTS {
-            state.quarantine.record_answer(&self.fingerprints, now);
+            self.record_harmless(state, now);
         }
         if previous == 0 {
             let queue = state.queues.entry(self.service.clone()).or_default();
@@ -91,6 +94,13 @@
         }
     }
 
+    /// Records that the server answered the request, at least for the most part.
+    fn record_harmless(&self, state: &mut State, now: time::Duration) {
+        if state.quarantine.record_answer(&self.fingerprints, now) {
+            self.gateway.notes_pending.notify_one();
+        }
+    }
+
     /// Records that the server sent something, so that it has not crashed.
     pub fn record_activity(&self) {
         let now = self.gateway.now();
@@ -134,7 +144,7 @@
         self.set_outcome(selector::Outcome::Success);
         let now = self.gateway.now();
         let state = &mut *self.gateway.state.borrow_mut();
-        state.quarantine.record_answer(&self.fingerprints, now);
+        self.record_harmless(state, now);
         if self.events == 0 {
             let queue = state.queues.entry(self.service.clone()).or_default();
             queue.record_first_answer(now.saturating_sub(self.reserved_at));
@@ -164,7 +174,8 @@
         );
         if has_crashed && self.events < quarantine::ANSWERED_EVENTS {
             let quarantine = &mut self.gateway.state.borrow_mut().quarantine;
-            if quarantine.record_crash(&self.incarnation(), &self.fingerprints, now) {
+            let (server, sent_at) = (self.incarnation(), self.reserved_at);
+            if quarantine.record_crash(&server, &self.fingerprints, sent_at, now) {
                 self.gateway.notes_pending.notify_one();
             }
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -62,6 +62,8 @@
     pub max_crash_silence: time::Duration,
     /// Notified when notes of crashes are to be written to the store.
     pub notes_pending: Notify,
+    /// Notified when the claim of a probe of quarantined requests has succeeded or failed.
+    pub probe_claim_ended: Notify,
     /// Notified when a call to the store succeeds after failed ones.
     pub store_recovered: Notify,
     /// Notified when a slot at a server may have become free.
@@ -188,6 +190,7 @@
             max_crash_silence: cfg.stall.mul_f64(CRASH_SILENCE_FRACTION),
             notes_pending: Notify::new(),
             store_recovered: Notify::new(),
+            probe_claim_ended: Notify::new(),
             slot_freed: Notify::new(),
             slow_engines_reported: Notify::new(),
             server_replaced: Notify::new(),
@@ -386,6 +389,27 @@
         self.state.borrow_mut().quarantine.forget_outdated(keys);
     }
 
+    /// Begins to claim a probe of quarantined requests, if one is wanted; returns the notes to write
+    /// for it, each with the version that its row must still have in the store.
+    pub fn begin_probe_claim(&self) -> Vec<(crash_note::Note, u64)> {
+        let now = self.now();
+        self.state.borrow_mut().quarantine.begin_claim(now)
+    }
+
+    /// Records whether the claim of a probe under way succeeded.
+    pub fn end_probe_claim(&self, is_claimed: bool) {
+        let now = self.now();
+        self.state.borrow_mut().quarantine.end_claim(is_claimed, now);
+        self.probe_claim_ended.notify_waiters();
+    }
+
+    /// Returns the time for which a quarantined request may have to wait until it is known whether it
+    /// may be sent as a probe; `None` if it may not.
+    pub fn probe_claim_time(&self, fingerprints: &[name::Fingerprint]) -> Option<time::Duration> {
+        let now = self.now();
+        self.state.borrow().quarantine.claim_time(fingerprints, now)
+    }
+
     /// Returns whether a request with these fingerprints may be sent again after it broke off.
     pub fn may_resend(&self, fingerprints: &[name::Fingerprint]) -> bool {
         let now = self.now();
@@ -547,6 +571,7 @@
                 if let Some(group) = reservation.group() {
                     state.progress.record_attempt(group, now);
                 }
+                state.quarantine.record_attempt(&req.fingerprints, now);
                 Ok(reservation)
             }
             Choice::NoServer if has_stalled => Err(ReserveError::Stalled),
--- a/stand-ins/store.rs
+++ b/stand-ins/store.rs
@@ -216,20 +216,34 @@
     fn transact(&self, call: &serde_json::Value) -> (u16, serde_json::Value) {
         let entries = |key: &str| call[key].as_array().cloned().unwrap_or_default();
         let (puts, removed) = (entries("puts"), entries("remove"));
+        let key_of = |row: &serde_json::Value| {
+            let text = |key: &str| row[key].as_str().unwrap_or_default().to_owned();
+            (text("table"), text("key"))
+        };
+        let mut holds = true;
         self.change(|state| {
+            holds = entries("precondition").iter().all(|expected| {
+                let row = state.rows.get(&key_of(expected)).filter(|row| !row.tombstone);
+                expected["ver"].as_u64() == Some(row.map_or(0, |row| row.ver))
+            });
+            if !holds {
+                return;
+            }
             state.ver += 1;
             for row in removed {
-                let text = |key: &str| row[key].as_str().unwrap_or_default().to_owned();
                 let tombstone = Row { value: String::new(), ver: state.ver, tombstone: true };
-                state.rows.insert((text("table"), text("key")), tombstone);
+                state.rows.insert(key_of(&row), tombstone);
             }
             for put in puts {
-                let text = |key: &str| put[key].as_str().unwrap_or_default().to_owned();
-                let row = Row { value: text("value"), ver: state.ver, tombstone: false };
-                state.rows.insert((text("table"), text("key")), row);
+                let value = put["value"].as_str().unwrap_or_default().to_owned();
+                let row = Row { value, ver: state.ver, tombstone: false };
+                state.rows.insert(key_of(&put), row);
             }
         });
-        (200, serde_json::json!({ "ver": 1, "now_ms": 1 }))
+        match holds {
+            true => (200, serde_json::json!({ "ver": 1, "now_ms": 1 })),
+            false => (412, serde_json::json!({ "rows": [] })),
+        }
     }
 }
 
--- a/tests/crashing_prompts.rs
+++ b/tests/crashing_prompts.rs
@@ -24,6 +24,13 @@
 /// Requests with the part that may reach servers after that.
 const MAX_LATER_REQUESTS: usize = 3;
 
+/// Part of sound prompts only.
+const TOPIC: &str = "70b1c";
+/// Time within which prompts whose servers failed together once are served again.
+const MAX_SUSPICION: Duration = Duration::from_secs(15);
+/// Time between two requests of a kind that is seldom asked for.
+const RARE_REQUEST_INTERVAL: Duration = Duration::from_secs(3);
+
 struct Site {
     store: Store,
     servers: Vec<Server>,
@@ -216,3 +223,36 @@
     }
     assert_eq!(site.crashing_arrivals().len(), before);
 }
+
+/// Guards against sound prompts that are refused for an hour because the servers that had just begun
+/// to answer them failed together.
+#[test]
+fn servers_fail_together() {
+    let site = Site::start(4, 2);
+    site.servers.iter().for_each(|server| server.set_behavior(Behavior::Paced(300)));
+    let send = |gateway: usize, n: usize| {
+        let prompt = format!("{TOPIC}:200,own{n}:30");
+        gateways::send_prompt(site.gateways[gateway].process.address, &prompt, &format!("ok-{n}"))
+    };
+    thread::scope(|scope| {
+        for n in 0..8 {
+            let send = &send;
+            scope.spawn(move || send(n % 2, n));
+        }
+        thread::sleep(Duration::from_millis(250));
+        site.servers.iter().for_each(Server::crash);
+    });
+    site.servers.iter().for_each(|server| server.set_behavior(Behavior::Paced(10)));
+    let crashed_at = Instant::now();
+    thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(send(0, 100).status, 503, "the crashes are not put down to the prompts");
+    let mut n = 200;
+    while (0..2).any(|gateway| send(gateway, n + gateway).status != 200) {
+        assert!(crashed_at.elapsed() < MAX_SUSPICION, "sound prompts are refused still");
+        thread::sleep(RARE_REQUEST_INTERVAL);
+        n += 2;
+    }
+    for n in 1_000..1_040 {
+        assert_eq!(send(n % 2, n).status, 200, "request {n}");
+    }
+}
--- a/tests/gateways.rs
+++ b/tests/gateways.rs
@@ -158,8 +158,7 @@
 
     /// Records a crash if a request to `url` with `prompt` causes one, and registers again.
     fn crash_if_caused_by(&self, url: &str, prompt: &str) -> bool {
-        let old_id = self.current_id();
-        let mut crashes = self.crashes.lock().unwrap();
+        let crashes = self.crashes.lock().unwrap();
         let causes_crash = match crashes.cause {
             Some(CrashCause::PromptPart(part)) => {
                 prompt.split(',').any(|entry| entry.split(':').next() == Some(part))
@@ -170,6 +169,16 @@
         if !causes_crash {
             return false;
         }
+        drop(crashes);
+        self.crash();
+        true
+    }
+
+    /// Crashes the server, which breaks off the requests that it runs; it starts again with another
+    /// id and registers again.
+    pub fn crash(&self) {
+        let old_id = self.current_id();
+        let mut crashes = self.crashes.lock().unwrap();
         crashes.times.push(Instant::now());
         let (server, store) = (self.clone(), crashes.store.clone());
         thread::spawn(move || {
@@ -181,7 +190,6 @@
                 register_rank(&store, &server, addr, &state, rank);
             }
         });
-        true
     }
 
     pub fn requests(&self) -> Vec<ReceivedRequest> {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -37,7 +37,7 @@
 fn see_crashes(quarantine: &mut Quarantine) {
     for n in 0..3 {
         let server = Server::from(format!("i-{n}").as_str());
-        quarantine.record_crash(&rank(&server, 1), &fingerprints(&["bad"]), at(n));
+        quarantine.record_crash(&rank(&server, 1), &fingerprints(&["bad"]), at(n), at(n));
     }
 }
 
@@ -60,12 +60,12 @@
 fn spread_over_gateways() {
     let (mut a, mut b, mut c) = (loaded("a"), loaded("b"), loaded("c"));
     let mut stored = Vec::new();
-    a.record_crash(&rank(&"i-1".into(), 1), &fingerprints(&["x", "bad"]), at(10));
+    a.record_crash(&rank(&"i-1".into(), 1), &fingerprints(&["x", "bad"]), at(10), at(10));
     exchange(&mut [&mut a, &mut b, &mut c], &mut stored, at(11));
-    b.record_crash(&rank(&"i-2".into(), 1), &fingerprints(&["y", "bad"]), at(12));
+    b.record_crash(&rank(&"i-2".into(), 1), &fingerprints(&["y", "bad"]), at(12), at(12));
     exchange(&mut [&mut a, &mut b, &mut c], &mut stored, at(13));
     assert_eq!(c.refusal_time(&fingerprints(&["bad"]), at(14)), None);
-    a.record_crash(&rank(&"i-3".into(), 1), &fingerprints(&["z", "bad"]), at(14));
+    a.record_crash(&rank(&"i-3".into(), 1), &fingerprints(&["z", "bad"]), at(14), at(14));
     exchange(&mut [&mut a, &mut b, &mut c], &mut stored, at(15));
     for quarantine in [&mut a, &mut b, &mut c] {
         assert!(quarantine.refusal_time(&fingerprints(&["w", "bad"]), at(16)).is_some());
@@ -84,14 +84,14 @@
     let (mut a, mut b) = (loaded("a"), loaded("b"));
     let mut stored = Vec::new();
     for _ in 0..3 {
-        a.record_crash(&rank(&"i-1".into(), 1), &fingerprints(&["x"]), at(10));
-        b.record_crash(&rank(&"i-1".into(), 1), &fingerprints(&["x"]), at(10));
+        a.record_crash(&rank(&"i-1".into(), 1), &fingerprints(&["x"]), at(10), at(10));
+        b.record_crash(&rank(&"i-1".into(), 1), &fingerprints(&["x"]), at(10), at(10));
     }
     exchange(&mut [&mut a, &mut b], &mut stored, at(11));
     assert_eq!(a.refusal_time(&fingerprints(&["x"]), at(12)), None);
     // Another incarnation with the same name is another crash.
-    a.record_crash(&rank(&"i-1".into(), 2), &fingerprints(&["x"]), at(13));
-    a.record_crash(&rank(&"i-1".into(), 3), &fingerprints(&["x"]), at(15));
+    a.record_crash(&rank(&"i-1".into(), 2), &fingerprints(&["x"]), at(13), at(13));
+    a.record_crash(&rank(&"i-1".into(), 3), &fingerprints(&["x"]), at(15), at(15));
     assert!(a.refusal_time(&fingerprints(&["x"]), at(16)).is_some());
 }
 
@@ -107,6 +107,7 @@
                 &rank(&format!("i-{n}").as_str().into(), 1),
                 &fingerprints(&["hot"]),
                 now,
+                now,
             );
         }
         exchange(&mut [&mut a, &mut b], &mut stored, Duration::from_millis(10_600));
@@ -129,7 +130,12 @@
     let mut quarantine = loaded("a");
     for n in 0..3 {
         let crashed_at = at(10 + 10 * n);
-        quarantine.record_crash(&rank(&"i-1".into(), n), &fingerprints(&["bad"]), crashed_at);
+        quarantine.record_crash(
+            &rank(&"i-1".into(), n),
+            &fingerprints(&["bad"]),
+            crashed_at,
+            crashed_at,
+        );
         let late = crashed_at + Duration::from_millis(100);
         assert!(!quarantine.record_activity(&rank(&"i-1".into(), n), late));
         assert!(!quarantine.record_activity(&rank(&"i-1".into(), n + 1), crashed_at + at(3)));
@@ -150,6 +156,7 @@
             &rank(&server.as_str().into(), 1),
             &fingerprints(&["shared", "bad"]),
             at(10 + n),
+            at(10 + n),
         );
     }
     assert_eq!(quarantine.refusal_time(&fingerprints(&["shared", "topic"]), at(20)), None);
@@ -165,7 +172,12 @@
     for n in 0..12 {
         let part = if n % 4 == 0 { "often".to_owned() } else { format!("own-{n}") };
         let server = format!("i-{n}");
-        quarantine.record_crash(&rank(&server.as_str().into(), 1), &fingerprints(&[&part]), at(10));
+        quarantine.record_crash(
+            &rank(&server.as_str().into(), 1),
+            &fingerprints(&[&part]),
+            at(10),
+            at(10),
+        );
     }
     assert_eq!(quarantine.refusal_time(&fingerprints(&["often"]), at(11)), None);
 }
@@ -181,6 +193,7 @@
             &rank(&server.as_str().into(), 1),
             &fingerprints(&[bad]),
             at(10 + n),
+            at(10 + n),
         );
     }
     assert!(quarantine.refusal_time(&fingerprints(&["bad-1"]), at(20)).is_some());
@@ -191,9 +204,9 @@
 #[test]
 fn resent_once() {
     let mut quarantine = loaded("a");
-    quarantine.record_crash(&rank(&"i-1".into(), 1), &fingerprints(&["bad"]), at(10));
+    quarantine.record_crash(&rank(&"i-1".into(), 1), &fingerprints(&["bad"]), at(10), at(10));
     assert!(quarantine.may_resend(&fingerprints(&["bad"]), at(10)));
-    quarantine.record_crash(&rank(&"i-2".into(), 1), &fingerprints(&["bad"]), at(11));
+    quarantine.record_crash(&rank(&"i-2".into(), 1), &fingerprints(&["bad"]), at(11), at(11));
     assert!(!quarantine.may_resend(&fingerprints(&["bad"]), at(11)));
     assert!(quarantine.may_resend(&fingerprints(&["other"]), at(11)));
 }
@@ -230,6 +243,7 @@
             &rank(&format!("i-{n}").as_str().into(), 1),
             &fingerprints(&["bad"]),
             at(10),
+            at(10),
         );
     }
     assert!(quarantine.refusal_time(&fingerprints(&["bad"]), at(12)).is_some());
@@ -239,7 +253,7 @@
 #[test]
 fn withdrawn_before_read() {
     let mut quarantine = loaded("a");
-    quarantine.record_crash(&rank(&"i-1".into(), 1), &fingerprints(&["x"]), at(10));
+    quarantine.record_crash(&rank(&"i-1".into(), 1), &fingerprints(&["x"]), at(10), at(10));
     assert_eq!(quarantine.take_pending(100).0.len(), 1);
     assert!(quarantine.record_activity(&rank(&"i-1".into(), 1), Duration::from_millis(10_500)));
     assert_eq!(quarantine.take_pending(100).1.len(), 1);
@@ -267,7 +281,7 @@
         quarantine.record_answer(&many, at(n / 100));
         let other: Vec<Fingerprint> =
             (0..200).map(|part| Fingerprint::new(format!("c{n}-{part}"))).collect();
-        quarantine.record_crash(&rank(&"i-1".into(), n), &other, at(n / 100));
+        quarantine.record_crash(&rank(&"i-1".into(), n), &other, at(n / 100), at(n / 100));
     }
     let (notes, _) = quarantine.take_pending(10_000);
     assert!(notes.len() <= 128, "{} notes", notes.len());
@@ -284,11 +298,11 @@
     for n in 0..3 {
         let server = Server::from(format!("plain-{n}").as_str());
         let crashed = Incarnation { server: &server, started_ms: 1, group: None };
-        quarantine.record_crash(&crashed, &bad, at(n));
+        quarantine.record_crash(&crashed, &bad, at(n), at(n));
     }
     for n in 0..12 {
         let server = Server::from(format!("i-{n}").as_str());
-        quarantine.record_crash(&rank(&server, 1), &fingerprints(&["x"]), at(3));
+        quarantine.record_crash(&rank(&server, 1), &fingerprints(&["x"]), at(3), at(3));
     }
     assert!(quarantine.refusal_time(&bad, at(5)).is_some());
 }
@@ -344,7 +358,12 @@
     let incarnation = |n: usize| Incarnation { server: &servers[n], started_ms: 1, group: None };
     let millis = Duration::from_millis;
     for n in 0..3 {
-        quarantine.record_crash(&incarnation(n), &request, at(1) + millis(n as u64 * 10));
+        quarantine.record_crash(
+            &incarnation(n),
+            &request,
+            at(1) + millis(n as u64 * 10),
+            at(1) + millis(n as u64 * 10),
+        );
     }
     assert_eq!(quarantine.refusal_time(&request, at(1) + millis(100)), None);
     assert!(quarantine.refusal_time(&request, at(1) + millis(600)).is_some());
@@ -352,3 +371,123 @@
     assert_eq!(quarantine.refusal_time(&request, at(1) + millis(700)), None);
     assert_eq!(quarantine.refusal_time(&request, at(10)), None);
 }
+
+/// Lets `quarantine` see `count` servers go down at one moment, each with an unanswered request with
+/// the part `hot`.
+fn fail_together(quarantine: &mut Quarantine, count: usize, now: Duration) {
+    for n in 0..count {
+        let server = Server::from(format!("i-{n}").as_str());
+        let sent_at = now - Duration::from_millis(300);
+        quarantine.record_crash(&rank(&server, 1), &fingerprints(&["hot"]), sent_at, now);
+    }
+}
+
+/// Sends a request with `part` as a probe if one is due at `now`; returns whether it was sent.
+fn probe(quarantine: &mut Quarantine, part: &str, now: Duration) -> bool {
+    let part = fingerprints(&[part]);
+    if quarantine.refusal_time(&part, now).is_some() {
+        if quarantine.begin_claim(now).is_empty() {
+            return false;
+        }
+        assert!(quarantine.claim_time(&part, now).is_some(), "the request may wait for the claim");
+        quarantine.end_claim(true, now);
+    }
+    assert_eq!(quarantine.refusal_time(&part, now), None);
+    quarantine.record_attempt(&part, now);
+    true
+}
+
+/// Guards against a sound kind of request that is refused for good because several servers that ran
+/// it failed together.
+#[test]
+fn probe_ends_quarantine() {
+    let (mut a, mut b) = (loaded("a"), loaded("b"));
+    let mut stored = Vec::new();
+    let hot = fingerprints(&["hot"]);
+    fail_together(&mut a, 4, at(10));
+    exchange(&mut [&mut a, &mut b], &mut stored, at(11));
+    for quarantine in [&mut a, &mut b] {
+        assert!(quarantine.refusal_time(&hot, at(12)).is_some());
+    }
+    exchange(&mut [&mut a, &mut b], &mut stored, at(12));
+    assert!(!probe(&mut a, "hot", at(16)), "the servers can't be back yet");
+    assert!(probe(&mut a, "hot", at(18)));
+    assert!(a.refusal_time(&hot, at(18)).is_some(), "one request is enough");
+    assert!(a.record_answer(&hot, at(19)));
+    exchange(&mut [&mut a, &mut b], &mut stored, at(19));
+    // The notes of the crashes no longer count, also when the answer is long ago.
+    for now in [at(20), at(600)] {
+        for quarantine in [&mut a, &mut b] {
+            assert_eq!(quarantine.refusal_time(&hot, now), None);
+            assert!(quarantine.may_resend(&hot, now));
+        }
+        let mut started = loaded("c");
+        started.apply(stored.clone(), 0, now);
+        assert_eq!(started.refusal_time(&hot, now + at(2)), None);
+    }
+    // Later crashes count again.
+    for n in 0..3u64 {
+        let server = Server::from(format!("later-{n}").as_str());
+        b.record_crash(&rank(&server, 1), &hot, at(610 + n), at(610 + n));
+    }
+    assert!(b.refusal_time(&hot, at(615)).is_some());
+}
+
+/// Guards against probes that crash one server after the other.
+#[test]
+fn probes_get_rare() {
+    let mut quarantine = loaded("a");
+    fail_together(&mut quarantine, 3, at(10));
+    let mut probed_at = Vec::new();
+    for secs in 12..600 {
+        if probe(&mut quarantine, "hot", at(secs)) {
+            let server = Server::from(format!("probed-{secs}").as_str());
+            let hot = fingerprints(&["hot"]);
+            quarantine.record_crash(&rank(&server, 1), &hot, at(secs), at(secs));
+            probed_at.push(secs);
+        }
+    }
+    assert_eq!(probed_at, [17, 37, 117, 437]);
+}
+
+/// Guards against an early probe where each crash followed the one before.
+#[test]
+fn crashes_in_succession() {
+    let mut quarantine = loaded("a");
+    see_crashes(&mut quarantine);
+    let probed_at = (4..200).find(|secs| probe(&mut quarantine, "bad", at(*secs)));
+    assert_eq!(probed_at, Some(84));
+}
+
+/// Guards against several gateways that probe at once.
+#[test]
+fn one_gateway_probes() {
+    let (mut a, mut b) = (loaded("a"), loaded("b"));
+    let mut stored = Vec::new();
+    let hot = fingerprints(&["hot"]);
+    fail_together(&mut a, 4, at(10));
+    exchange(&mut [&mut a, &mut b], &mut stored, at(11));
+    for quarantine in [&mut a, &mut b] {
+        assert!(quarantine.refusal_time(&hot, at(12)).is_some());
+    }
+    exchange(&mut [&mut a, &mut b], &mut stored, at(12));
+    for quarantine in [&mut a, &mut b] {
+        assert!(quarantine.refusal_time(&hot, at(18)).is_some());
+    }
+    let (of_a, of_b) = (a.begin_claim(at(18)), b.begin_claim(at(18)));
+    assert!(!of_a.is_empty());
+    assert_eq!(of_a, of_b, "both need the same version of the row");
+    a.end_claim(true, at(18));
+    b.end_claim(false, at(18));
+    assert!(b.refusal_time(&hot, at(18)).is_some());
+    assert_eq!(b.claim_time(&hot, at(18)), None);
+    // A third gateway learns of the claim from the row, which was written again.
+    let version = stored.iter().map(|(_, version)| *version).max().unwrap_or_default() + 1;
+    let row = stored.iter_mut().find(|(note, _)| note.key() == "part/hot");
+    row.expect("the quarantine is stored").1 = version;
+    b.apply(stored.clone(), 0, at(19));
+    assert!(!probe(&mut b, "hot", at(23)));
+    // The claim lapses if the probe is not sent in time.
+    assert!(a.refusal_time(&hot, at(20)).is_some());
+    assert!(probe(&mut b, "hot", at(25)), "the next probe is due");
+}
