Offer new connections a window that fits into their buffer

Cause: connections opened with the kernel's usual receive buffer and offered a window of 64 KiB and more; then the buffer was set to 16 KiB. What a client had sent into the window was dropped. Mostly it is sent again at once; if the last segments are dropped, the client waits for a loss probe.

Change: the listening socket has the small buffer.

--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,6 +1,6 @@
 //! An HTTP/1.1 server that limits sizes, headers, connections and times.
 
-use std::{convert, future, net, ops, pin, rc, sync::Arc, task as std_task, time};
+use std::{convert, future, io, net, ops, pin, rc, sync::Arc, task as std_task, time};
 
 use hyper::{body, header, server, service};
 use hyper_util::rt;
@@ -67,6 +67,9 @@
     }
 }
 
+/// Largest number of connections that wait to be accepted.
+const LISTEN_BACKLOG: u32 = 1024;
+
 /// A request whose body has not been read yet.
 pub type Request = hyper::Request<Upload>;
 /// An answer whose body is whole or streamed.
@@ -81,7 +84,20 @@
 /// Starts to listen on `addr`. With port 0 the kernel chooses a free port.
 pub async fn listen(addr: net::SocketAddr) -> Result<tokio::net::TcpListener> {
     let listen_error = |source| Error::Listen { address: addr.to_string(), source };
-    tokio::net::TcpListener::bind(addr).await.map_err(listen_error)
+    listen_with_small_buffers(addr).map_err(listen_error)
+}
+
+/// Listens with the receive buffer that connections keep: the kernel drops what was sent into a
+/// window that does not fit into the buffer any more.
+fn listen_with_small_buffers(addr: net::SocketAddr) -> io::Result<tokio::net::TcpListener> {
+    let socket = match addr {
+        net::SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
+        net::SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_recv_buffer_size(clients::RECEIVE_BUFFER_BYTES as u32)?;
+    socket.bind(addr)?;
+    socket.listen(LISTEN_BACKLOG)
 }
 
 /// Serves one port until `stop` turns true, then completes the requests in flight.
--- a/tests/crowds/calm.rs
+++ b/tests/crowds/calm.rs
@@ -1,5 +1,9 @@
 //! Single requests within the limits, which are served in calm whatever their framing.
 
+use std::{io::Write, net, time};
+
+use knapweedford::http::clients::RECEIVE_BUFFER_BYTES;
+
 use crate::crowd::{MAX_BODY_BYTES, MAX_HEAD_BYTES, Site, exchange, head};
 
 /// Timeout of the shortest routes on the platform's pages.
@@ -7,6 +11,9 @@
 /// Bytes of a body that is sent in chunks of one byte.
 const SMALL_CHUNKS: usize = 256 << 10;
 
+/// Time without progress after which a client has filled the window that it was offered.
+const WINDOW_FILLED_TIME: time::Duration = time::Duration::from_millis(200);
+
 /// Sends a request with `framing` and the pieces of its body, and asserts that the server gets
 /// `bytes` bytes.
 fn assert_served(site: &Site, framing: &str, pieces: Vec<Vec<u8>>, bytes: usize) {
@@ -50,6 +57,25 @@
     assert_largest_body_served(Site::start_with_timeout(TIMEOUT_MS));
 }
 
+/// Guards against a window that does not fit into the receive buffer of a connection: the kernel
+/// drops what is sent into it, and a body arrives too late once in a while (issue 49).
+#[test]
+fn first_window() {
+    let site = Site::start();
+    site.gateway.process.signal("STOP");
+    let mut conn = net::TcpStream::connect(site.addr()).unwrap();
+    let raw = socket2::SockRef::from(&conn);
+    raw.set_send_buffer_size(1 << 10).unwrap();
+    // The kernel allots twice the size of a receive buffer.
+    let room = 2 * RECEIVE_BUFFER_BYTES + raw.send_buffer_size().unwrap();
+    conn.set_write_timeout(Some(WINDOW_FILLED_TIME)).unwrap();
+    let mut sent = 0;
+    while let Ok(bytes) = conn.write(&[b'x'; 1 << 10]) {
+        sent += bytes;
+    }
+    assert!(sent <= room, "{sent} bytes were sent, {room} fit into the buffers");
+}
+
 /// Guards against limits that refuse the largest head that the configuration allows.
 #[test]
 fn largest_head() {
