Move the notes of the quarantine to a module of their own

Symptom: none; no behavior changes. `balance::quarantine` had grown to 631 lines, a tenth of them on what one gateway knows of a note.

--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -8,6 +8,7 @@
 pub mod crash_note;
 pub mod gateways;
 pub mod group_reports;
+mod known_note;
 pub mod probe;
 pub mod progress;
 pub mod quarantine;
--- a/src/balance/quarantine.rs
+++ b/src/balance/quarantine.rs
@@ -20,6 +20,7 @@
 use super::{
     ClearedFingerprints,
     crash_note::{self, Incarnation, Note},
+    known_note::{Crash, KnownNote, MAX_FINGERPRINTS_PER_NOTE},
     probe::{self, Probe},
 };
 use crate::name;
@@ -50,23 +51,6 @@
 const NOTE_LIFETIME: time::Duration = time::Duration::from_secs(3600);
 /// Number of notes kept; the oldest crashes are dropped first.
 const MAX_NOTES: usize = 128;
-/// Number of fingerprints in the note of one crash.
-const MAX_FINGERPRINTS_PER_NOTE: usize = 128;
-
-/// A note, and what this gateway knows of its copy in the store.
-#[derive(Debug)]
-struct KnownNote {
-    note: Note,
-    /// Version of the copy in the store; `None` if none was read.
-    stored_version: Option<u64>,
-    /// Whether the note is to be written to the store.
-    is_pending: bool,
-    /// Whether the store may have a copy.
-    may_be_stored: bool,
-    known_since: time::Duration,
-    expires_at: time::Duration,
-}
-
 /// Crashes that all gateways have seen, and the fingerprints of requests that they are put down to.
 /// Times are on the process's monotonic clock.
 #[derive(Debug)]
@@ -568,64 +552,3 @@
         2 * with_fingerprint.len() >= unexplained.len()
     }
 }
-
-/// A crash as one gateway saw it.
-struct Crash<'a> {
-    server: Incarnation<'a>,
-    gateway: &'a name::Host,
-    fingerprints: &'a BTreeSet<name::Fingerprint>,
-    recurrences: &'a BTreeMap<name::Fingerprint, u32>,
-    known_since: time::Duration,
-}
-
-impl Crash<'_> {
-    /// Returns the number of crashes with `fingerprint`, one after the other, that were known when
-    /// the request was sent.
-    fn recurrence(&self, fingerprint: &name::Fingerprint) -> u32 {
-        self.recurrences.get(fingerprint).copied().unwrap_or_default()
-    }
-}
-
-impl KnownNote {
-    /// Adds what another note of the same crash says; `is_new` if the store may lack it.
-    fn merge_crash(&mut self, other: &Note, is_new: bool) {
-        let (
-            Note::Crash { fingerprints, recurrences, .. },
-            Note::Crash { fingerprints: added, recurrences: added_recurrences, .. },
-        ) = (&mut self.note, other)
-        else {
-            return;
-        };
-        let room = MAX_FINGERPRINTS_PER_NOTE.saturating_sub(fingerprints.len());
-        let missing: Vec<_> = added.difference(fingerprints).take(room).cloned().collect();
-        let mut has_changed = !missing.is_empty();
-        fingerprints.extend(missing);
-        for (fingerprint, added) in added_recurrences {
-            if fingerprints.contains(fingerprint) {
-                let recurrence = recurrences.entry(fingerprint.clone()).or_default();
-                has_changed |= *added > *recurrence;
-                *recurrence = (*recurrence).max(*added);
-            }
-        }
-        self.is_pending |= is_new && has_changed;
-    }
-
-    fn crash(&self) -> Option<Crash<'_>> {
-        match &self.note {
-            Note::Crash { server, started_ms, group, gateway, fingerprints, recurrences } => {
-                Some(Crash {
-                    server: Incarnation {
-                        server,
-                        started_ms: *started_ms,
-                        group: group.as_deref(),
-                    },
-                    gateway,
-                    fingerprints,
-                    recurrences,
-                    known_since: self.known_since,
-                })
-            }
-            Note::Quarantine { .. } | Note::Cleared { .. } => None,
-        }
-    }
-}
