--- a/src/balance/quarantine.rs
+++ b/src/balance/quarantine.rs
@@ -51,6 +51,7 @@
 const NOTE_LIFETIME: time::Duration = time::Duration::from_secs(3600);
 /// Number of notes kept; the oldest crashes are dropped first.
 const MAX_NOTES: usize = 128;
+
 /// Crashes that all gateways have seen, and the fingerprints of requests that they are put down to.
 /// Times are on the process's monotonic clock.
 #[derive(Debug)]
@@ -60,6 +61,7 @@
     /// Quarantined fingerprints, each with the start of its quarantine or the time of its latest
     /// probe, by whichever gateway.
     quarantined: BTreeMap<name::Fingerprint, time::Duration>,
+    /// The probe that this gateway prepares, if any.
     probe: Option<Probe>,
     /// Parts of prompts that were answered recently.
     cleared_parts: ClearedFingerprints,
