Test that gateways probe one after the other

`crashing_prompts::one_probe_at_a_time` guards the condition under which a gateway claims a probe in the store: two gateways are asked for a quarantined prompt all the time, and one request at most reaches a server.

--- a/tests/crashing_prompts.rs
+++ b/tests/crashing_prompts.rs
@@ -256,3 +256,35 @@
         assert_eq!(send(n % 2, n).status, 200, "request {n}");
     }
 }
+
+/// Guards against gateways that probe at the same time, each of which crashes a server.
+#[test]
+fn one_probe_at_a_time() {
+    let site = Site::start(4, 2);
+    thread::scope(|scope| {
+        for n in 0..8 {
+            let site = &site;
+            scope.spawn(move || site.send_crashing(n % 2, n));
+        }
+    });
+    let crashed_at = Instant::now();
+    thread::sleep(STABLE_TIME);
+    assert_eq!(site.send_crashing(0, 10).status, 503, "the prompts are not quarantined");
+    let before = site.crashing_arrivals().len();
+    thread::scope(|scope| {
+        for client in 0..8 {
+            let site = &site;
+            scope.spawn(move || {
+                for n in 0.. {
+                    if crashed_at.elapsed() > MAX_SUSPICION {
+                        return;
+                    }
+                    site.send_crashing(client % 2, 100 * (client + 1) + n);
+                    thread::sleep(Duration::from_millis(50));
+                }
+            });
+        }
+    });
+    let probes = site.crashing_arrivals().len() - before;
+    assert!(probes <= 1, "{probes} requests reached servers, one probe was due");
+}
