--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -382,6 +382,20 @@
     }
 }
 
+/// Returns two gateways that have quarantined requests with `hot` at 12 s, after four servers failed
+/// together, and the notes in the store.
+fn quarantined_at_two(hot: &[Fingerprint]) -> (Quarantine, Quarantine, Vec<(Note, u64)>) {
+    let (mut a, mut b) = (loaded("a"), loaded("b"));
+    let mut stored = Vec::new();
+    fail_together(&mut a, 4, at(10));
+    exchange(&mut [&mut a, &mut b], &mut stored, at(11));
+    for quarantine in [&mut a, &mut b] {
+        assert!(quarantine.refusal_time(hot, at(12)).is_some());
+    }
+    exchange(&mut [&mut a, &mut b], &mut stored, at(12));
+    (a, b, stored)
+}
+
 /// Sends a request with `part` as a probe if one is due at `now`; returns whether it was sent.
 fn probe(quarantine: &mut Quarantine, part: &str, now: Duration) -> bool {
     let part = fingerprints(&[part]);
@@ -401,15 +415,8 @@
 /// it failed together.
 #[test]
 fn probe_ends_quarantine() {
-    let (mut a, mut b) = (loaded("a"), loaded("b"));
-    let mut stored = Vec::new();
     let hot = fingerprints(&["hot"]);
-    fail_together(&mut a, 4, at(10));
-    exchange(&mut [&mut a, &mut b], &mut stored, at(11));
-    for quarantine in [&mut a, &mut b] {
-        assert!(quarantine.refusal_time(&hot, at(12)).is_some());
-    }
-    exchange(&mut [&mut a, &mut b], &mut stored, at(12));
+    let (mut a, mut b, mut stored) = quarantined_at_two(&hot);
     assert!(!probe(&mut a, "hot", at(16)), "the servers can't be back yet");
     assert!(probe(&mut a, "hot", at(18)));
     assert!(a.refusal_time(&hot, at(18)).is_some(), "one request is enough");
@@ -462,15 +469,8 @@
 /// Guards against several gateways that probe at once.
 #[test]
 fn one_gateway_probes() {
-    let (mut a, mut b) = (loaded("a"), loaded("b"));
-    let mut stored = Vec::new();
     let hot = fingerprints(&["hot"]);
-    fail_together(&mut a, 4, at(10));
-    exchange(&mut [&mut a, &mut b], &mut stored, at(11));
-    for quarantine in [&mut a, &mut b] {
-        assert!(quarantine.refusal_time(&hot, at(12)).is_some());
-    }
-    exchange(&mut [&mut a, &mut b], &mut stored, at(12));
+    let (mut a, mut b, mut stored) = quarantined_at_two(&hot);
     for quarantine in [&mut a, &mut b] {
         assert!(quarantine.refusal_time(&hot, at(18)).is_some());
     }
